--- /dev/null
+++ b/internal/limpetconfig/plan.go
@@ -0,0 +1,386 @@
+package limpetconfig
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+
+	"limpetmount.org/internal/limpeterror"
+)
+
+// Defaults of new objects.
+const (
+	defaultWeight    = 1
+	defaultStreams   = 256
+	defaultStaleness = 2
+	defaultParallel  = 64
+	hashBytes        = 32
+	nameLongest      = 64
+)
+
+var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]*$`)
+
+// reservedPaths are served by the system itself, so that no plain service
+// may stand there.
+var reservedPaths = []string{"/v1", "/health", "/ready"}
+
+// An objectKind holds what the generic code needs to know of an entity.
+type objectKind struct {
+	create func(name string) any
+	get    func(d *Document, name string) (any, bool)
+	put    func(d *Document, name string, v any)
+	remove func(d *Document, name string)
+	names  func(d *Document) []string
+	check  func(d *Document, v any, place string, f *limpeterror.Findings)
+}
+
+// newKind builds an objectKind for the map that of selects.
+func newKind[T any](of func(*Document) map[string]T, create func(string) T, check func(*Document, T, string, *limpeterror.Findings)) objectKind {
+	return objectKind{
+		create: func(name string) any { v := create(name); return &v },
+		get: func(d *Document, name string) (any, bool) {
+			v, ok := of(d)[name]
+			return &v, ok
+		},
+		put:    func(d *Document, name string, v any) { of(d)[name] = *v.(*T) },
+		remove: func(d *Document, name string) { delete(of(d), name) },
+		names: func(d *Document) []string {
+			names := make([]string, 0, len(of(d)))
+			for n := range of(d) {
+				names = append(names, n)
+			}
+			sort.Strings(names)
+			return names
+		},
+		check: func(d *Document, v any, place string, f *limpeterror.Findings) { check(d, *v.(*T), place, f) },
+	}
+}
+
+var kinds = map[Entity]objectKind{
+	Accounts: newKind(func(d *Document) map[string]Account { return d.Accounts },
+		func(n string) Account {
+			return Account{Name: n, Weight: defaultWeight, Class: Live, Streams: defaultStreams}
+		}, checkAccount),
+	Keys: newKind(func(d *Document) map[string]Key { return d.Keys },
+		func(n string) Key { return Key{Name: n, Role: Caller} }, checkKey),
+	Services: newKind(func(d *Document) map[string]Service { return d.Services },
+		func(n string) Service { return Service{Name: n, Kind: Engine} }, checkService),
+	Jobs: newKind(func(d *Document) map[string]Job { return d.Jobs },
+		func(n string) Job { return Job{Name: n, Staleness: defaultStaleness, Parallel: defaultParallel} }, checkJob),
+	Drains: newKind(func(d *Document) map[string]Drain { return d.Drains },
+		func(n string) Drain { return Drain{Name: n} }, func(*Document, Drain, string, *limpeterror.Findings) {}),
+	Releases: newKind(func(d *Document) map[string]Release { return d.Releases },
+		func(n string) Release { return Release{Name: n} }, func(*Document, Release, string, *limpeterror.Findings) {}),
+}
+
+func checkAccount(_ *Document, a Account, place string, f *limpeterror.Findings) {
+	if a.Weight <= 0 || a.Weight > 1e6 {
+		f.Add(place, "weight must be above 0 and at most 1e6")
+	}
+	if a.Class != Live && a.Class != Rollout {
+		f.Add(place, "class must be live or rollout, not %q", a.Class)
+	}
+	if a.Streams < 1 {
+		f.Add(place, "streams must be at least 1")
+	}
+}
+
+func checkKey(d *Document, k Key, place string, f *limpeterror.Findings) {
+	if _, ok := d.Accounts[k.Account]; !ok {
+		f.Add(place, "no account %q", k.Account)
+	}
+	if data, err := hex.DecodeString(k.Hash); err != nil || len(data) != hashBytes {
+		f.Add(place, "hash must be %d bytes in hex", hashBytes)
+	}
+	switch k.Role {
+	case Caller, Trainer, Operator, Viewer:
+	default:
+		f.Add(place, "role must be caller, trainer, viewer or operator, not %q", k.Role)
+	}
+}
+
+func checkService(d *Document, s Service, place string, f *limpeterror.Findings) {
+	switch s.Kind {
+	case Engine:
+		if s.Open {
+			f.Add(place, "an engine service cannot be open")
+		}
+	case Plain:
+		checkPath(d, s, place, f)
+	default:
+		f.Add(place, "kind must be engine or plain, not %q", s.Kind)
+	}
+	if s.Servers < 0 || s.Most < 0 || (s.Most > 0 && s.Most < s.Servers) {
+		f.Add(place, "servers must be 0 to most")
+	}
+	if s.CheapShare < 0 || s.CheapShare > 1 {
+		f.Add(place, "cheap must be 0 to 1")
+	}
+}
+
+func checkPath(d *Document, s Service, place string, f *limpeterror.Findings) {
+	if !strings.HasPrefix(s.Path, "/") || len(s.Path) < 2 || strings.HasSuffix(s.Path, "/") || strings.ContainsAny(s.Path, "%?#;\\ ") || strings.Contains(s.Path, "//") || strings.Contains(s.Path, "/.") {
+		f.Add(place, "path must be a plain prefix such as /records, not %q", s.Path)
+		return
+	}
+	for _, r := range reservedPaths {
+		if overlaps(r, strings.ToLower(s.Path)) {
+			f.Add(place, "path %s is the system's own", r)
+		}
+	}
+	for _, o := range d.Services {
+		if o.Name != s.Name && o.Kind == Plain && overlaps(strings.ToLower(o.Path), strings.ToLower(s.Path)) {
+			f.Add(place, "path overlaps with service %s", o.Name)
+		}
+	}
+}
+
+func overlaps(a, b string) bool {
+	return strings.HasPrefix(a+"/", b+"/") || strings.HasPrefix(b+"/", a+"/")
+}
+
+func checkJob(d *Document, j Job, place string, f *limpeterror.Findings) {
+	if _, ok := d.Accounts[j.Account]; !ok {
+		f.Add(place, "no account %q", j.Account)
+	}
+	if s, ok := d.Services[j.Service]; !ok || s.Kind != Engine {
+		f.Add(place, "no engine service %q", j.Service)
+	}
+	if j.Staleness < 0 {
+		f.Add(place, "staleness must be at least 0")
+	}
+	if j.Parallel < 1 {
+		f.Add(place, "parallel must be at least 1")
+	}
+	if j.Scorer != "" {
+		if _, err := netip.ParseAddrPort(j.Scorer); err != nil {
+			f.Add(place, "scorer must be an IP address with a port, not %q", j.Scorer)
+		}
+	}
+	for _, o := range d.Jobs {
+		if j.Publishes && o.Publishes && o.Name != j.Name && o.Service == j.Service {
+			f.Add(place, "job %s publishes the weights of %s already", o.Name, j.Service)
+		}
+	}
+}
+
+// Plan returns the document after a batch, or all findings. The batch is
+// accepted whole or not at all; conditions are tested against d.
+func Plan(d *Document, changes []Change) (*Document, error) {
+	f := &limpeterror.Findings{}
+	if len(changes) == 0 {
+		f.Add("batch", "no changes")
+	}
+	next := d.clone()
+	next.Index = d.Index + 1
+	for _, c := range changes {
+		planOne(d, next, c, f)
+	}
+	for _, c := range changes {
+		if k, ok := kinds[c.Entity]; ok && c.Verb != Remove {
+			if v, ok := k.get(next, c.Name); ok {
+				k.check(next, v, c.Place, f)
+			}
+		}
+	}
+	checkReferences(next, f)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+func planOne(before, next *Document, c Change, f *limpeterror.Findings) {
+	k, ok := kinds[c.Entity]
+	if !ok {
+		f.Add(c.Place, "unknown kind of object %q", c.Entity)
+		return
+	}
+	if !validName.MatchString(c.Name) || len(c.Name) > nameLongest {
+		f.Add(c.Place, "name must be at most %d letters, digits and . _ : -, not %q", nameLongest, c.Name)
+		return
+	}
+	checkConditions(before, k, c, f)
+	v, exists := k.get(next, c.Name)
+	switch {
+	case c.Verb == Create && exists:
+		f.Add(c.Place, "%s %s exists already", c.Entity, c.Name)
+		return
+	case c.Verb != Create && !exists:
+		f.Add(c.Place, "no %s %s", c.Entity, c.Name)
+		return
+	case c.Verb == Remove:
+		k.remove(next, c.Name)
+		return
+	case c.Verb == Create:
+		v = k.create(c.Name)
+	}
+	for _, s := range c.Settings {
+		if err := SetField(v, s.Field, s.Value); err != nil {
+			f.Add(c.Place, "%s %s: %v", c.Entity, c.Name, err)
+		}
+	}
+	reflect.ValueOf(v).Elem().FieldByName("Changed").SetUint(next.Index)
+	k.put(next, c.Name, v)
+}
+
+func checkConditions(before *Document, k objectKind, c Change, f *limpeterror.Findings) {
+	v, exists := k.get(before, c.Name)
+	for _, s := range c.If {
+		if !exists {
+			f.Add(c.Place, "condition on %s: no %s %s", s.Field, c.Entity, c.Name)
+			continue
+		}
+		got, err := GetField(v, s.Field)
+		if err != nil {
+			f.Add(c.Place, "condition: %v", err)
+		} else if got != s.Value {
+			f.Add(c.Place, "condition on %s: it is %s, not %s", s.Field, got, s.Value)
+		}
+	}
+}
+
+// checkReferences finds objects whose account or service a batch removed.
+func checkReferences(d *Document, f *limpeterror.Findings) {
+	for _, n := range kinds[Keys].names(d) {
+		if a := d.Keys[n].Account; d.Accounts[a].Name == "" {
+			f.Add("batch", "key %s belongs to account %s, which would not exist", n, a)
+		}
+	}
+	for _, n := range kinds[Jobs].names(d) {
+		j := d.Jobs[n]
+		if d.Accounts[j.Account].Name == "" || d.Services[j.Service].Name == "" {
+			f.Add("batch", "job %s needs account %s and service %s", n, j.Account, j.Service)
+		}
+	}
+}
+
+// Apply returns the document after an accepted entry, whose index must follow
+// d's.
+func Apply(d *Document, e Entry) (*Document, error) {
+	if e.Index != d.Index+1 {
+		return nil, limpeterror.Conflict.New("entry %d does not follow index %d", e.Index, d.Index)
+	}
+	next, err := Plan(d, e.Changes)
+	if err != nil {
+		return nil, fmt.Errorf("entry %d: %w", e.Index, err)
+	}
+	return next, nil
+}
+
+// SetField sets the field of an object that the language calls name. The
+// object is given by pointer.
+func SetField(object any, name, value string) error {
+	field, err := fieldOf(object, name)
+	if err != nil {
+		return err
+	}
+	switch field.Kind() {
+	case reflect.String:
+		field.SetString(value)
+	case reflect.Bool:
+		b, err := strconv.ParseBool(value)
+		if err != nil {
+			return limpeterror.Invalid.New("%s must be true or false, not %q", name, value)
+		}
+		field.SetBool(b)
+	case reflect.Int:
+		n, err := strconv.ParseInt(value, 10, 32)
+		if err != nil {
+			return limpeterror.Invalid.New("%s must be a whole number, not %q", name, value)
+		}
+		field.SetInt(n)
+	case reflect.Float64:
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return limpeterror.Invalid.New("%s must be a number, not %q", name, value)
+		}
+		field.SetFloat(n)
+	}
+	return nil
+}
+
+// GetField returns the value of the field that the language calls name.
+// "changed" is the log index at which the object last changed.
+func GetField(object any, name string) (string, error) {
+	if name == "changed" {
+		return fmt.Sprint(reflect.ValueOf(object).Elem().FieldByName("Changed").Uint()), nil
+	}
+	field, err := fieldOf(object, name)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprint(field.Interface()), nil
+}
+
+func fieldOf(object any, name string) (reflect.Value, error) {
+	v := reflect.ValueOf(object).Elem()
+	for i := range v.NumField() {
+		if v.Type().Field(i).Tag.Get("lang") == name && name != "-" {
+			return v.Field(i), nil
+		}
+	}
+	return reflect.Value{}, limpeterror.Invalid.New("no field %q; the fields are %s", name, strings.Join(fieldNames(v.Type()), ", "))
+}
+
+func fieldNames(t reflect.Type) []string {
+	var names []string
+	for i := range t.NumField() {
+		if n := t.Field(i).Tag.Get("lang"); n != "-" {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+// An Object holds one object as the operators' language shows it.
+type Object struct {
+	Name   string
+	Fields []Setting
+}
+
+// Objects returns an entity's objects, ordered by name, without key hashes.
+func (d *Document) Objects(e Entity) []Object {
+	k := kinds[e]
+	var objects []Object
+	for _, n := range k.names(d) {
+		v, _ := k.get(d, n)
+		o := Object{Name: n}
+		for _, field := range Fields(e) {
+			value, _ := GetField(v, field.Name)
+			o.Fields = append(o.Fields, Setting{Field: field.Name, Value: value})
+		}
+		objects = append(objects, o)
+	}
+	return objects
+}
+
+// A Field describes one field of an entity for the reference page. Shown is
+// false for what Objects must leave out.
+type Field struct {
+	Name string
+	Doc  string
+}
+
+// Fields returns the fields of an entity that may be shown.
+func Fields(e Entity) []Field {
+	t := reflect.TypeOf(kinds[e].create("x")).Elem()
+	var fields []Field
+	for i := range t.NumField() {
+		tag := t.Field(i).Tag
+		if n := tag.Get("lang"); n != "-" && n != "hash" {
+			fields = append(fields, Field{Name: n, Doc: tag.Get("doc")})
+		}
+	}
+	return append(fields, Field{Name: "changed", Doc: "log index of the last change"})
+}
+
+// Entities returns all entities in a fixed order.
+func Entities() []Entity {
+	return []Entity{Accounts, Keys, Services, Jobs, Drains, Releases}
+}
--- /dev/null
+++ b/internal/limpetlab/client.go
@@ -0,0 +1,226 @@
+package limpetlab
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"limpetmount.org/internal/limpetcaller"
+	"limpetmount.org/internal/limpetengine"
+	"limpetmount.org/internal/limpetrollout"
+)
+
+// A Caller holds a client of one VM's callers' interface.
+type Caller struct {
+	URL    string
+	Token  string
+	Client *http.Client
+}
+
+// NewCaller returns a caller with connections of its own.
+func NewCaller(url, token string) *Caller {
+	return &Caller{URL: url, Token: token, Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+}
+
+// A Reply holds an answer.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// ErrorBody returns the error of an answer.
+func (r Reply) ErrorBody() limpetcaller.ErrorBody {
+	var e limpetcaller.ErrorReply
+	_ = json.Unmarshal(r.Body, &e)
+	return e.Error
+}
+
+// Do sends a request with the caller's key.
+func (c *Caller) Do(ctx context.Context, method, path string, header http.Header, body []byte) (Reply, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if c.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return Reply{Status: response.StatusCode, Header: response.Header, Body: data}, err
+}
+
+// A Prompt holds a text completion request.
+type Prompt struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// A StreamResult holds what a streamed completion brought.
+type StreamResult struct {
+	Status int
+	Text   string
+	Tokens int
+	First  time.Duration
+	Total  time.Duration
+	// Whole is set when the end mark came.
+	Whole bool
+	Error limpetcaller.ErrorBody
+}
+
+// Stream runs a streamed completion.
+func (c *Caller) Stream(ctx context.Context, p Prompt) (StreamResult, error) {
+	p.Stream = true
+	body, err := json.Marshal(p)
+	if err != nil {
+		return StreamResult{}, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.URL+limpetengine.PathText, bytes.NewReader(body))
+	if err != nil {
+		return StreamResult{}, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Token)
+	began := time.Now()
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return StreamResult{}, err
+	}
+	defer response.Body.Close()
+	r := StreamResult{Status: response.StatusCode}
+	if response.StatusCode != http.StatusOK {
+		data, err := io.ReadAll(response.Body)
+		r.Error = Reply{Body: data}.ErrorBody()
+		r.Total = time.Since(began)
+		return r, err
+	}
+	err = r.read(response.Body, began)
+	r.Total = time.Since(began)
+	return r, err
+}
+
+func (r *StreamResult) read(body io.Reader, began time.Time) error {
+	var text strings.Builder
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		payload, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if payload == "[DONE]" {
+			r.Whole = true
+			break
+		}
+		var chunk limpetengine.Chunk
+		if err := json.Unmarshal([]byte(payload), &chunk); err != nil {
+			return fmt.Errorf("chunk %q: %w", payload, err)
+		}
+		if len(chunk.Choices) == 0 {
+			r.Error = Reply{Body: []byte(payload)}.ErrorBody()
+			continue
+		}
+		if r.Tokens == 0 {
+			r.First = time.Since(began)
+		}
+		r.Tokens++
+		text.WriteString(chunk.Content())
+	}
+	r.Text = text.String()
+	return scanner.Err()
+}
+
+// A Trainer holds a client of a rollout job.
+type Trainer struct {
+	*Caller
+	Job     string
+	Session uint64
+	Cursor  uint64
+}
+
+// call runs a trainer's call until it gets an answer that is not a refusal
+// for now.
+func (t *Trainer) call(ctx context.Context, method, path string, body, reply any) error {
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return err
+		}
+	}
+	const pause = 50 * time.Millisecond
+	for {
+		r, err := t.Do(ctx, method, "/v1/jobs/"+t.Job+path, nil, data)
+		if err == nil && r.Status == http.StatusOK {
+			return json.Unmarshal(r.Body, reply)
+		}
+		if err == nil && r.Status != http.StatusServiceUnavailable && r.Status != http.StatusBadGateway {
+			return fmt.Errorf("status %d: %s", r.Status, r.Body)
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("job %s: %w (last answer %d %s, %v)", t.Job, ctx.Err(), r.Status, r.Body, err)
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Open opens a session.
+func (t *Trainer) Open(ctx context.Context, name string) error {
+	var reply limpetrollout.SessionReply
+	err := t.call(ctx, http.MethodPost, "/session", limpetrollout.SessionRequest{Trainer: name}, &reply)
+	t.Session, t.Cursor = reply.Session, reply.Cursor
+	return err
+}
+
+// Step creates a step.
+func (t *Trainer) Step(ctx context.Context, spec limpetrollout.Spec) error {
+	spec.Session = t.Session
+	var status limpetrollout.Status
+	return t.call(ctx, http.MethodPost, "/steps", spec, &status)
+}
+
+// Publish publishes a version.
+func (t *Trainer) Publish(ctx context.Context, version uint64) error {
+	var status limpetrollout.Status
+	return t.call(ctx, http.MethodPost, "/weights", limpetrollout.WeightsRequest{Session: t.Session, Version: version}, &status)
+}
+
+// Fetch asks for the batch of a cursor once.
+func (t *Trainer) Fetch(ctx context.Context, cursor uint64, most int) (limpetrollout.FetchReply, error) {
+	var reply limpetrollout.FetchReply
+	path := fmt.Sprintf("/samples?session=%d&cursor=%d&max=%d&wait_ms=500", t.Session, cursor, most)
+	err := t.call(ctx, http.MethodGet, path, nil, &reply)
+	return reply, err
+}
+
+// Collect fetches batches until no step is open, and gives each sample to
+// take.
+func (t *Trainer) Collect(ctx context.Context, most int, take func(limpetrollout.FetchReply)) error {
+	for {
+		reply, err := t.Fetch(ctx, t.Cursor+1, most)
+		if err != nil {
+			return err
+		}
+		if reply.Pending {
+			continue
+		}
+		t.Cursor = reply.Cursor
+		take(reply)
+		if reply.Done {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/limpetlab/limpetlab.go
@@ -0,0 +1,322 @@
+// Package limpetlab owns whole small systems in one process: the stand-ins and
+// several nodes on loopback, for integration tests, the demo and experiments.
+// Product packages must not import it.
+package limpetlab
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"limpetmount.org/internal/limpethttp"
+	"limpetmount.org/internal/limpetkey"
+	"limpetmount.org/internal/limpetlang"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetnode"
+	"limpetmount.org/internal/limpetoperator"
+	"limpetmount.org/internal/limpetorder"
+	"limpetmount.org/internal/limpetsettings"
+	"limpetmount.org/internal/limpetstub"
+	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/internal/limpettls"
+	"limpetmount.org/internal/limpetvms"
+	"limpetmount.org/internal/limpetwire"
+)
+
+// Options holds what a lab is made of.
+type Options struct {
+	// Folder keeps certificates; it must exist.
+	Folder string
+	VMs    int
+	Zones  []string
+	// Adjust changes a node's settings before it starts.
+	Adjust func(s *limpetsettings.Settings)
+	// Engine returns the stand-in for an engine that the platform starts.
+	Engine func(id string) *limpetstub.Engine
+	Log    *limpetlog.Logger
+}
+
+// A Lab holds a running system.
+type Lab struct {
+	Options
+	Store    *limpetstub.Store
+	Platform *limpetstub.Platform
+	Nodes    []*limpetnode.Node
+	Settings []limpetsettings.Settings
+	// OperatorKey is the first operator key.
+	OperatorKey string
+
+	group   *limpettask.Group
+	mu      sync.Mutex
+	engines map[string]*limpetstub.Engine
+	halts   map[string]context.CancelFunc
+	urls    limpetsettings.Platform
+	hash    string
+}
+
+// New starts the stand-ins and the nodes.
+func New(ctx context.Context, o Options) (*Lab, error) {
+	l := &Lab{
+		Options: o, Store: limpetstub.NewStore(), Platform: limpetstub.NewPlatform(), group: limpettask.New(ctx),
+		engines: map[string]*limpetstub.Engine{}, halts: map[string]context.CancelFunc{},
+	}
+	l.OperatorKey, l.hash = limpetkey.New("first")
+	l.Platform.Launch = l.launch
+	l.Platform.Halt = l.halt
+	for _, z := range o.Zones {
+		l.Platform.Prices = append(l.Platform.Prices, limpetorder.Price{Zone: z, Standard: 10, Cheap: 3, Available: true, CheapAvailable: true})
+	}
+	if err := limpettls.MakeAuthority(o.Folder); err != nil {
+		return nil, err
+	}
+	store, err := l.serve(l.group, l.Store.Handler())
+	if err != nil {
+		return nil, err
+	}
+	platform, err := l.serve(l.group, l.Platform.Handler())
+	if err != nil {
+		return nil, err
+	}
+	l.urls = limpetsettings.Platform{Store: "http://" + store, Orders: "http://" + platform, Usage: "http://" + platform, VMs: "http://" + platform}
+	for i := range o.VMs {
+		if err := l.prepare(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.VMs {
+		if err := l.StartNode(i); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+// serve serves a stand-in on a free loopback port.
+func (l *Lab) serve(g *limpettask.Group, h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("stand-in: %w", err)
+	}
+	limpethttp.Serve(g, listener, &http.Server{Handler: h})
+	return listener.Addr().String(), nil
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("free port: %w", err)
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// prepare makes the settings of VM i and lists it.
+func (l *Lab) prepare(i int) error {
+	name := fmt.Sprintf("vm%d", i+1)
+	if err := limpettls.Issue(l.Folder, name, []net.IP{net.IPv4(127, 0, 0, 1)}); err != nil {
+		return err
+	}
+	s := limpetsettings.Default()
+	s.VM = limpetsettings.VM{Name: name, Zone: l.Zones[i%len(l.Zones)]}
+	for _, address := range []*string{&s.Caller.Address, &s.Peer.Address, &s.Operator.Address, &s.Metrics.Address} {
+		var err error
+		if *address, err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	s.Peer.Cert = filepath.Join(l.Folder, name+".pem")
+	s.Peer.Key = filepath.Join(l.Folder, name+"-key.pem")
+	s.Peer.Authority = filepath.Join(l.Folder, limpettls.AuthorityCert)
+	s.Operator.Hash = l.hash
+	s.Platform = l.urls
+	s.Timing.Grace = 100 * time.Millisecond
+	if l.Adjust != nil {
+		l.Adjust(&s)
+	}
+	l.Settings = append(l.Settings, s)
+	l.Nodes = append(l.Nodes, nil)
+	l.Platform.Lock()
+	l.Platform.VMs = append(l.Platform.VMs, limpetvms.VM{Name: name, Zone: s.VM.Zone, Peer: s.Peer.Address})
+	l.Platform.Unlock()
+	return nil
+}
+
+// StartNode starts the process of VM i, again after its end.
+func (l *Lab) StartNode(i int) error {
+	log := l.Log
+	if log == nil {
+		log = limpetlog.Discard()
+	}
+	n, err := limpetnode.Start(l.group.Context(), l.Settings[i], limpetnode.NewPeers(l.Settings[i].Platform), log)
+	if err != nil {
+		return err
+	}
+	l.Nodes[i] = n
+	return nil
+}
+
+// launch starts an engine or a plain service for the platform.
+func (l *Lab) launch(_ limpetorder.Order, id string) (string, error) {
+	engine := l.Options.Engine(id)
+	return l.Launch(id, engine)
+}
+
+// Launch serves an engine and returns its address.
+func (l *Lab) Launch(id string, engine *limpetstub.Engine) (string, error) {
+	l.mu.Lock()
+	l.engines[id] = engine
+	l.mu.Unlock()
+	return l.launchHandler(id, engine.Handler())
+}
+
+func (l *Lab) launchHandler(id string, h http.Handler) (string, error) {
+	g := limpettask.New(l.group.Context())
+	address, err := l.serve(g, h)
+	if err != nil {
+		return "", err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.halts[id] = func() { _ = g.Stop() }
+	return address, nil
+}
+
+func (l *Lab) halt(id string) {
+	l.mu.Lock()
+	stop := l.halts[id]
+	delete(l.halts, id)
+	l.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+// Halt ends a backend server's process.
+func (l *Lab) Halt(id string) { l.halt(id) }
+
+// EngineOf returns the stand-in with an ID.
+func (l *Lab) EngineOf(id string) *limpetstub.Engine {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.engines[id]
+}
+
+// Engines returns all engines that were started.
+func (l *Lab) Engines() []*limpetstub.Engine {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var engines []*limpetstub.Engine
+	for _, e := range l.engines {
+		engines = append(engines, e)
+	}
+	return engines
+}
+
+// AddEngine starts an engine that the platform lists as running.
+func (l *Lab) AddEngine(service, zone string, class limpetorder.Class, engine *limpetstub.Engine) error {
+	address, err := l.Launch(engine.ID, engine)
+	if err != nil {
+		return err
+	}
+	l.Platform.AddServer(limpetorder.Server{ID: engine.ID, Service: service, Zone: zone, Address: address, State: limpetorder.Running, Class: class})
+	return nil
+}
+
+// AddService starts a plain service's server that the platform lists.
+func (l *Lab) AddService(service, zone, id string, h http.Handler) error {
+	address, err := l.launchHandler(id, h)
+	if err != nil {
+		return err
+	}
+	l.Platform.AddServer(limpetorder.Server{ID: id, Service: service, Zone: zone, Address: address, State: limpetorder.Running, Class: limpetorder.Standard})
+	return nil
+}
+
+// Operate runs statements at VM i with the first operator key.
+func (l *Lab) Operate(ctx context.Context, i int, statements string) (*limpetwire.RunResponse, error) {
+	config, err := limpettls.ClientOf(l.Settings[i].Peer.Authority)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := limpetoperator.New(l.Settings[i].Operator.Address, l.OperatorKey, config).Run(ctx, statements, "", false)
+	if err != nil {
+		return nil, err
+	}
+	for _, f := range reply.GetFindings() {
+		return reply, fmt.Errorf("%s: %s", f.GetPlace(), f.GetText())
+	}
+	return reply, nil
+}
+
+// Query returns the table of a query at VM i.
+func (l *Lab) Query(ctx context.Context, i int, statement string) (limpetlang.Table, error) {
+	reply, err := l.Operate(ctx, i, statement)
+	if err != nil {
+		return limpetlang.Table{}, err
+	}
+	return limpetoperator.DecodeTable(reply.GetResults()[0].GetTable()), nil
+}
+
+// GrantKey creates a key and returns its token.
+func (l *Lab) GrantKey(ctx context.Context, i int, name, account, role string) (string, error) {
+	token, hash := limpetkey.New(name)
+	_, err := l.Operate(ctx, i, fmt.Sprintf("create key %s account=%s role=%s hash=%q", name, account, role, hash))
+	return token, err
+}
+
+// URL returns the callers' address of VM i.
+func (l *Lab) URL(i int) string { return "http://" + l.Settings[i].Caller.Address }
+
+// WaitReady waits until every node takes callers.
+func (l *Lab) WaitReady(ctx context.Context) error {
+	return Until(ctx, "all VMs ready and known to each other", func() bool {
+		for _, n := range l.Nodes {
+			if v := n.View(); !v.Ready() || len(v.Members) != len(l.Nodes)-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+const pollPeriod = 20 * time.Millisecond
+
+// Until polls a condition until it holds or ctx ends.
+func Until(ctx context.Context, what string, condition func() bool) error {
+	for !condition() {
+		if !limpettask.Sleep(ctx, pollPeriod) {
+			return fmt.Errorf("not reached in time: %s", what)
+		}
+	}
+	return nil
+}
+
+// Close ends everything.
+func (l *Lab) Close() {
+	for _, n := range l.Nodes {
+		if n != nil {
+			// A node that was ended already reports nothing new.
+			_ = n.Kill()
+		}
+	}
+	_ = l.group.Stop()
+}
+
+// TempFolder returns a new folder and a function that removes it.
+func TempFolder() (string, func(), error) {
+	folder, err := os.MkdirTemp("", "limpetmount")
+	return folder, func() { _ = os.RemoveAll(folder) }, err
+}
+
+// Go runs f in the lab's group.
+func (l *Lab) Go(f func()) {
+	l.group.Go(func(context.Context) error {
+		f()
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/limpetlang/limpetlang.go
@@ -0,0 +1,194 @@
+// Package limpetlang owns the operators' query and command language: its
+// grammar, and the evaluation of queries over rows. It must not import
+// transports.
+package limpetlang
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"limpetmount.org/internal/limpetconfig"
+	"limpetmount.org/internal/limpeterror"
+)
+
+// A Batch holds statements, separated by semicolons.
+type Batch struct {
+	Statements []*Statement `parser:"';'* ( @@ ( ';'+ @@ )* )? ';'*"`
+}
+
+// A Statement holds a query or a change.
+type Statement struct {
+	Pos    lexer.Position
+	Show   *Show   `parser:"  'show' @@"`
+	Change *Change `parser:"| @@"`
+}
+
+// A Show holds a query over one kind of object.
+type Show struct {
+	Entity string       `parser:"@Ident"`
+	Where  []*Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
+	Group  []string     `parser:"( 'group' 'by' @Ident ( ',' @Ident )* )?"`
+	Sum    []string     `parser:"( 'sum' @Ident ( ',' @Ident )* )?"`
+	Sort   *Sort        `parser:"( 'sort' 'by' @@ )?"`
+	Limit  *int         `parser:"( 'limit' @Int )?"`
+}
+
+// A Condition compares a field with a value.
+type Condition struct {
+	Field    string `parser:"@Ident"`
+	Operator string `parser:"@( '=' | '!' '=' | '<' '=' | '>' '=' | '<' | '>' | '~' )"`
+	Value    *Value `parser:"@@"`
+}
+
+// A Sort orders rows.
+type Sort struct {
+	Field      string `parser:"@Ident"`
+	Descending bool   `parser:"( @'desc' | 'asc' )?"`
+}
+
+// A Change holds a command. Drain, undrain, withdraw and release are short
+// forms.
+type Change struct {
+	Verb   string     `parser:"@( 'create' | 'set' | 'remove' | 'drain' | 'undrain' | 'withdraw' | 'release' )"`
+	Entity string     `parser:"@( 'account' | 'key' | 'service' | 'job' | 'server' | 'request' )"`
+	Name   *Value     `parser:"@@"`
+	Fields []*Setting `parser:"@@*"`
+	If     []*Setting `parser:"( 'if' @@ ( 'and' @@ )* )?"`
+}
+
+// A Setting gives a field a value.
+type Setting struct {
+	Field string `parser:"@Ident '='"`
+	Value *Value `parser:"@@"`
+}
+
+// A Value holds a literal. Numbers may carry a sign; words need no quotes.
+type Value struct {
+	Text   *string `parser:"  @String"`
+	Number *string `parser:"| @( '-'? ( Float | Int ) )"`
+	Word   *string `parser:"| @Ident"`
+}
+
+// String returns the literal without quotes.
+func (v *Value) String() string {
+	switch {
+	case v.Text != nil:
+		return *v.Text
+	case v.Number != nil:
+		return *v.Number
+	default:
+		return *v.Word
+	}
+}
+
+var languageLexer = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "Comment", Pattern: `#[^\n]*`},
+	{Name: "Whitespace", Pattern: `\s+`},
+	{Name: "String", Pattern: `"(\\.|[^"\\])*"`},
+	{Name: "Float", Pattern: `\d+\.\d+`},
+	{Name: "Ident", Pattern: `[A-Za-z_][A-Za-z0-9_.:/-]*|\d+[A-Za-z_.:-][A-Za-z0-9_.:-]*`},
+	{Name: "Int", Pattern: `\d+`},
+	{Name: "Punct", Pattern: `[-=!<>~,;]`},
+})
+
+var parser = participle.MustBuild[Batch](
+	participle.Lexer(languageLexer),
+	participle.Elide("Comment", "Whitespace"),
+	participle.Unquote("String"),
+)
+
+// largestBatch bounds the text of a batch, in bytes.
+const largestBatch = 256 << 10
+
+// Parse reads a batch. An error is *limpeterror.Findings with line, column and
+// what was expected.
+func Parse(text string) (*Batch, error) {
+	f := &limpeterror.Findings{}
+	if len(text) > largestBatch {
+		f.Add("batch", "longer than %d bytes", largestBatch)
+		return nil, f
+	}
+	b, err := parser.ParseString("", text)
+	if err != nil {
+		var p participle.Error
+		if errors.As(err, &p) {
+			f.Add(fmt.Sprintf("%d:%d", p.Position().Line, p.Position().Column), "%s", p.Message())
+		} else {
+			f.Add("1:1", "%v", err)
+		}
+		return nil, f
+	}
+	if len(b.Statements) == 0 {
+		f.Add("1:1", "expected a statement such as: show accounts")
+		return nil, f
+	}
+	return b, nil
+}
+
+// Grammar returns the grammar in EBNF.
+func Grammar() string { return parser.String() }
+
+// entities maps the words of commands to configured objects.
+var entities = map[string]limpetconfig.Entity{
+	"account": limpetconfig.Accounts, "key": limpetconfig.Keys, "service": limpetconfig.Services, "job": limpetconfig.Jobs,
+	"server": limpetconfig.Drains, "request": limpetconfig.Releases,
+}
+
+// shortForms maps the short verbs to the entity they apply to and what they do.
+var shortForms = map[string]struct {
+	entity string
+	verb   limpetconfig.Verb
+}{
+	"drain": {"server", limpetconfig.Create}, "undrain": {"server", limpetconfig.Remove},
+	"withdraw": {"key", limpetconfig.Remove}, "release": {"request", limpetconfig.Create},
+}
+
+// Changes returns the changes of a batch, and findings about statements that
+// make no sense. Queries are left out.
+func (b *Batch) Changes() ([]limpetconfig.Change, error) {
+	f := &limpeterror.Findings{}
+	var changes []limpetconfig.Change
+	for _, s := range b.Statements {
+		if s.Change == nil {
+			continue
+		}
+		place := fmt.Sprintf("%d:%d", s.Pos.Line, s.Pos.Column)
+		c := s.Change
+		change := limpetconfig.Change{Verb: limpetconfig.Verb(c.Verb), Entity: entities[c.Entity], Name: c.Name.String(), Place: place}
+		if short, ok := shortForms[c.Verb]; ok {
+			if c.Entity != short.entity {
+				f.Add(place, "%s applies to a %s", c.Verb, short.entity)
+			}
+			change.Verb = short.verb
+		} else if c.Entity == "server" || c.Entity == "request" {
+			f.Add(place, "use drain, undrain or release for a %s", c.Entity)
+		}
+		change.Settings, change.If = settings(c.Fields), settings(c.If)
+		changes = append(changes, change)
+	}
+	return changes, f.Err()
+}
+
+func settings(list []*Setting) []limpetconfig.Setting {
+	var out []limpetconfig.Setting
+	for _, s := range list {
+		out = append(out, limpetconfig.Setting{Field: s.Field, Value: s.Value.String()})
+	}
+	return out
+}
+
+// Quote returns text as a literal of the language.
+func Quote(text string) string { return strconv.Quote(text) }
+
+// Normalize returns the singular of an entity's name, as tables are called.
+func Normalize(entity string) string {
+	if entity == "status" {
+		return entity
+	}
+	return strings.TrimSuffix(entity, "s")
+}
--- /dev/null
+++ b/internal/limpetnode/duties.go
@@ -0,0 +1,305 @@
+package limpetnode
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"limpetmount.org/internal/limpetconfig"
+	"limpetmount.org/internal/limpetduty"
+	"limpetmount.org/internal/limpetengine"
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetfleet"
+	"limpetmount.org/internal/limpetorder"
+	"limpetmount.org/internal/limpetquarantine"
+	"limpetmount.org/internal/limpetrollout"
+	"limpetmount.org/internal/limpetscore"
+	"limpetmount.org/internal/limpetserve"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/internal/limpetusage"
+	"limpetmount.org/internal/limpetwire"
+)
+
+// Names of duties.
+const (
+	usageDuty  = "usage"
+	ordersDuty = "orders"
+	jobPrefix  = "job/"
+)
+
+func jobDuty(job string) string { return jobPrefix + job }
+
+// wantedDuties returns the duties that some VM must do, by the configuration.
+func (n *Node) wantedDuties(store func(string) limpetstore.Store) []limpetduty.Duty {
+	duties := []limpetduty.Duty{
+		{Name: usageDuty, Run: func(ctx context.Context, _ uint64) { n.reporter(store("usage")).Run(ctx) }},
+		{Name: ordersDuty, Run: func(ctx context.Context, fence uint64) { n.orderer(store("orders"), fence).Run(ctx) }},
+	}
+	for _, job := range n.View().Config.Jobs {
+		duties = append(duties, limpetduty.Duty{Name: jobDuty(job.Name), Run: func(ctx context.Context, fence uint64) {
+			n.runJob(ctx, store("jobs"), job, fence)
+		}})
+	}
+	sort.Slice(duties, func(i, j int) bool { return duties[i].Name < duties[j].Name })
+	return duties
+}
+
+func (n *Node) holds(duty string) func(time.Duration) bool {
+	return func(ahead time.Duration) bool {
+		_, ok := n.holder.Holds(duty, ahead)
+		return ok
+	}
+}
+
+func (n *Node) reporter(store limpetstore.Store) *limpetduty.Reporter {
+	return &limpetduty.Reporter{
+		Store: store, Intake: n.peers.Intake, Length: n.settings.Timing.Window, Holds: n.holds(usageDuty), Log: n.log, Now: time.Now,
+		Live: func(before time.Time) []string {
+			var live []string
+			if n.self.Started.Before(before) {
+				live = append(live, n.self.Incarnation)
+			}
+			for _, m := range n.View().Members {
+				if m.Started.Before(before) {
+					live = append(live, m.Incarnation)
+				}
+			}
+			return live
+		},
+	}
+}
+
+// flushUsage gives the changed counts to a VM of another zone and writes them
+// to the store, and writes what this VM holds for VMs that are gone.
+func (n *Node) flushUsage(ctx context.Context, final bool) {
+	now := time.Now()
+	pending := n.tally.Pending(now, final)
+	n.holdElsewhere(ctx, pending)
+	store := n.usageStore
+	for _, r := range pending {
+		callCtx, cancel := context.WithTimeout(ctx, usageTimeout)
+		err := limpetduty.WriteRecord(callCtx, store, r)
+		cancel()
+		if err != nil {
+			break
+		}
+		n.tally.Flushed(r)
+	}
+	live := map[string]bool{n.self.Incarnation: true}
+	n.ask(func(c *control) {
+		for _, m := range c.table.Known() {
+			if now.Sub(m.Heard) < goneAfter {
+				live[m.Incarnation] = true
+			}
+		}
+	})
+	before := limpetusage.WindowOf(now.Add(-heldWindows*n.settings.Timing.Window), n.settings.Timing.Window)
+	n.held.Settle(ctx, func(r limpetusage.Record) bool { return !live[r.Incarnation] }, before)
+}
+
+const (
+	usageTimeout = 3 * time.Second
+	// goneAfter is the silence after which a VM's held counts are written.
+	goneAfter = 15 * time.Second
+	// heldWindows is how many windows held counts are kept.
+	heldWindows = 12
+)
+
+// holdElsewhere sends the records to the first live VM in another zone, or to
+// any other when there is none.
+func (n *Node) holdElsewhere(ctx context.Context, records []limpetusage.Record) {
+	members := n.View().Members
+	if len(members) == 0 || len(records) == 0 {
+		return
+	}
+	buddy := members[0]
+	for _, m := range members {
+		if m.Zone != n.self.Zone {
+			buddy = m
+			break
+		}
+	}
+	q := &limpetwire.HoldUsageRequest{Incarnation: n.self.Incarnation}
+	for _, r := range records {
+		if data, err := json.Marshal(r); err == nil {
+			q.Records = append(q.Records, data)
+		}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	// The counts are also written to the store; the copy is a second place.
+	_, _ = n.client.At(buddy.Peer).HoldUsage(callCtx, connect.NewRequest(q))
+}
+
+func (n *Node) orderer(store limpetstore.Store, fence uint64) *limpetduty.Orderer {
+	return &limpetduty.Orderer{
+		Store: store, Platform: n.peers.Orders, Fence: fence, Holds: n.holds(ordersDuty), Unique: unique, Log: n.log, Now: time.Now,
+		Services: n.fleet,
+		Drain: func(ctx context.Context, server string) error {
+			ctx, cancel := context.WithTimeout(ctx, usageTimeout)
+			defer cancel()
+			_, err := n.appendChanges(ctx, unique(), "system/orders", []limpetconfig.Change{{
+				Verb: limpetconfig.Create, Entity: limpetconfig.Drains, Name: server, Place: "fleet",
+			}})
+			return err
+		},
+	}
+}
+
+// fleet returns the services whose number of servers the system decides on.
+// Demand counts what runs and waits at the engines, by their reports, and what
+// waits in this VM's queues, taken as typical for all VMs.
+func (n *Node) fleet() []limpetduty.FleetService {
+	queues := n.serve.Queues()
+	var services []limpetduty.FleetService
+	n.ask(func(c *control) {
+		for _, s := range c.doc.Services {
+			if s.Most == 0 {
+				continue
+			}
+			f := limpetduty.FleetService{Service: s}
+			f.Demand.Slots = queues[s.Name][0] * (len(c.table.Live(time.Now())) + 1)
+			for _, state := range c.servers {
+				if state.server.Service == s.Name {
+					c.addServer(&f, state)
+				}
+			}
+			services = append(services, f)
+		}
+	})
+	sort.Slice(services, func(i, j int) bool { return services[i].Service.Name < services[j].Service.Name })
+	return services
+}
+
+func (c *control) addServer(f *limpetduty.FleetService, s *serverState) {
+	drain, draining := c.doc.Drains[s.server.ID]
+	k := limpetfleet.Server{Server: s.listed, Draining: draining, Running: s.load.Running + s.load.Queued}
+	if draining {
+		k.Since = c.changedAt(drain.Changed)
+	}
+	if f.Service.Kind == limpetconfig.Plain {
+		k.Running = int(s.server.Own.Load())
+		f.Demand.PerServer = plainCapacity
+	} else {
+		f.Demand.PerServer = max(f.Demand.PerServer, s.load.Capacity)
+	}
+	f.Demand.Slots += k.Running
+	f.Servers = append(f.Servers, k)
+}
+
+// changedAt returns when an entry was accepted, or the present when the entry
+// is no longer in memory, which makes the drain wait longer.
+func (c *control) changedAt(index uint64) time.Time {
+	for _, e := range c.recent {
+		if e.Index == index {
+			return e.At
+		}
+	}
+	return time.Now()
+}
+
+// runJob owns a job until ctx ends: its samples, and the weights of its
+// service when the job publishes them.
+func (n *Node) runJob(ctx context.Context, store limpetstore.Store, job limpetconfig.Job, fence uint64) {
+	g := limpettask.New(ctx)
+	loader := &limpetduty.WeightLoader{
+		Service: job.Service, Fence: fence, Engine: n.peers.Engine, Holds: n.holds(jobDuty(job.Name)), Log: n.log, Now: time.Now,
+		Servers: func(context.Context) ([]limpetorder.Server, error) { return n.runningServers(job.Service), nil },
+	}
+	runner := limpetrollout.NewRunner(g, limpetrollout.Seams{
+		Store: store, Job: func() (limpetconfig.Job, bool) {
+			j, ok := n.View().Config.Jobs[job.Name]
+			return j, ok
+		},
+		Generate: n.generate, Score: n.score, Log: n.log, Now: time.Now,
+		Published: func(job limpetconfig.Job, version uint64) {
+			if job.Publishes {
+				loader.Publish(version)
+			}
+		},
+	}, job, n.self.Incarnation+"/"+unique())
+	n.mu.Lock()
+	n.runners[job.Name] = runner
+	n.mu.Unlock()
+	g.Go(func(ctx context.Context) error { loader.Run(ctx); return nil })
+	<-ctx.Done()
+	n.mu.Lock()
+	if n.runners[job.Name] == runner {
+		delete(n.runners, job.Name)
+	}
+	n.mu.Unlock()
+	_ = g.Stop()
+}
+
+func (n *Node) runningServers(service string) []limpetorder.Server {
+	var servers []limpetorder.Server
+	n.ask(func(c *control) {
+		for _, s := range c.servers {
+			if s.server.Service == service && s.listed.State == limpetorder.Running {
+				servers = append(servers, s.listed)
+			}
+		}
+	})
+	return servers
+}
+
+// generate runs one attempt at a sample as a completion of the job's account.
+func (n *Node) generate(ctx context.Context, r limpetrollout.Request) (limpetrollout.Generation, error) {
+	var g limpetrollout.Generation
+	var text strings.Builder
+	params := limpetengine.Params{}
+	for _, p := range []struct {
+		name  string
+		value any
+	}{
+		{"model", r.Job.Service}, {"prompt", r.Prompt}, {"max_tokens", r.MaxTokens},
+		{limpetengine.ParamStream, true}, {limpetengine.ParamPriority, r.Priority},
+	} {
+		if err := params.Set(p.name, p.value); err != nil {
+			return g, err
+		}
+	}
+	account, ok := n.View().Config.Accounts[r.Job.Account]
+	if !ok {
+		return g, limpeterror.Denied.New("client account %s is gone", r.Job.Account)
+	}
+	_, err := n.serve.Complete(ctx, limpetserve.Completion{
+		ID: unique(), Account: account, Class: limpetconfig.Rollout, Service: r.Job.Service, Path: limpetengine.PathText,
+		Params: params, Prompt: r.Prompt, MaxTokens: r.MaxTokens, MinVersion: r.MinVersion, Cheap: true,
+		Fingerprint: limpetquarantine.Fingerprint(account.Name, r.Job.Service, []byte(r.Prompt)),
+		OnData: func(payload []byte) error {
+			var chunk limpetengine.Chunk
+			if err := json.Unmarshal(payload, &chunk); err != nil {
+				return limpeterror.Unknown.Wrap(err, "chunk")
+			}
+			mark := limpetengine.Mark{}
+			if chunk.Weights != nil {
+				mark = *chunk.Weights
+			}
+			if err := g.Labels.Add(chunk.Index, mark.Version, mark.Incarnation); err != nil {
+				return limpeterror.Unknown.Wrap(err, "labels")
+			}
+			r.Progress(mark.Version)
+			text.WriteString(chunk.Content())
+			return nil
+		},
+	})
+	g.Text = text.String()
+	return g, err
+}
+
+func (n *Node) score(ctx context.Context, job limpetconfig.Job, name, prompt, text string) (float64, error) {
+	reply, err := n.peers.Scorer.Score(ctx, job.Scorer, limpetscore.Request{Sample: name, Prompt: prompt, Text: text})
+	if err != nil {
+		return 0, err
+	}
+	if reply.Sample != name {
+		return 0, limpeterror.Unknown.New("scorer answered for sample %s, not %s", reply.Sample, name)
+	}
+	return reply.Score, nil
+}
--- /dev/null
+++ b/internal/limpetnode/limpetnode.go
@@ -0,0 +1,318 @@
+// Package limpetnode owns one limpetd process: its control state, the
+// goroutines that feed it, the duties that it takes over, and its listeners.
+// One goroutine changes the control state and publishes snapshots; traffic
+// only reads them.
+package limpetnode
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"limpetmount.org/internal/limpetcaller"
+	"limpetmount.org/internal/limpetclaim"
+	"limpetmount.org/internal/limpetconfig"
+	"limpetmount.org/internal/limpetduty"
+	"limpetmount.org/internal/limpetengine"
+	"limpetmount.org/internal/limpethttp"
+	"limpetmount.org/internal/limpetintake"
+	"limpetmount.org/internal/limpetlease"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetmember"
+	"limpetmount.org/internal/limpetmetric"
+	"limpetmount.org/internal/limpetorder"
+	"limpetmount.org/internal/limpetpeer"
+	"limpetmount.org/internal/limpetrollout"
+	"limpetmount.org/internal/limpetscore"
+	"limpetmount.org/internal/limpetserve"
+	"limpetmount.org/internal/limpetsettings"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/internal/limpettls"
+	"limpetmount.org/internal/limpetusage"
+	"limpetmount.org/internal/limpetview"
+	"limpetmount.org/internal/limpetvms"
+	"limpetmount.org/internal/limpetwire"
+)
+
+// Peers holds the adapters of the outside systems.
+type Peers struct {
+	Store  limpetstore.Store
+	Orders limpetorder.Platform
+	Intake limpetintake.Intake
+	VMs    limpetvms.List
+	Engine limpetengine.Engine
+	Scorer limpetscore.Scorer
+}
+
+// NewPeers returns the adapters for the addresses in the settings.
+func NewPeers(p limpetsettings.Platform) Peers {
+	return Peers{
+		Store: limpetstore.NewHTTP(p.Store), Orders: limpetorder.NewHTTP(p.Orders), Intake: limpetintake.NewHTTP(p.Usage),
+		VMs: limpetvms.NewHTTP(p.VMs), Engine: limpetengine.NewHTTP(), Scorer: limpetscore.NewHTTP(),
+	}
+}
+
+// A Node holds one running limpetd.
+type Node struct {
+	settings   limpetsettings.Settings
+	peers      Peers
+	log        *limpetlog.Logger
+	metrics    *limpetmetric.Set
+	group      *limpettask.Group
+	self       limpetmember.VM
+	view       atomic.Pointer[limpetview.View]
+	events     chan event
+	config     *limpetconfig.Log
+	claims     *limpetclaim.Claims
+	holder     *limpetlease.Holder
+	duties     *limpetduty.Manager
+	serve      *limpetserve.Server
+	front      *limpetcaller.Front
+	tally      *limpetusage.Tally
+	usageStore limpetstore.Store
+	held       *limpetduty.HeldUsage
+	client     *limpetpeer.Client
+	pair       *limpettls.Pair
+	health     *storeHealth
+
+	// serversRevision is the revision of the last listing of backend servers.
+	serversRevision atomic.Uint64
+
+	mu      sync.Mutex
+	runners map[string]*limpetrollout.Runner
+	servers []*http.Server
+}
+
+const (
+	eventQueue     = 1024
+	claimsKeptFor  = time.Hour
+	incarnationLen = 8
+)
+
+func unique() string {
+	b := make([]byte, incarnationLen)
+	// Read never fails; see crypto/rand.
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// Start opens the listeners and starts a node. It returns once callers can
+// connect; the node is ready when it has read its configuration.
+func Start(ctx context.Context, settings limpetsettings.Settings, peers Peers, logger *limpetlog.Logger) (*Node, error) {
+	n := &Node{
+		settings: settings, peers: peers, log: logger, metrics: limpetmetric.New(), group: limpettask.New(ctx),
+		events: make(chan event, eventQueue), runners: map[string]*limpetrollout.Runner{},
+	}
+	n.self = limpetmember.VM{Name: settings.VM.Name, Incarnation: settings.VM.Name + "-" + unique(), Zone: settings.VM.Zone, Peer: settings.Peer.Address, Started: time.Now()}
+	var err error
+	if n.pair, err = limpettls.Load(settings.Peer.Cert, settings.Peer.Key, settings.Peer.Authority, n.reloaded); err != nil {
+		return nil, fmt.Errorf("section peer: %w", err)
+	}
+	n.build()
+	if err := n.listen(); err != nil {
+		_ = n.group.Stop()
+		return nil, err
+	}
+	n.run()
+	logger.Emit(limpetlog.NodeStarted, limpetlog.Value("caller", settings.Caller.Address), limpetlog.Value("incarnation", n.self.Incarnation))
+	return n, nil
+}
+
+func (n *Node) reloaded(err error) {
+	if err != nil {
+		n.log.Emit(limpetlog.TLSFailed, limpetlog.Error(err))
+		return
+	}
+	n.log.Emit(limpetlog.TLSReloaded)
+}
+
+// build makes the components; none of them runs yet.
+func (n *Node) build() {
+	meter := limpetstore.NewMeter(n.metrics.Registry)
+	n.health = &storeHealth{}
+	watched := n.health.wrap(n.peers.Store)
+	store := func(mechanism string) limpetstore.Store { return meter.Wrap(watched, mechanism) }
+	n.view.Store(&limpetview.View{Config: limpetconfig.NewDocument()})
+	n.config = limpetconfig.NewLog(store("config"), time.Now)
+	n.claims = limpetclaim.New(n.group, store("claims"), claimsKeptFor, time.Now, unique)
+	n.holder = limpetlease.New(store("leases"), n.self.Name, n.self.Incarnation, n.settings.Timing.Lease, time.Now)
+	n.tally = limpetusage.NewTally(n.self.Name, n.self.Incarnation, n.settings.Timing.Window)
+	n.usageStore = store("usage")
+	n.held = limpetduty.NewHeldUsage(n.usageStore)
+	n.client = limpetpeer.New(n.pair.Client())
+	n.serve = limpetserve.New(limpetserve.Seams{
+		View: n.View, Engine: n.peers.Engine, Claim: n.claim,
+		Crashed: n.crashed, Failed: n.failed,
+		Tally: n.tally, Metrics: n.metrics, Log: n.log, Now: time.Now, Unique: unique,
+	}, n.settings.VM.Zone, n.settings.Limits, n.settings.Timing)
+	n.front = limpetcaller.New(limpetcaller.Seams{
+		View: n.View, Serve: n.serve, CallJob: n.callJob, Metrics: n.metrics, Log: n.log, Unique: unique,
+	}, n.settings.Limits, n.settings.Timing)
+	n.duties = limpetduty.NewManager(limpetduty.ManagerSeams{
+		View: n.View, Holder: n.holder, Self: n.self.Name, Log: n.log, Now: time.Now,
+		Wanted: func() []limpetduty.Duty { return n.wantedDuties(store) },
+	})
+}
+
+// View returns the current snapshot.
+func (n *Node) View() *limpetview.View { return n.view.Load() }
+
+// Incarnation returns the name of this run of the process.
+func (n *Node) Incarnation() string { return n.self.Incarnation }
+
+// Metrics returns the node's metrics.
+func (n *Node) Metrics() *limpetmetric.Set { return n.metrics }
+
+func (n *Node) listen() error {
+	s := n.settings
+	caller, err := n.callerListener()
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: n.front.Handler(), MaxHeaderBytes: s.Limits.Header, ReadHeaderTimeout: s.Timing.Header, ErrorLog: quietLog()}
+	limpethttp.Serve(n.group, caller, server)
+	n.servers = append(n.servers, server)
+	peerPath, peerHandler := limpetwire.NewPeerServiceHandler(&peerService{node: n})
+	if err := n.serveTLS("peer", s.Peer.Address, peerPath, peerHandler, n.pair.Server()); err != nil {
+		return err
+	}
+	operatorPath, operatorHandler := limpetwire.NewOperatorServiceHandler(&operatorService{node: n})
+	if err := n.serveTLS("operator", s.Operator.Address, operatorPath, operatorHandler, n.operatorTLS()); err != nil {
+		return err
+	}
+	metrics, err := net.Listen("tcp", s.Metrics.Address)
+	if err != nil {
+		return fmt.Errorf("section metrics: %w", err)
+	}
+	limpethttp.Serve(n.group, metrics, &http.Server{Handler: promhttp.HandlerFor(n.metrics.Registry, promhttp.HandlerOpts{})})
+	return nil
+}
+
+func (n *Node) callerListener() (net.Listener, error) {
+	c := n.settings.Caller
+	listener, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return nil, fmt.Errorf("section caller: %w; another process may use the port", err)
+	}
+	if c.Cert == "" {
+		return listener, nil
+	}
+	pair, err := limpettls.Load(c.Cert, c.Key, "", n.reloaded)
+	if err != nil {
+		return nil, fmt.Errorf("section caller: %w", err)
+	}
+	return tls.NewListener(listener, pair.Server()), nil
+}
+
+// operatorTLS returns the settings of the operators' listener, whose clients
+// show a key and no certificate.
+func (n *Node) operatorTLS() *tls.Config {
+	c := n.pair.Server()
+	c.ClientAuth, c.ClientCAs = tls.NoClientCert, nil
+	return c
+}
+
+func (n *Node) serveTLS(section, address, path string, handler http.Handler, config *tls.Config) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("section %s: %w; another process may use the port", section, err)
+	}
+	m := http.NewServeMux()
+	m.Handle(path, handler)
+	limpethttp.Serve(n.group, tls.NewListener(listener, config), &http.Server{Handler: m, TLSConfig: config, ErrorLog: quietLog()})
+	return nil
+}
+
+// quietLog drops what net/http would print about broken connections; requests
+// have their own events.
+func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
+
+// run starts the goroutines that feed the control state.
+func (n *Node) run() {
+	n.group.Go(func(ctx context.Context) error { n.control(ctx); return nil })
+	n.group.Go(func(ctx context.Context) error { n.followLog(ctx); return nil })
+	timing := n.settings.Timing
+	n.group.Every(timing.Heartbeat, n.heartbeat)
+	n.group.Every(listPeriod, n.readList)
+	n.group.Every(timing.Load, n.readServers)
+	n.group.Every(timing.Load, n.readLoads)
+	n.group.Every(timing.Lease/renewFraction, n.renew)
+	n.group.Every(flushPeriod(timing.Window), func(ctx context.Context) { n.flushUsage(ctx, false) })
+	n.group.Every(suspendPeriod, n.appendSuspended)
+	n.group.Go(func(ctx context.Context) error { n.duties.Run(ctx); return nil })
+}
+
+const (
+	listPeriod    = 2 * time.Second
+	renewFraction = 3
+	suspendPeriod = time.Second
+)
+
+// flushPeriod returns the period of writing usage counts: a sixth of a window
+// and at most 15 s.
+func flushPeriod(window time.Duration) time.Duration {
+	const flushes, longest = 6, 15 * time.Second
+	return min(window/flushes, longest)
+}
+
+func (n *Node) renew(ctx context.Context) {
+	lost, err := n.holder.Renew(ctx)
+	for _, duty := range lost {
+		n.log.Emit(limpetlog.LeaseLost, limpetlog.Value("duty", duty))
+	}
+	if err != nil {
+		n.log.Emit(limpetlog.PeerCallFailed, limpetlog.Error(err))
+	}
+}
+
+const handoverTimeout = 5 * time.Second
+
+// Shutdown ends the node gracefully: it stops being ready, finishes its open
+// requests, writes its last usage counts, and hands its duties over.
+func (n *Node) Shutdown(ctx context.Context) error {
+	n.log.Emit(limpetlog.NodeDraining)
+	n.send(drainEvent{})
+	limpettask.Sleep(ctx, n.settings.Timing.Grace)
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Timing.Drain)
+	defer cancel()
+	n.duties.Stop()
+	release, cancelRelease := context.WithTimeout(ctx, handoverTimeout)
+	defer cancelRelease()
+	if err := n.holder.Release(release); err != nil {
+		n.log.Emit(limpetlog.LeaseLost, limpetlog.Error(err))
+	}
+	var firstErr error
+	for _, s := range n.servers {
+		if err := s.Shutdown(ctx); err != nil && firstErr == nil {
+			firstErr = fmt.Errorf("open requests at the drain limit: %w", err)
+		}
+	}
+	flush, cancelFlush := context.WithTimeout(context.WithoutCancel(ctx), handoverTimeout)
+	defer cancelFlush()
+	n.flushUsage(flush, true)
+	n.heartbeat(flush)
+	if err := n.Kill(); err != nil && firstErr == nil {
+		firstErr = err
+	}
+	n.log.Emit(limpetlog.NodeStopped)
+	return firstErr
+}
+
+// Kill ends the node at once, as the death of its process would.
+func (n *Node) Kill() error {
+	err := n.group.Stop()
+	n.client.Close()
+	return err
+}
--- /dev/null
+++ b/internal/limpetnode/peers.go
@@ -0,0 +1,186 @@
+package limpetnode
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"limpetmount.org/internal/limpetcaller"
+	"limpetmount.org/internal/limpetclaim"
+	"limpetmount.org/internal/limpetconfig"
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetmember"
+	"limpetmount.org/internal/limpetpeer"
+	"limpetmount.org/internal/limpetrollout"
+	"limpetmount.org/internal/limpetusage"
+	"limpetmount.org/internal/limpetwire"
+)
+
+// peerService answers other VMs.
+type peerService struct {
+	limpetwire.UnimplementedPeerServiceHandler
+	node *Node
+}
+
+func (p *peerService) Heartbeat(_ context.Context, q *connect.Request[limpetwire.HeartbeatRequest]) (*connect.Response[limpetwire.HeartbeatResponse], error) {
+	now := time.Now()
+	p.node.hear(q.Msg.GetState(), limpetpeer.DecodeState(q.Msg.GetState(), now), false)
+	for _, o := range q.Msg.GetOthers() {
+		p.node.hear(o, limpetpeer.DecodeState(o, now), false)
+	}
+	own, others := p.node.ownState()
+	return connect.NewResponse(&limpetwire.HeartbeatResponse{State: own, Others: others}), nil
+}
+
+func (p *peerService) PullConfig(_ context.Context, q *connect.Request[limpetwire.PullConfigRequest]) (*connect.Response[limpetwire.PullConfigResponse], error) {
+	var entries []limpetconfig.Entry
+	var doc *limpetconfig.Document
+	enough := false
+	p.node.ask(func(c *control) {
+		doc = c.doc
+		entries, enough = c.entriesAfter(q.Msg.GetAfter())
+	})
+	reply := &limpetwire.PullConfigResponse{}
+	if !enough && doc != nil {
+		data, err := json.Marshal(doc)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		reply.Snapshot, reply.SnapshotIndex = data, doc.Index
+	}
+	for _, e := range entries {
+		data, err := json.Marshal(e)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		reply.Entries = append(reply.Entries, data)
+	}
+	return connect.NewResponse(reply), nil
+}
+
+func (p *peerService) SuspendKey(_ context.Context, q *connect.Request[limpetwire.SuspendKeyRequest]) (*connect.Response[limpetwire.SuspendKeyResponse], error) {
+	s := q.Msg.GetSuspension()
+	p.node.send(suspendEvent{key: s.GetKey(), hash: s.GetHash()})
+	// The answer says that the suspension is in force.
+	p.node.ask(func(*control) {})
+	return connect.NewResponse(&limpetwire.SuspendKeyResponse{}), nil
+}
+
+func (p *peerService) ReportCrash(_ context.Context, q *connect.Request[limpetwire.ReportCrashRequest]) (*connect.Response[limpetwire.ReportCrashResponse], error) {
+	p.node.send(crashEvent{fingerprint: q.Msg.GetFingerprint(), account: q.Msg.GetAccount(), server: q.Msg.GetServer()})
+	return connect.NewResponse(&limpetwire.ReportCrashResponse{}), nil
+}
+
+func (p *peerService) Claim(ctx context.Context, q *connect.Request[limpetwire.ClaimRequest]) (*connect.Response[limpetwire.ClaimResponse], error) {
+	e, err := p.node.claims.Do(ctx, limpetpeer.DecodeClaim(q.Msg))
+	if err != nil {
+		return nil, limpetpeer.ToError(err)
+	}
+	return connect.NewResponse(limpetpeer.EncodeClaim(e)), nil
+}
+
+func (p *peerService) HoldUsage(_ context.Context, q *connect.Request[limpetwire.HoldUsageRequest]) (*connect.Response[limpetwire.HoldUsageResponse], error) {
+	for _, data := range q.Msg.GetRecords() {
+		r, err := limpetusage.DecodeRecord(data)
+		if err != nil || r.Incarnation != q.Msg.GetIncarnation() {
+			return nil, connect.NewError(connect.CodeInvalidArgument, limpeterror.Invalid.New("usage record of %s", q.Msg.GetIncarnation()))
+		}
+		p.node.held.Hold(r)
+	}
+	return connect.NewResponse(&limpetwire.HoldUsageResponse{}), nil
+}
+
+func (p *peerService) CallJob(ctx context.Context, q *connect.Request[limpetwire.CallJobRequest]) (*connect.Response[limpetwire.CallJobResponse], error) {
+	job, ok := p.node.View().Config.Jobs[q.Msg.GetJob()]
+	if ok && job.Account != q.Msg.GetAccount() {
+		return nil, limpetpeer.ToError(limpeterror.Denied.New("job %s is not of client account %s", job.Name, q.Msg.GetAccount()))
+	}
+	status, body, ok := p.node.callOwnJob(ctx, q.Msg.GetJob(), limpetrollout.Operation(q.Msg.GetOperation()), q.Msg.GetBody())
+	if !ok {
+		return nil, limpetpeer.ToError(limpeterror.Unavailable.New("VM %s does not own job %s", p.node.self.Name, q.Msg.GetJob()))
+	}
+	return connect.NewResponse(&limpetwire.CallJobResponse{Status: int32(status), Body: body}), nil
+}
+
+func (p *peerService) Collect(_ context.Context, q *connect.Request[limpetwire.CollectRequest]) (*connect.Response[limpetwire.CollectResponse], error) {
+	return connect.NewResponse(&limpetwire.CollectResponse{Table: p.node.collect(q.Msg.GetEntity())}), nil
+}
+
+// claim sends a claim to the VM that commits its shard, so that claims share
+// writes. Any VM may commit any shard: when the chosen one cannot be reached,
+// this one does, and compare-and-swap keeps the claim single.
+func (n *Node) claim(ctx context.Context, r limpetclaim.Request) (limpetclaim.Entry, error) {
+	v := n.View()
+	subject := "claim/" + string(rune('0'+limpetclaim.ShardOf(r.Claim)))
+	names := memberNames(v.Members)
+	if limpetmember.Rank(subject, n.self.Name, names) != 0 {
+		for _, m := range v.Members {
+			if limpetmember.Rank(subject, m.Name, append(without(names, m.Name), n.self.Name)) == 0 {
+				ctxCall, cancel := context.WithTimeout(ctx, claimTimeout)
+				e, err := n.client.Claim(ctxCall, m.Peer, r)
+				cancel()
+				if err == nil {
+					return e, nil
+				}
+			}
+		}
+	}
+	return n.claims.Do(ctx, r)
+}
+
+const claimTimeout = 2 * time.Second
+
+func without(names []string, name string) []string {
+	var rest []string
+	for _, n := range names {
+		if n != name {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
+
+// callJob runs a trainer's call here or at the VM that owns the job.
+func (n *Node) callJob(ctx context.Context, account, job string, operation limpetrollout.Operation, body []byte) (int, []byte, error) {
+	if status, answer, ok := n.callOwnJob(ctx, job, operation, body); ok {
+		return status, answer, nil
+	}
+	for _, m := range n.View().Members {
+		for _, d := range m.Duties {
+			if d != jobDuty(job) {
+				continue
+			}
+			reply, err := n.client.At(m.Peer).CallJob(ctx, connect.NewRequest(&limpetwire.CallJobRequest{
+				Account: account, Job: job, Operation: string(operation), Body: body,
+			}))
+			if err != nil {
+				return 0, nil, limpetpeer.FromError(err, m.Peer)
+			}
+			return int(reply.Msg.GetStatus()), reply.Msg.GetBody(), nil
+		}
+	}
+	return 0, nil, limpeterror.Unavailable.New("job %s is changing its owner; ask again", job)
+}
+
+// callOwnJob runs a call when this VM owns the job and can prove it.
+func (n *Node) callOwnJob(ctx context.Context, job string, operation limpetrollout.Operation, body []byte) (int, []byte, bool) {
+	n.mu.Lock()
+	r := n.runners[job]
+	n.mu.Unlock()
+	if r == nil || r.Fenced() {
+		return 0, nil, false
+	}
+	reply, err := r.Call(ctx, operation, body)
+	if err == nil {
+		var data []byte
+		if data, err = json.Marshal(reply); err == nil {
+			return statusOK, data, true
+		}
+	}
+	status, data := limpetcaller.JobError(err)
+	return status, data, true
+}
+
+const statusOK = 200
--- /dev/null
+++ b/internal/limpetpeer/limpetpeer.go
@@ -0,0 +1,156 @@
+// Package limpetpeer owns the calls between VMs: connections, their time
+// limits, and the conversion between wire messages and the system's types. It
+// takes no decisions.
+package limpetpeer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"limpetmount.org/internal/limpetclaim"
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetmember"
+	"limpetmount.org/internal/limpetwire"
+)
+
+// Pings find connections that have gone silent; a silent one is replaced.
+const (
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
+)
+
+// A Client holds the connections to other VMs.
+type Client struct {
+	client *http.Client
+	mu     sync.Mutex
+	peers  map[string]limpetwire.PeerServiceClient
+}
+
+// New returns a client that shows the certificate in config.
+func New(config *tls.Config) *Client {
+	return &Client{
+		client: &http.Client{Transport: &http.Transport{
+			TLSClientConfig: config, ForceAttemptHTTP2: true, TLSHandshakeTimeout: 2 * time.Second,
+			IdleConnTimeout: 30 * time.Second,
+			HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		}},
+		peers: map[string]limpetwire.PeerServiceClient{},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.client.CloseIdleConnections() }
+
+// At returns the service of the VM at address.
+func (c *Client) At(address string) limpetwire.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if !ok {
+		p = limpetwire.NewPeerServiceClient(c.client, "https://"+address)
+		c.peers[address] = p
+	}
+	return p
+}
+
+// FromError turns a call's error into one of the system's types. A call whose
+// outcome cannot be told from the error is Unknown.
+func FromError(err error, peer string) error {
+	var e *connect.Error
+	if !errors.As(err, &e) {
+		return limpeterror.Unknown.Wrap(err, "VM at %s", peer)
+	}
+	switch e.Code() {
+	case connect.CodeFailedPrecondition, connect.CodeResourceExhausted:
+		return limpeterror.Unavailable.Wrap(err, "VM at %s", peer)
+	case connect.CodeInvalidArgument:
+		return limpeterror.Invalid.Wrap(err, "VM at %s", peer)
+	case connect.CodePermissionDenied, connect.CodeUnauthenticated:
+		return limpeterror.Denied.Wrap(err, "VM at %s", peer)
+	default:
+		return limpeterror.Unknown.Wrap(err, "VM at %s", peer)
+	}
+}
+
+// ToError turns an error into one for the wire.
+func ToError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case limpeterror.Is(err, limpeterror.Unavailable), limpeterror.Is(err, limpeterror.Overloaded):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	case limpeterror.Is(err, limpeterror.Invalid):
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	case limpeterror.Is(err, limpeterror.Denied):
+		return connect.NewError(connect.CodePermissionDenied, err)
+	default:
+		return connect.NewError(connect.CodeUnknown, err)
+	}
+}
+
+// EncodeState returns a VM's state for the wire, as of now.
+func EncodeState(s limpetmember.State, now time.Time, suspended []*limpetwire.Suspension, consumed []*limpetwire.AccountTokens) *limpetwire.NodeState {
+	age := int64(-1)
+	if !s.ConfirmedAt.IsZero() {
+		age = now.Sub(s.ConfirmedAt).Milliseconds()
+	}
+	return &limpetwire.NodeState{
+		From:    &limpetwire.VM{Name: s.Name, Incarnation: s.Incarnation, Zone: s.Zone, Peer: s.Peer, StartedMs: s.Started.UnixMilli()},
+		Applied: s.Applied, ConfirmedAgeMs: age, StoreDown: s.StoreDown, Leaving: s.Leaving,
+		Duties: s.Duties, Suspended: suspended, Consumed: consumed, HeardAgeMs: now.Sub(s.Heard).Milliseconds(),
+	}
+}
+
+// DecodeState returns a VM's state from the wire. Ages count from base: the
+// time before the call was sent, so that a slow answer seems older and never
+// newer than it is.
+func DecodeState(n *limpetwire.NodeState, base time.Time) limpetmember.State {
+	s := limpetmember.State{
+		VM: limpetmember.VM{
+			Name: n.GetFrom().GetName(), Incarnation: n.GetFrom().GetIncarnation(),
+			Zone: n.GetFrom().GetZone(), Peer: n.GetFrom().GetPeer(),
+			Started: time.UnixMilli(n.GetFrom().GetStartedMs()),
+		},
+		Applied: n.GetApplied(), StoreDown: n.GetStoreDown(), Leaving: n.GetLeaving(), Duties: n.GetDuties(),
+		Consumed: map[string]uint64{},
+		Heard:    base.Add(-time.Duration(n.GetHeardAgeMs()) * time.Millisecond),
+	}
+	if n.GetConfirmedAgeMs() >= 0 {
+		s.ConfirmedAt = base.Add(-time.Duration(n.GetConfirmedAgeMs()) * time.Millisecond)
+	}
+	for _, c := range n.GetConsumed() {
+		s.Consumed[c.GetService()+"/"+c.GetAccount()] = c.GetTokens()
+	}
+	return s
+}
+
+// Claim sends a claim to the VM at address.
+func (c *Client) Claim(ctx context.Context, address string, r limpetclaim.Request) (limpetclaim.Entry, error) {
+	reply, err := c.At(address).Claim(ctx, connect.NewRequest(&limpetwire.ClaimRequest{
+		Claim: r.Claim, Attempt: r.Attempt, Digest: r.Digest, State: string(r.State), Status: int32(r.Status), Body: r.Body,
+	}))
+	if err != nil {
+		return limpetclaim.Entry{}, FromError(err, address)
+	}
+	m := reply.Msg
+	return limpetclaim.Entry{Attempt: m.GetAttempt(), Digest: m.GetDigest(), State: limpetclaim.State(m.GetState()), Status: int(m.GetStatus()), Body: m.GetBody()}, nil
+}
+
+// DecodeClaim returns a claim from the wire.
+func DecodeClaim(m *limpetwire.ClaimRequest) limpetclaim.Request {
+	return limpetclaim.Request{
+		Claim: m.GetClaim(), Attempt: m.GetAttempt(), Digest: m.GetDigest(),
+		State: limpetclaim.State(m.GetState()), Status: int(m.GetStatus()), Body: m.GetBody(),
+	}
+}
+
+// EncodeClaim returns a claim that stands for the wire.
+func EncodeClaim(e limpetclaim.Entry) *limpetwire.ClaimResponse {
+	return &limpetwire.ClaimResponse{Attempt: e.Attempt, Digest: e.Digest, State: string(e.State), Status: int32(e.Status), Body: e.Body}
+}
--- /dev/null
+++ b/internal/limpetsettings/limpetsettings.go
@@ -0,0 +1,270 @@
+// Package limpetsettings owns the settings file of limpetd: its one
+// documented struct, defaults, checks, and the reference page made from it.
+package limpetsettings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"limpetmount.org/internal/limpeterror"
+)
+
+// Settings holds the settings of one limpetd process.
+type Settings struct {
+	VM       VM       `ini:"vm" doc:"The VM that the process runs on."`
+	Caller   Caller   `ini:"caller" doc:"The address for callers and trainers, behind the platform's balancer."`
+	Peer     Peer     `ini:"peer" doc:"The address for other VMs, over mutual TLS."`
+	Operator Operator `ini:"operator" doc:"The address for limpetctl."`
+	Metrics  Metrics  `ini:"metrics" doc:"The address for metrics."`
+	Platform Platform `ini:"platform" doc:"The platform's interfaces."`
+	Limits   Limits   `ini:"limits" doc:"Limits on input and queues."`
+	Timing   Timing   `ini:"timing" doc:"Periods and time limits."`
+	Log      Log      `ini:"log" doc:"Log lines, written to standard error."`
+}
+
+// VM holds the section [vm].
+type VM struct {
+	Name string `ini:"name" check:"set" doc:"Name of the VM, unique in the system."`
+	Zone string `ini:"zone" check:"set" doc:"Availability zone of the VM."`
+	Data string `ini:"data" doc:"Data folder for a snapshot of the configuration; empty on a VM without a disk."`
+}
+
+// Caller holds the section [caller].
+type Caller struct {
+	Address string `ini:"address" check:"address" doc:"IP address and port."`
+	Cert    string `ini:"cert" doc:"Certificate file; empty for plain HTTP behind a balancer that ends TLS."`
+	Key     string `ini:"key" doc:"Key file of the certificate."`
+}
+
+// Peer holds the section [peer].
+type Peer struct {
+	Address   string `ini:"address" check:"address" doc:"IP address and port."`
+	Cert      string `ini:"cert" check:"set" doc:"Certificate file of this VM."`
+	Key       string `ini:"key" check:"set" doc:"Key file of the certificate."`
+	Authority string `ini:"authority" check:"set" doc:"Certificate file of the authority that signs the VMs' certificates."`
+}
+
+// Operator holds the section [operator].
+type Operator struct {
+	Address string `ini:"address" check:"address" doc:"IP address and port, served over TLS with the certificate of section peer."`
+	Hash    string `ini:"hash" doc:"Hash of a first operator key, which works while the configuration has no operator key; limpetctl key generate prints one."`
+}
+
+// Metrics holds the section [metrics].
+type Metrics struct {
+	Address string `ini:"address" check:"address" doc:"IP address and port."`
+}
+
+// Platform holds the section [platform].
+type Platform struct {
+	Store  string `ini:"store" check:"url" doc:"Address of the key-value service."`
+	Orders string `ini:"orders" check:"url" doc:"Address of the interface for ordering backend servers."`
+	Usage  string `ini:"usage" check:"url" doc:"Address of the interface that accepts usage reports."`
+	VMs    string `ini:"vms" check:"url" doc:"Address of the list of VMs."`
+}
+
+// Limits holds the section [limits].
+type Limits struct {
+	Header  int `ini:"header" default:"32768" check:"positive" doc:"Largest size of a request's headers, in bytes."`
+	Body    int `ini:"body" default:"4194304" check:"positive" doc:"Largest size of a request's body, in bytes."`
+	Queue   int `ini:"queue" default:"256" check:"positive" doc:"Requests of one client account that may wait for a service on this VM."`
+	Retries int `ini:"retries" default:"3" check:"positive" doc:"Attempts at one request."`
+}
+
+// Timing holds the section [timing].
+type Timing struct {
+	Header    time.Duration `ini:"header" default:"5s" check:"positive" doc:"Time limit for a request's headers."`
+	Body      time.Duration `ini:"body" default:"30s" check:"positive" doc:"Time limit for a request's body."`
+	Write     time.Duration `ini:"write" default:"20s" check:"positive" doc:"Time limit for a caller to take each part of an answer."`
+	Queue     time.Duration `ini:"queue" default:"30s" check:"positive" doc:"Longest wait for admission."`
+	First     time.Duration `ini:"first" default:"10s" check:"positive" doc:"Time limit for a stream's first token, after which the request goes elsewhere."`
+	Stall     time.Duration `ini:"stall" default:"3s" check:"positive" doc:"Time limit between tokens, after which the stream is resumed elsewhere."`
+	Service   time.Duration `ini:"service" default:"30s" check:"positive" doc:"Time limit for a plain service's answer."`
+	Heartbeat time.Duration `ini:"heartbeat" default:"1s" check:"positive" doc:"Period of heartbeats between VMs."`
+	Confirm   time.Duration `ini:"confirm" default:"5s" check:"positive" doc:"Age of the configuration's last confirmation up to which keys are honoured."`
+	Load      time.Duration `ini:"load" default:"1s" check:"positive" doc:"Period of reading load reports and the list of backend servers."`
+	Lease     time.Duration `ini:"lease" default:"6s" check:"positive" doc:"Duration of the lease under which this VM holds duties."`
+	Window    time.Duration `ini:"window" default:"5m" check:"positive" doc:"Length of a usage window; the same on all VMs."`
+	Grace     time.Duration `ini:"grace" default:"2s" check:"positive" doc:"Time in a graceful shutdown between the end of readiness and the end of new connections, for the balancer to notice."`
+	Drain     time.Duration `ini:"drain" default:"10m" check:"positive" doc:"Longest wait for open requests in a graceful shutdown."`
+}
+
+// Log holds the section [log].
+type Log struct {
+	Level  string `ini:"level" default:"info" check:"level" doc:"debug, info, warning or error."`
+	Format string `ini:"format" default:"json" check:"format" doc:"json or text."`
+}
+
+// Default returns the settings with every default.
+func Default() Settings {
+	var s Settings
+	each(&s, func(_ reflect.StructField, v reflect.Value, f reflect.StructField) {
+		if d := f.Tag.Get("default"); d != "" {
+			_ = set(v, d)
+		}
+	})
+	return s
+}
+
+// each calls visit for every setting with its section's field.
+func each(s *Settings, visit func(section reflect.StructField, v reflect.Value, f reflect.StructField)) {
+	top := reflect.ValueOf(s).Elem()
+	for i := range top.NumField() {
+		section := top.Type().Field(i)
+		for j := range top.Field(i).NumField() {
+			visit(section, top.Field(i).Field(j), section.Type.Field(j))
+		}
+	}
+}
+
+func set(v reflect.Value, text string) error {
+	switch v.Interface().(type) {
+	case time.Duration:
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return limpeterror.Invalid.New("must be a duration such as 5s, not %q", text)
+		}
+		v.SetInt(int64(d))
+	case int:
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return limpeterror.Invalid.New("must be a whole number, not %q", text)
+		}
+		v.SetInt(int64(n))
+	default:
+		v.SetString(text)
+	}
+	return nil
+}
+
+// Load reads a settings file. All faults are returned together, each with
+// file, line and key, as *limpeterror.Findings.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads settings from data; path stands in findings.
+func Parse(path string, data []byte) (Settings, error) {
+	s := Default()
+	f := &limpeterror.Findings{}
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, IgnoreInlineComment: true}, data)
+	if err != nil {
+		f.Add(path, "%v", err)
+		return s, f
+	}
+	lines := indexLines(data)
+	place := func(section, key string) string {
+		if n, ok := lines[section+"\x00"+key]; ok {
+			return fmt.Sprintf("%s:%d: [%s] %s", path, n, section, key)
+		}
+		return fmt.Sprintf("%s: [%s] %s", path, section, key)
+	}
+	known := map[string]bool{}
+	each(&s, func(section reflect.StructField, v reflect.Value, field reflect.StructField) {
+		sectionName, name := section.Tag.Get("ini"), field.Tag.Get("ini")
+		known[sectionName+"\x00"+name] = true
+		at := place(sectionName, name)
+		if file.HasSection(sectionName) && file.Section(sectionName).HasKey(name) {
+			key := file.Section(sectionName).Key(name)
+			if len(key.ValueWithShadows()) > 1 {
+				f.Add(at, "is set more than once")
+			}
+			if err := set(v, key.String()); err != nil {
+				f.Add(at, "%s", message(err))
+				return
+			}
+		}
+		check(v, field.Tag.Get("check"), at, f)
+	})
+	for _, section := range file.Sections() {
+		for _, key := range section.KeyStrings() {
+			if !known[section.Name()+"\x00"+key] {
+				f.Add(place(section.Name(), key), "unknown setting")
+			}
+		}
+	}
+	return s, f.Err()
+}
+
+// message returns an error's text without its type.
+func message(err error) string {
+	text := err.Error()
+	if _, after, ok := strings.Cut(text, "limpet.invalid: "); ok {
+		return after
+	}
+	return text
+}
+
+// indexLines returns the line number of each key, by section and key.
+func indexLines(data []byte) map[string]int {
+	lines, section := map[string]int{}, ini.DefaultSection
+	for n, line := range strings.Split(string(data), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			section = strings.Trim(line, "[] ")
+			continue
+		}
+		if key, _, ok := strings.Cut(line, "="); ok {
+			lines[section+"\x00"+strings.TrimSpace(key)] = n + 1
+		}
+	}
+	return lines
+}
+
+func check(v reflect.Value, rule, place string, f *limpeterror.Findings) {
+	text := fmt.Sprint(v.Interface())
+	switch rule {
+	case "set":
+		if text == "" {
+			f.Add(place, "must be set")
+		}
+	case "address":
+		if a, err := netip.ParseAddrPort(text); err != nil || a.Port() == 0 {
+			f.Add(place, "must be an IP address with a port such as 10.0.0.1:7000, not %q", text)
+		}
+	case "url":
+		if u, err := url.Parse(text); err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+			f.Add(place, "must be an address such as http://10.0.0.1:7000, not %q", text)
+		}
+	case "positive":
+		if v.Int() <= 0 {
+			f.Add(place, "must be above 0")
+		}
+	case "level":
+		if text != "debug" && text != "info" && text != "warning" && text != "error" {
+			f.Add(place, "must be debug, info, warning or error, not %q", text)
+		}
+	case "format":
+		if text != "json" && text != "text" {
+			f.Add(place, "must be json or text, not %q", text)
+		}
+	}
+}
+
+// Reference returns the reference page of all settings in Markdown.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("# Settings of limpetd\n\nThis page is generated by `limpetd reference`; do not edit it.\nThe file is written in INI. A setting without a default must be given, unless its text says when it may be empty.\n")
+	s := Default()
+	section := ""
+	each(&s, func(top reflect.StructField, _ reflect.Value, f reflect.StructField) {
+		if top.Name != section {
+			section = top.Name
+			fmt.Fprintf(&b, "\n## [%s]\n\n%s\n\n| setting | default | meaning |\n| --- | --- | --- |\n", top.Tag.Get("ini"), top.Tag.Get("doc"))
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", f.Tag.Get("ini"), f.Tag.Get("default"), f.Tag.Get("doc"))
+	})
+	return b.String()
+}
--- /dev/null
+++ b/limpetbench/internal/limpetdemo/limpetdemo.go
@@ -0,0 +1,325 @@
+// Package limpetdemo owns the demo: the whole path of the product with three
+// VMs and all stand-ins, checked step by step.
+package limpetdemo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"limpetmount.org/internal/limpetlab"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetorder"
+	"limpetmount.org/internal/limpetrollout"
+	"limpetmount.org/internal/limpetsettings"
+	"limpetmount.org/internal/limpetstub"
+	"limpetmount.org/internal/limpetusage"
+)
+
+// Command holds the demo's flags.
+type Command struct {
+	Verbose bool `help:"Print log lines of all VMs to standard error."`
+}
+
+const (
+	demoTime    = 55 * time.Second
+	windowTime  = 3 * time.Second
+	tokenTime   = 4 * time.Millisecond
+	capacity    = 16
+	stepGroups  = 8
+	stepSamples = 4
+	stepTokens  = 60
+)
+
+// A demo holds the demo's state between its steps.
+type demo struct {
+	lab     *limpetlab.Lab
+	caller  string
+	trainer *limpetlab.Trainer
+	service *limpetstub.Service
+	out     table.Writer
+	failed  int
+}
+
+// Run runs the demo and fails when a check does.
+func (c *Command) Run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), demoTime)
+	defer cancel()
+	folder, remove, err := limpetlab.TempFolder()
+	if err != nil {
+		return err
+	}
+	defer remove()
+	logs := io.Discard
+	if c.Verbose {
+		logs = os.Stderr
+	}
+	log, err := limpetlog.New(logs, "info", "text", "demo")
+	if err != nil {
+		return err
+	}
+	lab, err := limpetlab.New(ctx, limpetlab.Options{
+		Folder: folder, VMs: 3, Zones: []string{"pretoria-a", "pretoria-b", "midrand-a"}, Log: log,
+		Adjust: func(s *limpetsettings.Settings) { s.Timing.Window = windowTime },
+		Engine: func(id string) *limpetstub.Engine { return limpetstub.NewEngine(id, capacity, tokenTime) },
+	})
+	if err != nil {
+		return err
+	}
+	defer lab.Close()
+	d := &demo{lab: lab, out: table.NewWriter(), service: &limpetstub.Service{Runs: map[string]int{}}}
+	d.out.AppendHeader(table.Row{"step", "what happened", "seconds", "check"})
+	for _, s := range []struct {
+		name string
+		run  func(context.Context) (string, error)
+	}{
+		{"three VMs start", d.start},
+		{"an operator makes accounts, services and keys", d.configure},
+		{"backend servers are ordered", d.order},
+		{"a caller streams a completion through one VM", d.stream},
+		{"a call that must not run twice is sent twice", d.callTwice},
+		{"a trainer gets a step across a weight change", d.train},
+		{"a key is withdrawn during a stream", d.withdraw},
+		{"an engine is drained", d.drain},
+		{"a usage window is reported", d.report},
+		{"a VM shuts down gracefully", d.shutdown},
+	} {
+		d.step(ctx, s.name, s.run)
+	}
+	fmt.Println(d.out.Render())
+	if d.failed > 0 {
+		return fmt.Errorf("%d checks failed", d.failed)
+	}
+	return nil
+}
+
+func (d *demo) step(ctx context.Context, name string, run func(context.Context) (string, error)) {
+	began := time.Now()
+	what, err := run(ctx)
+	verdict := "ok"
+	if err != nil {
+		d.failed++
+		verdict, what = "FAILED", err.Error()
+	}
+	d.out.AppendRow(table.Row{name, what, fmt.Sprintf("%.2f", time.Since(began).Seconds()), verdict})
+}
+
+func (d *demo) start(ctx context.Context) (string, error) {
+	if err := d.lab.WaitReady(ctx); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d VMs ready", len(d.lab.Nodes)), nil
+}
+
+func (d *demo) configure(ctx context.Context) (string, error) {
+	reply, err := d.lab.Operate(ctx, 0, `
+		create account desk weight=3 class=live;
+		create account training weight=1 class=rollout;
+		create service drafts kind=engine servers=3 most=6 cheap=0.5;
+		create service records kind=plain path="/records";
+		create job notes account=training service=drafts staleness=2 publishes=true`)
+	if err != nil {
+		return "", err
+	}
+	if d.caller, err = d.lab.GrantKey(ctx, 1, "desk1", "desk", "caller"); err != nil {
+		return "", err
+	}
+	token, err := d.lab.GrantKey(ctx, 2, "trainer1", "training", "trainer")
+	if err != nil {
+		return "", err
+	}
+	d.trainer = &limpetlab.Trainer{Caller: limpetlab.NewCaller(d.lab.URL(2), token), Job: "notes"}
+	if err := d.lab.AddService("records", "pretoria-a", "records-1", d.service); err != nil {
+		return "", err
+	}
+	return reply.GetResults()[0].GetText(), nil
+}
+
+func (d *demo) order(ctx context.Context) (string, error) {
+	usable := 0
+	err := limpetlab.Until(ctx, "three engines on every VM", func() bool {
+		for _, n := range d.lab.Nodes {
+			usable = len(n.View().Servers["drafts"])
+			if usable < 3 || len(n.View().Servers["records"]) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		return "", err
+	}
+	cheap := 0
+	for _, o := range d.lab.Platform.Sent() {
+		if o.Class == limpetorder.Cheap {
+			cheap++
+		}
+	}
+	return fmt.Sprintf("%d engines ordered, %d of them cheap", usable, cheap), nil
+}
+
+func (d *demo) stream(ctx context.Context) (string, error) {
+	const prompt, tokens = "Draft a redaction note for record 17.", 100
+	r, err := limpetlab.NewCaller(d.lab.URL(0), d.caller).Stream(ctx, limpetlab.Prompt{Model: "drafts", Prompt: prompt, MaxTokens: tokens})
+	if err != nil {
+		return "", err
+	}
+	if !r.Whole || r.Text != limpetstub.Answer(prompt, tokens) {
+		return "", fmt.Errorf("status %d, %d tokens, whole %v", r.Status, r.Tokens, r.Whole)
+	}
+	for _, e := range d.lab.Engines() {
+		if e.Authorized > 0 {
+			return "", fmt.Errorf("engine %s saw a key", e.ID)
+		}
+	}
+	return fmt.Sprintf("%d tokens, first after %d ms", r.Tokens, r.First.Milliseconds()), nil
+}
+
+func (d *demo) callTwice(ctx context.Context) (string, error) {
+	header := http.Header{"Idempotency-Key": {"fee-4711"}}
+	for vm := range 2 {
+		r, err := limpetlab.NewCaller(d.lab.URL(vm), d.caller).Do(ctx, http.MethodPost, "/records/fees", header, []byte("charge request 4711"))
+		if err != nil {
+			return "", err
+		}
+		if r.Status != http.StatusOK || string(r.Body) != "ran:charge request 4711" {
+			return "", fmt.Errorf("VM %d: status %d: %s", vm+1, r.Status, r.Body)
+		}
+	}
+	d.service.Lock()
+	defer d.service.Unlock()
+	if n := d.service.Runs["charge request 4711"]; n != 1 {
+		return "", fmt.Errorf("ran %d times", n)
+	}
+	return "sent through two VMs, ran once, both got the answer", nil
+}
+
+func (d *demo) train(ctx context.Context) (string, error) {
+	if err := d.trainer.Open(ctx, "trainer-process-1"); err != nil {
+		return "", err
+	}
+	spec := limpetrollout.Spec{Step: 1, MaxTokens: stepTokens}
+	for g := range stepGroups {
+		spec.Groups = append(spec.Groups, limpetrollout.Group{Prompt: fmt.Sprintf("Prompt %d of step 1", g), Samples: stepSamples})
+	}
+	if err := d.trainer.Step(ctx, spec); err != nil {
+		return "", err
+	}
+	// Samples are running when the new version is published.
+	time.Sleep(stepTokens * tokenTime / 2)
+	if err := d.trainer.Publish(ctx, 2); err != nil {
+		return "", err
+	}
+	seen, versions, across := map[[2]int]bool{}, map[uint64]int{}, 0
+	var wrong error
+	err := d.trainer.Collect(ctx, 16, func(r limpetrollout.FetchReply) {
+		for _, s := range r.Samples {
+			if seen[[2]int{s.Group, s.Index}] || s.Text != limpetstub.Answer(spec.Groups[s.Group].Prompt, stepTokens) {
+				wrong = fmt.Errorf("sample %d/%d is doubled or wrong", s.Group, s.Index)
+			}
+			seen[[2]int{s.Group, s.Index}] = true
+			for _, v := range s.Versions {
+				versions[v.Version] += v.To - v.From
+			}
+			if len(s.Versions) > 1 {
+				across++
+			}
+		}
+	})
+	if err != nil || wrong != nil {
+		return "", fmt.Errorf("%w %w", err, wrong)
+	}
+	if len(seen) != stepGroups*stepSamples || versions[2] == 0 {
+		return "", fmt.Errorf("%d samples, tokens by version %v", len(seen), versions)
+	}
+	return fmt.Sprintf("%d samples once each; %d span the change; tokens by version: %d of 1, %d of 2", len(seen), across, versions[1], versions[2]), nil
+}
+
+func (d *demo) withdraw(ctx context.Context) (string, error) {
+	token, err := d.lab.GrantKey(ctx, 0, "desk2", "desk", "caller")
+	if err != nil {
+		return "", err
+	}
+	done := make(chan limpetlab.StreamResult, 1)
+	errs := make(chan error, 1)
+	d.lab.Go(func() {
+		r, err := limpetlab.NewCaller(d.lab.URL(0), token).Stream(ctx, limpetlab.Prompt{Model: "drafts", Prompt: "A long answer", MaxTokens: 5000})
+		errs <- err
+		done <- r
+	})
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	if _, err := d.lab.Operate(ctx, 1, "withdraw key desk2"); err != nil {
+		return "", err
+	}
+	<-errs
+	if r := <-done; r.Whole {
+		return "", fmt.Errorf("the stream went on to its end")
+	}
+	ended := time.Since(began)
+	r, err := limpetlab.NewCaller(d.lab.URL(2), token).Stream(ctx, limpetlab.Prompt{Model: "drafts", Prompt: "x", MaxTokens: 1})
+	if err != nil || r.Status != http.StatusUnauthorized {
+		return "", fmt.Errorf("after the withdrawal: status %d, %w", r.Status, err)
+	}
+	return fmt.Sprintf("stream ended and key refused on another VM after %d ms", ended.Milliseconds()), nil
+}
+
+func (d *demo) drain(ctx context.Context) (string, error) {
+	servers := d.lab.Nodes[0].View().Servers["drafts"]
+	id := servers[0].ID
+	if _, err := d.lab.Operate(ctx, 0, "drain server "+id); err != nil {
+		return "", err
+	}
+	err := limpetlab.Until(ctx, "the engine is stopped and replaced", func() bool {
+		stopped := false
+		for _, o := range d.lab.Platform.Sent() {
+			stopped = stopped || (o.Kind == limpetorder.Stop && o.Server == id)
+		}
+		return stopped && len(d.lab.Nodes[0].View().Servers["drafts"]) >= 3
+	})
+	return id + " got no new work, was stopped when empty, and replaced", err
+}
+
+func (d *demo) report(ctx context.Context) (string, error) {
+	var total limpetusage.Count
+	err := limpetlab.Until(ctx, "the desk's usage is reported", func() bool {
+		total = limpetusage.Count{}
+		for _, data := range d.lab.Platform.ReportsOf("desk") {
+			var r limpetusage.Report
+			if json.Unmarshal(data, &r) == nil {
+				total = total.Plus(r.Figures)
+			}
+		}
+		return total.Tokens >= 100 && total.Requests >= 3
+	})
+	if err != nil {
+		return "", err
+	}
+	if len(d.lab.Platform.Doubled) > 0 {
+		return "", fmt.Errorf("windows reported twice: %v", d.lab.Platform.Doubled)
+	}
+	return fmt.Sprintf("desk: %d requests, %d tokens, each window once", total.Requests, total.Tokens), nil
+}
+
+func (d *demo) shutdown(ctx context.Context) (string, error) {
+	done := make(chan limpetlab.StreamResult, 1)
+	const prompt, tokens = "A stream through a VM that leaves", 200
+	d.lab.Go(func() {
+		r, _ := limpetlab.NewCaller(d.lab.URL(1), d.caller).Stream(ctx, limpetlab.Prompt{Model: "drafts", Prompt: prompt, MaxTokens: tokens})
+		done <- r
+	})
+	time.Sleep(200 * time.Millisecond)
+	if err := d.lab.Nodes[1].Shutdown(ctx); err != nil {
+		return "", err
+	}
+	if r := <-done; !r.Whole || r.Text != limpetstub.Answer(prompt, tokens) {
+		return "", fmt.Errorf("the stream was cut off after %d tokens", r.Tokens)
+	}
+	return "its open stream got the whole answer", nil
+}
--- /dev/null
+++ b/limpetctl/main.go
@@ -0,0 +1,4 @@
+// Command limpetctl is the operators' client.
+package main
+
+func main() {}
