limpetctl: the operators' client, and reference pages from the code

Cause: operators had no client; settings, events and the language had no pages. Change: limpetctl with commands for accounts, keys, services, jobs, servers, quarantine and usage, a shell, watch, a private authority, JSON output and documented exit codes; every command becomes statements of one language. docs/SETTINGS.md, EVENTS.md and LANGUAGE.md are generated.

--- a/internal/limpetnode/tables.go
+++ b/internal/limpetnode/tables.go
@@ -125,7 +125,7 @@
 		return n.windowTable(ctx)
 	default:
 		f := &limpeterror.Findings{}
-		f.Add("show", "no table %q; the tables are accounts, keys, services, jobs, servers, vms, requests, leases, quarantines, usage, windows, changes, drains, releases", entity)
+		f.Add("show", "no table %q; the tables are %s", entity, strings.Join(limpetlang.Tables, ", "))
 		return limpetlang.Table{}, f
 	}
 }
--- /dev/null
+++ b/limpetctl/internal/limpetcommand/limpetcommand.go
@@ -0,0 +1,174 @@
+// Package limpetcommand owns the command line of limpetctl. Each command is
+// turned into statements of the operators' language; a VM checks and runs them.
+package limpetcommand
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"connectrpc.com/connect"
+	"gopkg.in/ini.v1"
+
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetoperator"
+	"limpetmount.org/internal/limpettls"
+	"limpetmount.org/internal/limpetwire"
+)
+
+// ExitCodes documents the exit codes.
+const ExitCodes = `Exit codes: 0 done, 1 refused with findings, 2 wrong usage or configuration, 3 no VM answers, 4 key refused, 5 the change may be in force or not.`
+
+// Exit codes.
+const (
+	exitFindings    = 1
+	exitUsage       = 2
+	exitUnreachable = 3
+	exitDenied      = 4
+	exitUnknown     = 5
+)
+
+// ExitCode returns the exit code for an error.
+func ExitCode(err error) int {
+	var f *limpeterror.Findings
+	switch {
+	case errors.As(err, &f):
+		return exitFindings
+	case limpeterror.Is(err, limpeterror.Unavailable):
+		return exitUnreachable
+	case limpeterror.Is(err, limpeterror.Denied):
+		return exitDenied
+	case limpeterror.Is(err, limpeterror.Unknown):
+		return exitUnknown
+	default:
+		return exitUsage
+	}
+}
+
+// Global holds the flags of all commands.
+type Global struct {
+	Config string `help:"Configuration file in INI." default:"limpetctl.ini" env:"LIMPETCTL_CONFIG" type:"path"`
+	Output string `help:"table or json." enum:"table,json" default:"table" short:"o"`
+	DryRun bool   `help:"Show what a change would do, and do nothing."`
+}
+
+// Line holds the commands of limpetctl.
+type Line struct {
+	Global
+
+	Status     statusCommand     `cmd:"" help:"Show the VMs: configuration in force, store, open requests."`
+	Account    objectCommands    `cmd:"" help:"Client accounts."`
+	Key        keyCommands       `cmd:"" help:"Keys of callers, trainers and operators."`
+	Service    objectCommands    `cmd:"" help:"Services that requests are routed to."`
+	Job        objectCommands    `cmd:"" help:"Rollout jobs."`
+	Server     serverCommands    `cmd:"" help:"Backend servers."`
+	Quarantine quarantineCommand `cmd:"" help:"Requests that crash backend servers."`
+	Usage      usageCommands     `cmd:"" help:"Usage windows and their figures by VM."`
+	Run        runCommand        `cmd:"" help:"Run statements of the operators' language."`
+	Watch      watchCommand      `cmd:"" help:"Run a query again and again."`
+	Shell      shellCommand      `cmd:"" help:"Interactive prompt with history and completion."`
+	Language   languageCommand   `cmd:"" help:"Print the language's reference page."`
+	Authority  authorityCommands `cmd:"" help:"A private authority for the VMs' certificates."`
+	Completion completionCommand `cmd:"" help:"Print a completion script for bash."`
+}
+
+// A connection holds where limpetctl finds the system.
+type connection struct {
+	vms       []string
+	token     string
+	authority string
+}
+
+// connect reads the configuration file; all findings come together.
+func (g *Global) connect() (connection, error) {
+	var c connection
+	f := &limpeterror.Findings{}
+	file, err := ini.Load(g.Config)
+	if errors.Is(err, os.ErrNotExist) {
+		return c, fmt.Errorf("no configuration file %s; write one with the section [limpetctl] and the settings vms, key and authority, or name it with --config", g.Config)
+	}
+	if err != nil {
+		return c, fmt.Errorf("configuration: %w", err)
+	}
+	section := file.Section("limpetctl")
+	for _, k := range section.Keys() {
+		switch k.Name() {
+		case "vms":
+			c.vms = k.Strings(",")
+		case "authority":
+			c.authority = k.String()
+		case "key":
+			data, err := os.ReadFile(k.String())
+			if err != nil {
+				f.Add(g.Config+": key", "%v", err)
+			}
+			c.token = strings.TrimSpace(string(data))
+		default:
+			f.Add(g.Config+": "+k.Name(), "unknown setting; the settings are vms, key and authority")
+		}
+	}
+	if len(c.vms) == 0 {
+		f.Add(g.Config+": vms", "must name the operator addresses of one or more VMs")
+	}
+	if c.token == "" {
+		f.Add(g.Config+": key", "must name a file that holds an operator key")
+	}
+	if err := f.Err(); err != nil {
+		return c, fmt.Errorf("configuration:\n%w", err)
+	}
+	return c, nil
+}
+
+const operationBytes = 12
+
+// run sends statements to the first VM that answers. All VMs get the same
+// operation, so that a batch whose answer was lost is not applied twice.
+func (g *Global) run(ctx context.Context, statements string) (*limpetwire.RunResponse, error) {
+	c, err := g.connect()
+	if err != nil {
+		return nil, err
+	}
+	config, err := limpettls.ClientOf(c.authority)
+	if err != nil {
+		return nil, err
+	}
+	operation := make([]byte, operationBytes)
+	// Read never fails; see crypto/rand.
+	_, _ = rand.Read(operation)
+	failures := make([]error, 0, len(c.vms))
+	for _, vm := range c.vms {
+		reply, err := limpetoperator.New(vm, c.token, config).Run(ctx, statements, hex.EncodeToString(operation), g.DryRun)
+		if err == nil {
+			return reply, findings(reply)
+		}
+		switch connect.CodeOf(err) {
+		case connect.CodeUnauthenticated, connect.CodePermissionDenied:
+			return nil, limpeterror.Denied.Wrap(err, "VM at %s", vm)
+		case connect.CodeUnknown:
+			return nil, limpeterror.Unknown.Wrap(err, "VM at %s", vm)
+		}
+		failures = append(failures, fmt.Errorf("VM at %s: %w", vm, err))
+	}
+	return nil, limpeterror.Unavailable.Wrap(errors.Join(failures...), "no VM answers")
+}
+
+func findings(reply *limpetwire.RunResponse) error {
+	f := &limpeterror.Findings{}
+	for _, l := range reply.GetFindings() {
+		f.Add(l.GetPlace(), "%s", l.GetText())
+	}
+	return f.Err()
+}
+
+// show runs statements and prints the results.
+func (g *Global) show(ctx context.Context, statements string) error {
+	reply, err := g.run(ctx, statements)
+	if err != nil {
+		return err
+	}
+	return g.print(os.Stdout, reply)
+}
--- a/limpetctl/main.go
+++ b/limpetctl/main.go
@@ -1,4 +1,24 @@
-// Command limpetctl is the operators' client.
+// Command limpetctl is the operators' client: it asks what runs, for whom and
+// at what cost, and issues changes while traffic runs.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"limpetmount.org/limpetctl/internal/limpetcommand"
+)
+
+func main() {
+	var line limpetcommand.Line
+	k := kong.Parse(&line, kong.Name("limpetctl"), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Description("Operators' client of limpetmount.\n\n"+limpetcommand.ExitCodes),
+		kong.BindTo(context.Background(), (*context.Context)(nil)), kong.Bind(&line.Global))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "limpetctl: "+err.Error())
+		os.Exit(limpetcommand.ExitCode(err))
+	}
+}
