Lease: a holder no longer takes its former lease's key for its own

A holder whose belief had run out was granted a new lease, met its own key of the former lease, and believed in it; the store then ended the former lease with the key. Change: the record names its lease; only a key of the current lease counts. Conclusion: fences at a receiver that checks nothing no longer go back.

--- a/internal/limpetlease/limpetlease.go
+++ b/internal/limpetlease/limpetlease.go
@@ -19,10 +19,13 @@
 // Prefix is where duties stand in the store.
 const Prefix = "duty/"
 
-// A Record holds what the store keeps for a duty.
+// A Record holds what the store keeps for a duty. Lease is the one that the
+// key is tied to: a holder that lost its lease and got another must not take
+// the key of the former one for its own.
 type Record struct {
 	Holder      string `json:"holder"`
 	Incarnation string `json:"incarnation"`
+	Lease       uint64 `json:"lease"`
 }
 
 // A Holder holds one VM's lease and the duties tied to it. The store's lease
@@ -92,7 +95,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("duty %s: %w", duty, err)
 	}
-	data, err := json.Marshal(Record{Holder: h.vm, Incarnation: h.incarnation})
+	data, err := json.Marshal(Record{Holder: h.vm, Incarnation: h.incarnation, Lease: lease})
 	if err != nil {
 		return 0, limpeterror.Invalid.Wrap(err, "duty %s", duty)
 	}
@@ -101,7 +104,7 @@
 		h.drop(lease)
 	}
 	if limpeterror.Is(err, limpeterror.Unknown) || limpeterror.Is(err, limpeterror.Conflict) {
-		fence, err = h.readBack(ctx, duty, err)
+		fence, err = h.readBack(ctx, duty, lease, err)
 	}
 	if err != nil {
 		return 0, fmt.Errorf("duty %s: %w", duty, err)
@@ -116,7 +119,7 @@
 }
 
 // readBack resolves an acquisition whose answer was lost.
-func (h *Holder) readBack(ctx context.Context, duty string, cause error) (uint64, error) {
+func (h *Holder) readBack(ctx context.Context, duty string, lease uint64, cause error) (uint64, error) {
 	v, err := h.store.Get(ctx, Prefix+duty)
 	if err != nil {
 		return 0, err
@@ -125,7 +128,7 @@
 	if err := json.Unmarshal(v.Data, &r); err != nil {
 		return 0, limpeterror.Invalid.Wrap(err, "duty %s", duty)
 	}
-	if r.Incarnation != h.incarnation {
+	if r.Incarnation != h.incarnation || r.Lease != lease {
 		return 0, limpeterror.Conflict.Wrap(cause, "held by %s", r.Holder)
 	}
 	return v.Revision, nil
--- /dev/null
+++ b/internal/limpetusage/limpetusage_test.go
@@ -0,0 +1,152 @@
+package limpetusage_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"limpetmount.org/internal/limpetusage"
+)
+
+const length = time.Minute
+
+var start = time.Date(2026, 1, 2, 3, 4, 0, 0, time.UTC)
+
+func tokens(n uint64) limpetusage.Count { return limpetusage.Count{Requests: 1, Tokens: n} }
+
+func TestTallyBoundaries(t *testing.T) {
+	Convey("a count after the closing of its window goes to the next", t, func() {
+		tally := limpetusage.NewTally("vm1", "vm1-1", length)
+		tally.Add(start.Add(time.Second), "desk", tokens(5))
+		closed := tally.Pending(start.Add(length), false)
+		So(closed[0].Closed, ShouldBeTrue)
+		So(closed[0].Counts["desk"].Tokens, ShouldEqual, 5)
+		// The clock of this count was read before the window was closed.
+		tally.Add(start.Add(length-time.Millisecond), "desk", tokens(7))
+		for _, r := range closed {
+			tally.Flushed(r)
+		}
+		again := tally.Pending(start.Add(length+time.Second), false)
+		So(len(again), ShouldEqual, 1)
+		So(again[0].Window, ShouldEqual, limpetusage.WindowOf(start.Add(length), length))
+		So(again[0].Counts["desk"].Tokens, ShouldEqual, 7)
+	})
+	Convey("an idle VM closes its windows too", t, func() {
+		tally := limpetusage.NewTally("vm1", "vm1-1", length)
+		So(len(tally.Pending(start, false)), ShouldEqual, 1)
+		closed := tally.Pending(start.Add(length), false)
+		So(closed[0].Closed, ShouldBeTrue)
+	})
+}
+
+func TestReady(t *testing.T) {
+	record := func(incarnation string, closed bool) limpetusage.Record {
+		return limpetusage.Record{Incarnation: incarnation, Closed: closed}
+	}
+	for _, c := range []struct {
+		name    string
+		records []limpetusage.Record
+		live    []string
+		ready   bool
+	}{
+		{"all closed", []limpetusage.Record{record("a", true), record("b", true)}, []string{"a", "b"}, true},
+		{"one open", []limpetusage.Record{record("a", true), record("b", false)}, []string{"a", "b"}, false},
+		{"one silent", []limpetusage.Record{record("a", true)}, []string{"a", "b"}, false},
+		{"open one is gone", []limpetusage.Record{record("a", true), record("b", false)}, []string{"a"}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			Convey("a window waits for the live VMs", t, func() {
+				ready, _ := limpetusage.Ready(c.records, c.live)
+				So(ready, ShouldEqual, c.ready)
+			})
+		})
+	}
+}
+
+// TestEverythingIsBilledOnce draws when each VM's records reach the store and
+// checks that the figures and corrections of all windows sum to what was used.
+func TestEverythingIsBilledOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const windows, vms = 6, 3
+		used := map[string]uint64{}
+		stored := map[string]limpetusage.Record{}
+		late := map[int][]limpetusage.Record{}
+		var frozen []limpetusage.Frozen
+		for w := range windows {
+			at := start.Add(time.Duration(w) * length)
+			window := limpetusage.WindowOf(at, length)
+			for vm := range vms {
+				incarnation := fmt.Sprintf("vm%d-1", vm)
+				r := limpetusage.Record{Window: window, Incarnation: incarnation, Sequence: 1, Counts: map[string]limpetusage.Count{}}
+				early := r
+				early.Counts = map[string]limpetusage.Count{}
+				for _, account := range []string{"desk", "training"} {
+					n := rapid.Uint64Range(0, 9).Draw(t, "tokens")
+					before := rapid.Uint64Range(0, n).Draw(t, "before")
+					used[account] += n
+					r.Counts[account] = limpetusage.Count{Tokens: n}
+					early.Counts[account] = limpetusage.Count{Tokens: before}
+				}
+				// The whole record arrives in time, one window late or two late.
+				delay := rapid.IntRange(0, 2).Draw(t, "delay")
+				if delay > 0 {
+					r.Sequence = 2
+					stored[limpetusage.RecordKey(window, incarnation)] = early
+				}
+				late[min(w+delay, windows-1)] = append(late[min(w+delay, windows-1)], r)
+			}
+			for _, r := range late[w] {
+				stored[limpetusage.RecordKey(r.Window, r.Incarnation)] = r
+			}
+			var own, earlier []limpetusage.Record
+			for _, r := range stored {
+				if r.Window == window {
+					own = append(own, r)
+				} else {
+					earlier = append(earlier, r)
+				}
+			}
+			frozen = append(frozen, limpetusage.Freeze(window, own, earlier, frozen, nil))
+		}
+		billed := map[string]uint64{}
+		for _, f := range frozen {
+			for a, c := range f.Figures {
+				billed[a] += c.Tokens
+			}
+			for _, c := range f.Corrections {
+				billed[c.Account] += c.Count.Tokens
+			}
+		}
+		if fmt.Sprint(billed) != fmt.Sprint(used) {
+			t.Fatalf("billed %v, used %v", billed, used)
+		}
+	})
+}
+
+func TestReportsAreTheSameBytes(t *testing.T) {
+	Convey("a frozen window always gives the same bytes", t, func() {
+		f := limpetusage.Frozen{Window: "w", Figures: map[string]limpetusage.Count{"b": tokens(1), "a": tokens(2), "c": tokens(3)}}
+		accounts, first, err := f.Reports()
+		So(err, ShouldBeNil)
+		So(accounts, ShouldResemble, []string{"a", "b", "c"})
+		for range 20 {
+			_, again, err := f.Reports()
+			So(err, ShouldBeNil)
+			So(again, ShouldResemble, first)
+		}
+	})
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add([]byte(`{"window":"20260102T030400Z","counts":{"a":{"tokens":1}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if r, err := limpetusage.DecodeRecord(data); err == nil {
+			limpetusage.Freeze("w", []limpetusage.Record{r}, []limpetusage.Record{r}, nil, nil)
+		}
+		_, _ = limpetusage.DecodeFrozen(data)
+		_, _ = limpetusage.StartOf(string(data))
+	})
+}
