--- a/internal/limpetclaim/limpetclaim.go
+++ b/internal/limpetclaim/limpetclaim.go
@@ -11,7 +11,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -44,7 +43,6 @@
 	flushPause    = 100 * time.Millisecond
 	flushTimeout  = 3 * time.Second
 	shardLargest  = limpetstore.MaxValue * 3 / 4
-	operationsMax = 16
 )
 
 // An Entry holds one claim. Digest is the hash of the request's body.
@@ -68,11 +66,9 @@
 	Body    []byte
 }
 
-// A Segment holds a shard's claims as the store keeps them. Operations are
-// the identifiers of the newest group commits.
+// A Segment holds a shard's claims as the store keeps them.
 type Segment struct {
-	Operations []string         `json:"operations"`
-	Entries    map[string]Entry `json:"entries"`
+	Entries map[string]Entry `json:"entries"`
 }
 
 // Name returns the claim of an idempotency key.
@@ -107,20 +103,24 @@
 
 // Apply records r in s. A claim is granted when none stands, or when the one
 // that stands is known not to have run. An attempt's outcome is recorded only
-// over its own claim.
-func Apply(s Segment, r Request, now time.Time) {
+// over its own claim. It reports whether s changed; applying a request twice
+// changes nothing, so that a write whose answer was lost may be repeated.
+func Apply(s Segment, r Request, now time.Time) bool {
 	old, exists := s.Entries[r.Claim]
 	own := exists && old.Attempt == r.Attempt
 	switch {
 	case r.State == Claimed && (!exists || (old.State == NotRun && !own)):
 		s.Entries[r.Claim] = Entry{Attempt: r.Attempt, Digest: r.Digest, State: Claimed, At: now}
+		return true
 	case r.State != Claimed && own && old.State == Claimed:
 		old.State, old.Status, old.At = r.State, r.Status, now
 		if len(r.Body) <= AnswerLargest {
 			old.Body = r.Body
 		}
 		s.Entries[r.Claim] = old
+		return true
 	}
+	return false
 }
 
 // Claims holds the group commits of one VM.
@@ -129,7 +129,6 @@
 	store  limpetstore.Store
 	keep   time.Duration
 	now    func() time.Time
-	unique func() string
 	shards [Shards]shard
 }
 
@@ -149,9 +148,9 @@
 }
 
 // New returns claims that are kept for a time after their last change. Group
-// commits run in group. Unique returns a new operation identifier at each call.
-func New(group *limpettask.Group, store limpetstore.Store, keep time.Duration, now func() time.Time, unique func() string) *Claims {
-	return &Claims{group: group, store: store, keep: keep, now: now, unique: unique}
+// commits run in group.
+func New(group *limpettask.Group, store limpetstore.Store, keep time.Duration, now func() time.Time) *Claims {
+	return &Claims{group: group, store: store, keep: keep, now: now}
 }
 
 // ShardOf returns a claim's shard.
@@ -212,12 +211,11 @@
 func (c *Claims) write(index int, batch []*pending) {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
-	operation := c.unique()
 	v, err := c.store.Update(ctx, fmt.Sprintf("claim/%d", index),
-		func(current limpetstore.Value) ([]byte, error) { return c.encode(current.Data, operation, batch) },
+		func(current limpetstore.Value) ([]byte, error) { return c.encode(current.Data, batch) },
 		func(current limpetstore.Value) bool {
 			s, err := Decode(current.Data)
-			return err == nil && slices.Contains(s.Operations, operation)
+			return err == nil && !c.apply(s, batch)
 		})
 	var s Segment
 	if err == nil {
@@ -229,7 +227,16 @@
 	}
 }
 
-func (c *Claims) encode(data []byte, operation string, batch []*pending) ([]byte, error) {
+// apply applies a batch and reports whether the segment changed.
+func (c *Claims) apply(s Segment, batch []*pending) bool {
+	now, changed := c.now().UTC(), false
+	for _, p := range batch {
+		changed = Apply(s, p.request, now) || changed
+	}
+	return changed
+}
+
+func (c *Claims) encode(data []byte, batch []*pending) ([]byte, error) {
 	s, err := Decode(data)
 	if err != nil {
 		return nil, err
@@ -240,11 +247,7 @@
 			delete(s.Entries, claim)
 		}
 	}
-	for _, p := range batch {
-		Apply(s, p.request, now)
-	}
-	s.Operations = append(s.Operations, operation)
-	s.Operations = s.Operations[max(0, len(s.Operations)-operationsMax):]
+	c.apply(s, batch)
 	next, err := json.Marshal(s)
 	if err == nil && len(next) > shardLargest {
 		return nil, limpeterror.Overloaded.New("claim shard is full")
--- a/internal/limpetconfig/log.go
+++ b/internal/limpetconfig/log.go
@@ -131,9 +131,6 @@
 	if err != nil {
 		return d, nil, err
 	}
-	if s.Last() <= d.Index {
-		return d, nil, nil
-	}
 	next := d
 	entries, ok := s.After(d.Index)
 	if !ok {
--- a/internal/limpetnode/limpetnode.go
+++ b/internal/limpetnode/limpetnode.go
@@ -146,7 +146,7 @@
 	store := func(mechanism string) limpetstore.Store { return meter.Wrap(watched, mechanism) }
 	n.view.Store(&limpetview.View{Config: limpetconfig.NewDocument()})
 	n.config = limpetconfig.NewLog(store("config"), time.Now)
-	n.claims = limpetclaim.New(n.group, store("claims"), claimsKeptFor, time.Now, unique)
+	n.claims = limpetclaim.New(n.group, store("claims"), claimsKeptFor, time.Now)
 	n.holder = limpetlease.New(store("leases"), n.self.Name, n.self.Incarnation, n.settings.Timing.Lease, time.Now)
 	n.tally = limpetusage.NewTally(n.self.Name, n.self.Incarnation, n.settings.Timing.Window)
 	n.usageStore = store("usage")
--- /dev/null
+++ b/internal/limpetrollout/limpetrollout_test.go
@@ -0,0 +1,166 @@
+package limpetrollout_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"limpetmount.org/internal/limpetrollout"
+)
+
+func TestLabels(t *testing.T) {
+	type mark struct {
+		index       int
+		version     uint64
+		incarnation string
+	}
+	for _, c := range []struct {
+		name  string
+		marks []mark
+		want  []limpetrollout.Range
+	}{
+		{"one version", []mark{{0, 1, "a"}, {1, 1, "a"}}, []limpetrollout.Range{{From: 0, To: 2, Version: 1, Incarnation: "a"}}},
+		{"a swap in the middle", []mark{{0, 1, "a"}, {1, 2, "a"}}, []limpetrollout.Range{{From: 0, To: 1, Version: 1, Incarnation: "a"}, {From: 1, To: 2, Version: 2, Incarnation: "a"}}},
+		{"resumed at an engine with older weights", []mark{{0, 2, "a"}, {1, 1, "b"}}, []limpetrollout.Range{{From: 0, To: 1, Version: 2, Incarnation: "a"}, {From: 1, To: 2, Version: 1, Incarnation: "b"}}},
+		{"version goes back in one incarnation", []mark{{0, 2, "a"}, {1, 1, "a"}}, nil},
+		{"no mark", []mark{{0, 1, "a"}, {1, 0, ""}}, nil},
+		{"a gap", []mark{{0, 1, "a"}, {2, 1, "a"}}, nil},
+		{"a token twice", []mark{{0, 1, "a"}, {0, 1, "a"}}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			Convey("ranges say what produced each token, or the stream is refused", t, func() {
+				var l limpetrollout.Labels
+				var err error
+				for _, m := range c.marks {
+					if err = l.Add(m.index, m.version, m.incarnation); err != nil {
+						break
+					}
+				}
+				So(err != nil, ShouldEqual, c.want == nil)
+				if c.want != nil {
+					So(l.Ranges, ShouldResemble, c.want)
+				}
+			})
+		})
+	}
+}
+
+func TestFresh(t *testing.T) {
+	for _, c := range []struct {
+		published, oldest uint64
+		bound             int
+		fresh             bool
+	}{
+		{5, 5, 0, true}, {5, 4, 0, false}, {5, 3, 2, true}, {5, 2, 2, false}, {0, 1, 0, true}, {3, 0, 5, false},
+	} {
+		Convey("the bound counts published versions", t, func() {
+			So(limpetrollout.Fresh(c.published, c.oldest, c.bound), ShouldEqual, c.fresh)
+		})
+	}
+}
+
+func TestStragglers(t *testing.T) {
+	now := time.Now()
+	durations := []time.Duration{time.Second, time.Second, time.Second, time.Second}
+	running := func(age time.Duration, attempts int) limpetrollout.Running {
+		return limpetrollout.Running{Began: now.Add(-age), Attempts: attempts}
+	}
+	for _, c := range []struct {
+		name    string
+		running []limpetrollout.Running
+		done    []time.Duration
+		want    int
+	}{
+		{"slow tail", []limpetrollout.Running{running(3*time.Second, 1)}, durations, 1},
+		{"not yet slow", []limpetrollout.Running{running(time.Second, 1)}, durations, 0},
+		{"has a duplicate", []limpetrollout.Running{running(3*time.Second, 2)}, durations, 0},
+		{"no evidence", []limpetrollout.Running{running(3*time.Second, 1)}, durations[:2], 0},
+		{"not the tail", []limpetrollout.Running{running(3*time.Second, 1), running(3*time.Second, 1)}, durations, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			Convey("only a slow tail is duplicated", t, func() {
+				So(len(limpetrollout.Stragglers(c.running, c.done, 10, now)), ShouldEqual, c.want)
+			})
+		})
+	}
+}
+
+// TestLedgerDeliversOnce drives a ledger with random calls and checks that a
+// trainer that follows the protocol gets each sample once and none stale.
+func TestLedgerDeliversOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const samples, bound = 20, 1
+		var l limpetrollout.Ledger
+		l.OpenSession("t")
+		if err := l.AddStep(limpetrollout.Step{Number: 1, Samples: samples, Digest: "d"}); err != nil {
+			t.Fatal(err)
+		}
+		version := uint64(1)
+		if err := l.Publish(version); err != nil {
+			t.Fatal(err)
+		}
+		var held []limpetrollout.Sealed
+		accepted := map[int]int{}
+		for round := 0; l.Open() && round < 200; round++ {
+			if rapid.IntRange(0, 4).Draw(t, "publish") == 0 {
+				version++
+				_ = l.Publish(version)
+			}
+			if rapid.Bool().Draw(t, "repeat") && l.Cursor > 0 {
+				lost := rapid.IntRange(0, 2).Draw(t, "lost")
+				l.Amend(func(b limpetrollout.Sealed) bool { return lost == 0 || b.Number%lost == 0 }, bound)
+				held = l.Batch
+				for _, b := range held {
+					if !limpetrollout.Fresh(l.Published, b.Oldest, bound) {
+						t.Fatalf("stale sample %d handed over", b.Number)
+					}
+				}
+				continue
+			}
+			var ready []limpetrollout.Sealed
+			for n := range samples {
+				// Samples that were delivered are offered too, as a late attempt is.
+				if rapid.IntRange(0, 2).Draw(t, "ready") > 0 {
+					age := rapid.Uint64Range(0, 2).Draw(t, "age")
+					ready = append(ready, limpetrollout.Sealed{Step: 1, Number: n, Oldest: version - min(age, version-1)})
+				}
+			}
+			if err := l.Advance(l.Cursor+1, ready, bound); err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range held {
+				accepted[b.Number]++
+			}
+			held = append([]limpetrollout.Sealed{}, l.Batch...)
+			for _, b := range held {
+				if !limpetrollout.Fresh(l.Published, b.Oldest, bound) {
+					t.Fatalf("stale sample %d handed over", b.Number)
+				}
+			}
+		}
+		for n, times := range accepted {
+			if times != 1 {
+				t.Fatalf("sample %d accepted %d times", n, times)
+			}
+		}
+		if !l.Open() && len(accepted) != samples {
+			t.Fatalf("step ended with %d of %d samples", len(accepted), samples)
+		}
+	})
+}
+
+func FuzzDecodeLedger(f *testing.F) {
+	f.Add([]byte(`{"session":1,"cursor":2,"batch":[{"step":1,"number":3}],"steps":[{"number":1,"samples":9,"delivered":"AAA="}]}`))
+	f.Add([]byte(`{"steps":[{"number":1,"samples":99}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l, err := limpetrollout.DecodeLedger(data)
+		if err != nil {
+			return
+		}
+		_ = l.Advance(l.Cursor+1, []limpetrollout.Sealed{{Step: 1, Number: 0, Oldest: 1}}, 1)
+		l.Amend(func(limpetrollout.Sealed) bool { return false }, 1)
+		l.Open()
+	})
+}
