--- a/internal/limpetnode/duties.go
+++ b/internal/limpetnode/duties.go
@@ -32,12 +32,17 @@
 	jobPrefix  = "job/"
 )
 
+// readTries bounds the tries of a duty's read of the store.
+const readTries = 4
+
 func jobDuty(job string) string { return jobPrefix + job }
 
 // wantedDuties returns the duties that some VM must do, by the configuration.
 func (n *Node) wantedDuties(store func(string) limpetstore.Store) []limpetduty.Duty {
 	duties := []limpetduty.Duty{
-		{Name: usageDuty, Run: func(ctx context.Context, _ uint64) { n.reporter(store("usage")).Run(ctx) }},
+		{Name: usageDuty, Run: func(ctx context.Context, _ uint64) {
+			n.reporter(limpetstore.RetryReads(store("usage"), readTries)).Run(ctx)
+		}},
 		{Name: ordersDuty, Run: func(ctx context.Context, fence uint64) { n.orderer(store("orders"), fence).Run(ctx) }},
 	}
 	for _, job := range n.View().Config.Jobs {
--- a/internal/limpetrollout/runner_test.go
+++ b/internal/limpetrollout/runner_test.go
@@ -34,7 +34,7 @@
 	generationFault func(r *rand.Rand) error
 	// replaceOnLoss replaces the owner when an answer is lost on its way.
 	replaceOnLoss bool
-	runs            int
+	runs          int
 }
 
 func newWorld(seed uint64) *world {
