Admission: the next ticket is found in a heap; remote service is charged by difference

Cause: choosing the next ticket scanned all client accounts; and totals of other VMs, summed, went down when a VM left and charged an account twice when it came back into sight. Change: a heap of waiting accounts for each class; differences for each VM incarnation, the first total as baseline.

--- a/internal/limpetserve/limpetserve.go
+++ b/internal/limpetserve/limpetserve.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"limpetmount.org/internal/limpetconfig"
 	"limpetmount.org/internal/limpetengine"
 	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetmember"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetretry"
 	"limpetmount.org/internal/limpetroute"
@@ -55,6 +57,7 @@
 	running map[*limpetroute.Server]map[uint64]string
 	// consumed holds the tokens served since the start, by service and account.
 	consumed map[Consumer]uint64
+	remote   remoteUse
 }
 
 // A Consumer names a client account's use of a service.
@@ -74,7 +77,7 @@
 		Seams: seams, zone: zone, limits: limits, timing: timing, plain: newPlainClient(timing.Service),
 		gates: map[string]*limpetshare.Gate{}, budgets: map[string]*limpetretry.Budget{},
 		running:  map[*limpetroute.Server]map[uint64]string{},
-		consumed: map[Consumer]uint64{},
+		consumed: map[Consumer]uint64{}, remote: remoteUse{},
 	}
 }
 
@@ -102,14 +105,8 @@
 }
 
 // Refresh follows a new snapshot: places at the servers, and what client
-// accounts consumed at other VMs.
+// accounts consumed at other VMs. Only the control goroutine calls it.
 func (s *Server) Refresh(v *limpetview.View) {
-	remote := map[Consumer]uint64{}
-	for _, m := range v.Members {
-		for name, tokens := range m.Consumed {
-			remote[ParseConsumer(name)] += tokens
-		}
-	}
 	s.mu.Lock()
 	gates := make(map[string]*limpetshare.Gate, len(s.gates))
 	for service, g := range s.gates {
@@ -119,9 +116,43 @@
 	for service, g := range gates {
 		g.SetPlaces(v.Places(service))
 	}
-	for c, tokens := range remote {
-		if g, ok := gates[c.Service]; ok {
-			g.Remote(c.Account, float64(tokens), weightOf(v, c.Account))
+	for _, m := range v.Members {
+		for c, tokens := range s.remote.since(m.Incarnation, m.Consumed) {
+			if g, ok := gates[c.Service]; ok {
+				g.Remote(c.Account, float64(tokens), weightOf(v, c.Account))
+			}
+		}
+	}
+	s.remote.forget(v.Members)
+}
+
+// A remoteUse holds the totals that other VMs last told, by incarnation. The
+// first total of an incarnation is its baseline, so that a VM that comes back
+// into sight charges nothing twice.
+type remoteUse map[string]map[string]uint64
+
+// since returns what was consumed since the last totals of an incarnation.
+func (u remoteUse) since(incarnation string, totals map[string]uint64) map[Consumer]uint64 {
+	last, known := u[incarnation]
+	if !known {
+		u[incarnation] = totals
+		return nil
+	}
+	added := map[Consumer]uint64{}
+	for name, total := range totals {
+		if total > last[name] {
+			added[ParseConsumer(name)] = total - last[name]
+		}
+	}
+	u[incarnation] = totals
+	return added
+}
+
+// forget drops the incarnations that are no longer live.
+func (u remoteUse) forget(members []limpetmember.State) {
+	for incarnation := range u {
+		if !slices.ContainsFunc(members, func(m limpetmember.State) bool { return m.Incarnation == incarnation }) {
+			delete(u, incarnation)
 		}
 	}
 }
--- a/internal/limpetshare/gate.go
+++ b/internal/limpetshare/gate.go
@@ -55,11 +55,11 @@
 	g.dispatch()
 }
 
-// Remote charges an account with its service at other VMs.
-func (g *Gate) Remote(account string, total, weight float64) {
+// Remote charges an account with tokens that other VMs served.
+func (g *Gate) Remote(account string, tokens, weight float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.scheduler.Remote(account, total, weight)
+	g.scheduler.Remote(account, tokens, weight)
 }
 
 // Waiting returns the number of tickets in the queues and at work.
--- a/internal/limpetshare/limpetshare.go
+++ b/internal/limpetshare/limpetshare.go
@@ -29,21 +29,72 @@
 // concurrent use.
 type Scheduler struct {
 	accounts map[string]*account
+	// waiting holds, for each class, the accounts that have tickets in it, the
+	// one with the least service per weight first.
+	waiting [classes]accountHeap
 	// virtual is the service per weight up to which no account that waits
 	// has fallen behind.
 	virtual  float64
 	sequence uint64
-	waiting  int
+	tickets  int
 	turns    int
 }
 
-// An account holds a client account's queue. served is the service that it
-// got divided by its weight.
+// Indexes of the classes.
+const (
+	live = iota
+	rollout
+	classes
+)
+
+func classOf(c limpetconfig.Class) int {
+	if c == limpetconfig.Live {
+		return live
+	}
+	return rollout
+}
+
+// An account holds a client account's queues by class. served is the service
+// that it got divided by its weight; place is its position in each heap, or
+// outside.
 type account struct {
 	name   string
 	served float64
-	queue  ticketQueue
-	remote float64
+	queues [classes]ticketQueue
+	place  [classes]int
+}
+
+const outside = -1
+
+func (a *account) tickets() int { return len(a.queues[live]) + len(a.queues[rollout]) }
+
+// An accountHeap orders the accounts that wait in one class.
+type accountHeap struct {
+	class int
+	list  []*account
+}
+
+func (h *accountHeap) Len() int { return len(h.list) }
+func (h *accountHeap) Less(i, j int) bool {
+	a, b := h.list[i], h.list[j]
+	return a.served < b.served || (a.served == b.served && a.name < b.name)
+}
+func (h *accountHeap) Swap(i, j int) {
+	h.list[i], h.list[j] = h.list[j], h.list[i]
+	h.list[i].place[h.class], h.list[j].place[h.class] = i, j
+}
+func (h *accountHeap) Push(x any) {
+	a := x.(*account)
+	a.place[h.class] = len(h.list)
+	h.list = append(h.list, a)
+}
+func (h *accountHeap) Pop() any {
+	last := len(h.list) - 1
+	a := h.list[last]
+	h.list[last] = nil
+	h.list = h.list[:last]
+	a.place[h.class] = outside
+	return a
 }
 
 // ticketQueue orders an account's tickets by deadline, then by arrival.
@@ -77,13 +128,17 @@
 
 // NewScheduler returns a scheduler without queues.
 func NewScheduler() *Scheduler {
-	return &Scheduler{accounts: map[string]*account{}}
+	s := &Scheduler{accounts: map[string]*account{}}
+	for class := range s.waiting {
+		s.waiting[class].class = class
+	}
+	return s
 }
 
 func (s *Scheduler) account(name string) *account {
 	a, ok := s.accounts[name]
 	if !ok {
-		a = &account{name: name, served: s.virtual}
+		a = &account{name: name, served: s.virtual, place: [classes]int{outside, outside}}
 		s.accounts[name] = a
 	}
 	return a
@@ -92,35 +147,59 @@
 // Waiting returns the number of queued tickets, of an account or of all.
 func (s *Scheduler) Waiting(name string) int {
 	if name == "" {
-		return s.waiting
+		return s.tickets
 	}
 	if a, ok := s.accounts[name]; ok {
-		return len(a.queue)
+		return a.tickets()
 	}
 	return 0
 }
 
+// charge changes an account's service and its place among those that wait.
+func (s *Scheduler) charge(a *account, service float64) {
+	a.served += service
+	for class := range s.waiting {
+		if a.place[class] != outside {
+			heap.Fix(&s.waiting[class], a.place[class])
+		}
+	}
+}
+
+// update puts an account into a class's heap or takes it out, as its queue
+// demands.
+func (s *Scheduler) update(a *account, class int) {
+	switch waits := len(a.queues[class]) > 0; {
+	case waits && a.place[class] == outside:
+		heap.Push(&s.waiting[class], a)
+	case !waits && a.place[class] != outside:
+		heap.Remove(&s.waiting[class], a.place[class])
+	}
+}
+
 // Push queues a ticket. An account that begins to wait is not credited for
 // the time in which it asked for nothing.
 func (s *Scheduler) Push(t *Ticket) {
-	a := s.account(t.Account)
-	if len(a.queue) == 0 {
+	a, class := s.account(t.Account), classOf(t.Class)
+	if a.tickets() == 0 {
 		a.served = max(a.served, s.virtual)
 	}
 	s.sequence++
 	t.sequence = s.sequence
-	heap.Push(&a.queue, t)
-	s.waiting++
+	heap.Push(&a.queues[class], t)
+	s.tickets++
+	s.update(a, class)
 }
 
 // Remove takes a ticket out of its queue and reports whether it was there.
 func (s *Scheduler) Remove(t *Ticket) bool {
-	a := s.account(t.Account)
-	if t.index < 0 || t.index >= len(a.queue) || a.queue[t.index] != t {
+	a, class := s.account(t.Account), classOf(t.Class)
+	queue := &a.queues[class]
+	if t.index < 0 || t.index >= len(*queue) || (*queue)[t.index] != t {
 		return false
 	}
-	heap.Remove(&a.queue, t.index)
-	s.waiting--
+	heap.Remove(queue, t.index)
+	s.tickets--
+	s.update(a, class)
 	return true
 }
 
@@ -128,58 +207,43 @@
 // turns, so that trainers do not starve.
 const rolloutEvery = 10
 
-// Next takes the ticket that is served next, or nil. Live accounts go before
+// Next takes the ticket that is served next, or nil. Live tickets go before
 // rollouts; within a class the account with the least service per weight.
 func (s *Scheduler) Next() *Ticket {
-	best := s.least(limpetconfig.Live)
-	if rollout := s.least(limpetconfig.Rollout); best == nil || (rollout != nil && s.turns >= rolloutEvery) {
-		best = rollout
-		s.turns = 0
-	}
-	if best == nil {
+	if s.tickets == 0 {
 		return nil
 	}
-	t := heap.Pop(&best.queue).(*Ticket)
-	s.waiting--
+	class := live
+	if s.waiting[live].Len() == 0 || (s.waiting[rollout].Len() > 0 && s.turns >= rolloutEvery) {
+		class = rollout
+		s.turns = 0
+	}
+	a := s.waiting[class].list[0]
+	t := heap.Pop(&a.queues[class]).(*Ticket)
+	s.tickets--
 	s.turns++
-	s.virtual = max(s.virtual, best.served)
-	best.served += t.Cost / t.Weight
+	s.virtual = max(s.virtual, a.served)
+	s.update(a, class)
+	s.charge(a, t.Cost/t.Weight)
 	return t
 }
 
-func (s *Scheduler) least(class limpetconfig.Class) *account {
-	var best *account
-	for _, a := range s.accounts {
-		if len(a.queue) == 0 || a.queue[0].Class != class {
-			continue
-		}
-		if best == nil || a.served < best.served || (a.served == best.served && a.name < best.name) {
-			best = a
-		}
-	}
-	return best
-}
-
 // Settle replaces a ticket's estimated cost by what it used.
 func (s *Scheduler) Settle(t *Ticket, used float64) {
-	s.account(t.Account).served += (used - t.Cost) / t.Weight
+	s.charge(s.account(t.Account), (used-t.Cost)/t.Weight)
 }
 
-// Remote charges an account with its service at other VMs, given as a total
-// that grows, so that the share holds over the VMs together.
-func (s *Scheduler) Remote(name string, total, weight float64) {
-	a := s.account(name)
-	if total > a.remote && a.remote > 0 {
-		a.served += (total - a.remote) / weight
-	}
-	a.remote = max(a.remote, total)
+// Remote charges an account with tokens that other VMs served, so that the
+// share holds over the VMs together.
+func (s *Scheduler) Remote(name string, tokens, weight float64) {
+	s.charge(s.account(name), tokens/weight)
 }
 
 // Forget drops accounts that neither wait nor stand ahead of the others, and
 // so bounds the scheduler by the accounts that were active of late.
 func (s *Scheduler) Forget() {
 	for name, a := range s.accounts {
-		if len(a.queue) == 0 && a.served <= s.virtual {
+		if a.tickets() == 0 && a.served <= s.virtual {
 			delete(s.accounts, name)
 		}
 	}
