--- /dev/null
+++ b/internal/limpetlab/caller_test.go
@@ -0,0 +1,247 @@
+package limpetlab_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpetcaller"
+	"limpetmount.org/internal/limpetlab"
+	"limpetmount.org/internal/limpetorder"
+	"limpetmount.org/internal/limpetsettings"
+	"limpetmount.org/internal/limpetstub"
+)
+
+const testTime = 60 * time.Second
+
+// A system is a lab with one engine service, one plain service and their keys.
+type system struct {
+	*limpetlab.Lab
+	ctx     context.Context
+	service *limpetstub.Service
+	caller  string
+	trainer string
+}
+
+// newSystem starts VMs in zones a and b with engines e1, e2, ...
+func newSystem(t *testing.T, o limpetlab.Options, engines int) *system {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	t.Cleanup(cancel)
+	o.Folder, o.Zones = t.TempDir(), []string{"a", "b"}
+	lab, err := limpetlab.New(ctx, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(lab.Close)
+	s := &system{Lab: lab, ctx: ctx, service: &limpetstub.Service{Runs: map[string]int{}}}
+	s.must(t, lab.WaitReady(ctx))
+	_, err = lab.Operate(ctx, 0, `
+		create account desk weight=2 streams=8; create account training class=rollout;
+		create service drafts kind=engine; create service records kind=plain path="/records";
+		create service notices kind=plain path="/notices" open=true;
+		create job notes account=training service=drafts staleness=1 publishes=true`)
+	s.must(t, err)
+	s.caller, err = lab.GrantKey(ctx, 0, "desk1", "desk", "caller")
+	s.must(t, err)
+	s.trainer, err = lab.GrantKey(ctx, 0, "trainer1", "training", "trainer")
+	s.must(t, err)
+	for i := range engines {
+		e := limpetstub.NewEngine(fmt.Sprintf("e%d", i+1), 16, 2*time.Millisecond)
+		s.must(t, lab.AddEngine("drafts", o.Zones[i%2], limpetorder.Standard, e))
+	}
+	for _, name := range []string{"records", "notices"} {
+		s.must(t, lab.AddService(name, "a", name+"-1", s.service))
+	}
+	s.must(t, limpetlab.Until(ctx, "all backend servers on all VMs", func() bool {
+		for _, n := range lab.Nodes {
+			v := n.View()
+			if len(v.Servers["drafts"]) != engines || len(v.Servers["records"]) != 1 || len(v.Servers["notices"]) != 1 || len(v.Config.Keys) != 2 {
+				return false
+			}
+		}
+		return true
+	}))
+	return s
+}
+
+func (s *system) must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (s *system) stream(vm int, prompt string, tokens int) (limpetlab.StreamResult, error) {
+	return limpetlab.NewCaller(s.URL(vm), s.caller).Stream(s.ctx, limpetlab.Prompt{Model: "drafts", Prompt: prompt, MaxTokens: tokens})
+}
+
+func TestBadInput(t *testing.T) {
+	s := newSystem(t, limpetlab.Options{VMs: 1, Adjust: func(s *limpetsettings.Settings) { s.Limits.Body = 1000 }}, 1)
+	good := `{"model":"drafts","prompt":"p","max_tokens":2}`
+	bearer := func(token string) http.Header { return http.Header{"Authorization": {"Bearer " + token}} }
+	mine := bearer(s.caller)
+	for _, c := range []struct {
+		name   string
+		method string
+		path   string
+		header http.Header
+		body   string
+		status int
+		text   string
+	}{
+		{"good", http.MethodPost, "/v1/completions", mine, good, 200, "w"},
+		{"no key", http.MethodPost, "/v1/completions", nil, good, 401, "no key"},
+		{"malformed key", http.MethodPost, "/v1/completions", http.Header{"Authorization": {"Basic x"}}, good, 401, "malformed"},
+		{"unknown key", http.MethodPost, "/v1/completions", bearer("lmk_desk1_xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"), good, 401, "unknown or withdrawn"},
+		{"key in the query", http.MethodPost, "/v1/completions?key=" + s.caller, mine, good, 400, "outside the Authorization header"},
+		{"encoded key in the query", http.MethodPost, "/records/x?key=%6cmk_abc", mine, good, 400, "outside the Authorization header"},
+		{"key in another header", http.MethodPost, "/records/x", http.Header{"Authorization": mine["Authorization"], "X-Api-Key": {s.caller}}, good, 400, "outside the Authorization header"},
+		{"two keys", http.MethodPost, "/records/x", http.Header{"Authorization": {"Bearer " + s.caller, "Bearer x"}}, good, 400, "outside the Authorization header"},
+		{"key in the body", http.MethodPost, "/records/x", mine, "x" + s.caller, 400, "holds the key"},
+		{"key in the prompt", http.MethodPost, "/v1/completions", mine, strings.Replace(good, `"p"`, `"`+s.caller+`"`, 1), 400, "holds the key"},
+		{"large body", http.MethodPost, "/v1/completions", mine, good + strings.Repeat(" ", 2000), 413, "larger than 1000 bytes"},
+		{"large header", http.MethodPost, "/v1/completions", http.Header{"X-Large": {strings.Repeat("x", 100000)}}, good, 431, ""},
+		{"not JSON", http.MethodPost, "/v1/completions", mine, "{", 400, "not a JSON object"},
+		{"JSON of another type", http.MethodPost, "/v1/completions", mine, `{"model":7}`, 400, "expected types"},
+		{"several faults", http.MethodPost, "/v1/completions", mine, `{"model":"x","max_tokens":0,"n":2}`, 400, "max_tokens"},
+		{"unknown model", http.MethodPost, "/v1/completions", mine, `{"model":"x","prompt":"p"}`, 400, "GET /v1/models"},
+		{"bad deadline", http.MethodPost, "/v1/completions", http.Header{"Authorization": mine["Authorization"], "X-Deadline": {"soon"}}, good, 400, "2026-01-02T15:04:05Z"},
+		{"no route", http.MethodGet, "/nothing", mine, "", 404, "no route"},
+		{"open route", http.MethodPost, "/notices/n1", nil, "notice", 200, "ran:notice"},
+		{"keyed route without key", http.MethodPost, "/records/x", nil, "r", 401, "no key"},
+		{"dot segments out of an open route", http.MethodPost, "/notices/../records/x", nil, "r", 400, "dot segments"},
+		{"encoded slash", http.MethodPost, "/notices%2frecords", nil, "r", 400, "encoded separators"},
+		{"encoded dots", http.MethodPost, "/notices/%2e%2e/records", nil, "r", 400, "encoded separators"},
+		{"double slash", http.MethodPost, "//records/x", nil, "r", 400, "empty"},
+		{"other case", http.MethodPost, "/NOTICES/n1", nil, "r", 404, "no route"},
+		{"prefix without boundary", http.MethodPost, "/noticesx", nil, "r", 404, "no route"},
+		{"job of another account", http.MethodGet, "/v1/jobs/notes", mine, "", 404, "has no job"},
+		{"models", http.MethodGet, "/v1/models", mine, "", 200, "drafts"},
+		{"health", http.MethodGet, "/health", nil, "", 200, ""},
+		{"ready", http.MethodGet, "/ready", nil, "", 200, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			Convey("the answer is clear, and no backend server sees a key", t, func() {
+				r, err := limpetlab.NewCaller(s.URL(0), "").Do(s.ctx, c.method, c.path, c.header, []byte(c.body))
+				So(err, ShouldBeNil)
+				So(r.Status, ShouldEqual, c.status)
+				So(string(r.Body), ShouldContainSubstring, c.text)
+				if c.status >= 400 && c.status != 431 {
+					So(r.ErrorBody().Code, ShouldNotBeEmpty)
+					So(r.ErrorBody().Outcome, ShouldEqual, limpetcaller.NotRun)
+				}
+				So(s.leaked(), ShouldEqual, 0)
+			})
+		})
+	}
+}
+
+// leaked counts the keys that backend servers saw.
+func (s *system) leaked() int {
+	s.service.Lock()
+	leaked := s.service.Leaked
+	s.service.Unlock()
+	for _, e := range s.Engines() {
+		e.Lock()
+		leaked += e.Authorized
+		e.Unlock()
+	}
+	return leaked
+}
+
+func TestStreamsSurviveEngines(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		damage func(s *system, e *limpetstub.Engine)
+	}{
+		{"crash", func(_ *system, e *limpetstub.Engine) { e.Crash() }},
+		{"process killed", func(s *system, e *limpetstub.Engine) { s.Halt(e.ID) }},
+		{"silent", func(_ *system, e *limpetstub.Engine) { e.Lock(); e.Silent = true; e.Unlock() }},
+		{"truncated", func(_ *system, e *limpetstub.Engine) { e.Lock(); e.Truncate = 20; e.Unlock() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSystem(t, limpetlab.Options{VMs: 1, Adjust: func(s *limpetsettings.Settings) { s.Timing.Stall = 500 * time.Millisecond }}, 2)
+			Convey("the caller gets the whole answer to its own request", t, func() {
+				const tokens = 150
+				s.Go(func() {
+					_ = limpetlab.Until(s.ctx, "a busy engine", func() bool {
+						for _, e := range s.Engines() {
+							if e.Busy() > 0 {
+								c.damage(s, e)
+								return true
+							}
+						}
+						return false
+					})
+				})
+				r, err := s.stream(0, "a request", tokens)
+				So(err, ShouldBeNil)
+				So(r.Whole, ShouldBeTrue)
+				So(r.Text, ShouldEqual, limpetstub.Answer("a request", tokens))
+			})
+		})
+	}
+}
+
+func TestCallerThatLeavesFreesTheEngine(t *testing.T) {
+	s := newSystem(t, limpetlab.Options{VMs: 1}, 1)
+	Convey("the engine's stream ends when its caller goes away", t, func() {
+		ctx, cancel := context.WithCancel(s.ctx)
+		s.Go(func() {
+			_ = limpetlab.Until(s.ctx, "a busy engine", func() bool { return s.EngineOf("e1").Busy() > 0 })
+			cancel()
+		})
+		_, err := limpetlab.NewCaller(s.URL(0), s.caller).Stream(ctx, limpetlab.Prompt{Model: "drafts", Prompt: "long", MaxTokens: 100000})
+		So(err, ShouldNotBeNil)
+		So(limpetlab.Until(s.ctx, "an idle engine", func() bool { return s.EngineOf("e1").Busy() == 0 }), ShouldBeNil)
+		So(limpetlab.Until(s.ctx, "no open request", func() bool { return len(s.Nodes[0].View().Members) == 0 }), ShouldBeNil)
+	})
+}
+
+func TestStreamsOfAnAccountAreBounded(t *testing.T) {
+	s := newSystem(t, limpetlab.Options{VMs: 1}, 1)
+	Convey("the ninth open request of eight is refused", t, func() {
+		ctx, cancel := context.WithCancel(s.ctx)
+		defer cancel()
+		for range 8 {
+			s.Go(func() {
+				_, _ = limpetlab.NewCaller(s.URL(0), s.caller).Stream(ctx, limpetlab.Prompt{Model: "drafts", Prompt: "long", MaxTokens: 100000})
+			})
+		}
+		So(limpetlab.Until(s.ctx, "eight streams", func() bool { return s.EngineOf("e1").Busy() == 8 }), ShouldBeNil)
+		r, err := s.stream(0, "one more", 1)
+		So(err, ShouldBeNil)
+		So(r.Status, ShouldEqual, http.StatusTooManyRequests)
+		So(r.Error.Outcome, ShouldEqual, limpetcaller.NotRun)
+	})
+}
+
+func TestGracefulShutdownCutsOffNothing(t *testing.T) {
+	s := newSystem(t, limpetlab.Options{VMs: 2}, 1)
+	Convey("open streams get their whole answer, and the exit is clean", t, func() {
+		const tokens = 300
+		results := make(chan limpetlab.StreamResult, 4)
+		for i := range 4 {
+			s.Go(func() {
+				r, _ := s.stream(0, fmt.Sprintf("stream %d", i), tokens)
+				results <- r
+			})
+		}
+		So(limpetlab.Until(s.ctx, "four streams", func() bool { return s.EngineOf("e1").Busy() == 4 }), ShouldBeNil)
+		So(s.Nodes[0].Shutdown(s.ctx), ShouldBeNil)
+		for range 4 {
+			r := <-results
+			So(r.Whole, ShouldBeTrue)
+			So(r.Tokens, ShouldEqual, tokens)
+		}
+		r, err := s.stream(1, "after", 3)
+		So(err, ShouldBeNil)
+		So(r.Whole, ShouldBeTrue)
+	})
+}
--- a/internal/limpetlab/limpetlab.go
+++ b/internal/limpetlab/limpetlab.go
@@ -36,6 +36,9 @@
 	Zones  []string
 	// Adjust changes a node's settings before it starts.
 	Adjust func(s *limpetsettings.Settings)
+	// Peers changes the adapters of VM i, for faults between one VM and the
+	// platform.
+	Peers func(i int, p limpetnode.Peers) limpetnode.Peers
 	// Engine returns the stand-in for an engine that the platform starts.
 	Engine func(id string) *limpetstub.Engine
 	Log    *limpetlog.Logger
@@ -152,7 +155,11 @@
 	if log == nil {
 		log = limpetlog.Discard()
 	}
-	n, err := limpetnode.Start(l.group.Context(), l.Settings[i], limpetnode.NewPeers(l.Settings[i].Platform), log)
+	peers := limpetnode.NewPeers(l.Settings[i].Platform)
+	if l.Options.Peers != nil {
+		peers = l.Options.Peers(i, peers)
+	}
+	n, err := limpetnode.Start(l.group.Context(), l.Settings[i], peers, log)
 	if err != nil {
 		return err
 	}
--- a/internal/limpetstub/engine.go
+++ b/internal/limpetstub/engine.go
@@ -311,3 +311,10 @@
 	}
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
+
+// Busy returns the number of sequences in the batch.
+func (e *Engine) Busy() int {
+	e.Lock()
+	defer e.Unlock()
+	return e.running
+}
