--- /dev/null
+++ b/internal/limpetlab/failure_test.go
@@ -0,0 +1,335 @@
+package limpetlab_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
+
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetlab"
+	"limpetmount.org/internal/limpetnode"
+	"limpetmount.org/internal/limpetorder"
+	"limpetmount.org/internal/limpetrollout"
+	"limpetmount.org/internal/limpetsettings"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpetstub"
+)
+
+// storeCut cuts one VM off from the store.
+type storeCut struct {
+	on atomic.Bool
+}
+
+func (c *storeCut) wrap(s limpetstore.Store) limpetstore.Store {
+	gone := func() error {
+		if c.on.Load() {
+			return limpeterror.Unavailable.New("cut off from the store")
+		}
+		return nil
+	}
+	w := s
+	w.Get = func(ctx context.Context, key string) (limpetstore.Value, error) {
+		if err := gone(); err != nil {
+			return limpetstore.Value{}, err
+		}
+		return s.Get(ctx, key)
+	}
+	w.Put = func(ctx context.Context, r limpetstore.PutRequest) (uint64, error) {
+		if err := gone(); err != nil {
+			return 0, err
+		}
+		return s.Put(ctx, r)
+	}
+	w.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]limpetstore.Value, error) {
+		if err := gone(); err != nil {
+			return nil, err
+		}
+		v, err := s.Watch(ctx, prefix, after, wait)
+		if late := gone(); late != nil {
+			return nil, late
+		}
+		return v, err
+	}
+	w.Renew = func(ctx context.Context, lease uint64) error {
+		if err := gone(); err != nil {
+			return err
+		}
+		return s.Renew(ctx, lease)
+	}
+	return w
+}
+
+// cutOptions returns options whose VM cutVM can be cut off from the store.
+func cutOptions(vms, cutVM int) (limpetlab.Options, *storeCut) {
+	cut := &storeCut{}
+	return limpetlab.Options{
+		VMs:    vms,
+		Adjust: func(s *limpetsettings.Settings) { s.Timing.Confirm = 2 * time.Second },
+		Peers: func(i int, p limpetnode.Peers) limpetnode.Peers {
+			if i == cutVM {
+				p.Store = cut.wrap(p.Store)
+			}
+			return p
+		},
+	}, cut
+}
+
+func (s *system) status(vm int, token string) int {
+	r, err := limpetlab.NewCaller(s.URL(vm), token).Do(s.ctx, http.MethodGet, "/v1/models", nil, nil)
+	if err != nil {
+		return 0
+	}
+	return r.Status
+}
+
+func TestWithdrawnKeyStopsEverywhere(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		disturb func(s *system, cut *storeCut)
+		// status is what the disturbed VM answers to a key that was not
+		// withdrawn, once the withdrawn one is refused.
+		status int
+	}{
+		{"no fault", func(*system, *storeCut) {}, 200},
+		{"store out for all", func(s *system, _ *storeCut) { s.Store.SetDown(true) }, 200},
+		{"one VM cut from the store", func(_ *system, cut *storeCut) { cut.on.Store(true) }, 200},
+		{"one VM cut from its peers", func(s *system, _ *storeCut) { s.Cut(2, true) }, 200},
+		{"one VM cut from the store and its peers", func(s *system, cut *storeCut) { cut.on.Store(true); s.Cut(2, true) }, 503},
+		{"store out for all and one VM cut from its peers", func(s *system, _ *storeCut) { s.Store.SetDown(true); s.Cut(2, true) }, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o, cut := cutOptions(3, 2)
+			s := newSystem(t, o, 1)
+			Convey("the key is refused on every VM and its streams end", t, func() {
+				victim, err := s.GrantKey(s.ctx, 0, "victim", "desk", "caller")
+				So(err, ShouldBeNil)
+				So(limpetlab.Until(s.ctx, "key in force", func() bool { return s.status(2, victim) == 200 }), ShouldBeNil)
+				ended := make(chan limpetlab.StreamResult, 1)
+				s.Go(func() {
+					r, _ := limpetlab.NewCaller(s.URL(2), victim).Stream(s.ctx, limpetlab.Prompt{Model: "drafts", Prompt: "long", MaxTokens: 1 << 20})
+					ended <- r
+				})
+				So(limpetlab.Until(s.ctx, "a stream", func() bool { return s.EngineOf("e1").Busy() == 1 }), ShouldBeNil)
+				c.disturb(s, cut)
+				_, err = s.Operate(s.ctx, 0, "withdraw key victim")
+				So(err, ShouldBeNil)
+				for vm := range 3 {
+					So(limpetlab.Until(s.ctx, "key refused", func() bool { st := s.status(vm, victim); return st == 401 || st == 503 }), ShouldBeNil)
+				}
+				So((<-ended).Whole, ShouldBeFalse)
+				So(limpetlab.Until(s.ctx, "other keys", func() bool { return s.status(2, s.caller) == c.status }), ShouldBeNil)
+				So(limpetlab.Until(s.ctx, "other keys elsewhere", func() bool { return s.status(1, s.caller) == 200 || c.status == 503 }), ShouldBeNil)
+				// After the faults the withdrawal is durable, and nothing else is lost.
+				s.Store.SetDown(false)
+				cut.on.Store(false)
+				s.Cut(2, false)
+				So(limpetlab.Until(s.ctx, "durable everywhere", func() bool {
+					for vm, n := range s.Nodes {
+						_, exists := n.View().Config.Keys["victim"]
+						if exists || s.status(vm, s.caller) != 200 || s.status(vm, victim) != 401 {
+							return false
+						}
+					}
+					return true
+				}), ShouldBeNil)
+			})
+		})
+	}
+}
+
+func TestVMStartsWhileTheStoreIsDown(t *testing.T) {
+	s := newSystem(t, limpetlab.Options{VMs: 3}, 1)
+	Convey("it takes the configuration from its peers and serves", t, func() {
+		So(s.Nodes[2].Kill(), ShouldBeNil)
+		s.Store.SetDown(true)
+		So(limpetlab.Until(s.ctx, "outage noticed", func() bool { return s.Nodes[0].View().StoreDown && s.Nodes[1].View().StoreDown }), ShouldBeNil)
+		So(s.StartNode(2), ShouldBeNil)
+		So(limpetlab.Until(s.ctx, "serving", func() bool { return s.status(2, s.caller) == 200 }), ShouldBeNil)
+		So(s.Nodes[2].View().Config.Index, ShouldEqual, s.Nodes[0].View().Config.Index)
+	})
+}
+
+// step collects one step and fails on a doubled or wrong sample.
+func (s *system) step(trainer *limpetlab.Trainer, number uint64, groups int, disturb func(batch int)) (samples int, err error) {
+	spec := limpetrollout.Spec{Step: number, MaxTokens: 40}
+	for g := range groups {
+		spec.Groups = append(spec.Groups, limpetrollout.Group{Prompt: fmt.Sprintf("prompt %d/%d", number, g), Samples: 4})
+	}
+	if err := trainer.Step(s.ctx, spec); err != nil {
+		return 0, err
+	}
+	seen := map[string]bool{}
+	batch := 0
+	err = trainer.Collect(s.ctx, 8, func(r limpetrollout.FetchReply) {
+		for _, sample := range r.Samples {
+			key := fmt.Sprintf("%d/%d/%d", sample.Step, sample.Group, sample.Index)
+			if seen[key] || sample.Text != limpetstub.Answer(spec.Groups[sample.Group].Prompt, 40) {
+				err = fmt.Errorf("sample %s is doubled or wrong", key)
+			}
+			seen[key] = true
+		}
+		disturb(batch)
+		batch++
+	})
+	return len(seen), err
+}
+
+func TestStepSurvivesTheSystem(t *testing.T) {
+	const groups = 12
+	for _, c := range []struct {
+		name    string
+		disturb func(s *system, batch int)
+	}{
+		{"an engine crashes", func(s *system, batch int) {
+			if batch < 4 {
+				s.EngineOf("e1").Crash()
+			}
+		}},
+		{"a zone is reclaimed", func(s *system, batch int) {
+			if batch == 1 {
+				for _, id := range []string{"e1", "e3"} {
+					s.Platform.SetState(id, limpetorder.Reclaiming, time.Now().Add(time.Second))
+				}
+				time.Sleep(500 * time.Millisecond)
+				s.Halt("e1")
+				s.Halt("e3")
+			}
+		}},
+		{"the job's owner is killed", func(s *system, batch int) {
+			if batch == 1 {
+				_ = s.Nodes[s.ownerOf("job/notes")].Kill()
+			}
+		}},
+		{"the job's owner shuts down", func(s *system, batch int) {
+			if batch == 1 {
+				_ = s.Nodes[s.ownerOf("job/notes")].Shutdown(s.ctx)
+			}
+		}},
+		{"the store is out", func(s *system, batch int) {
+			if batch == 1 {
+				s.Store.SetDown(true)
+				time.AfterFunc(4*time.Second, func() { s.Store.SetDown(false) })
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSystem(t, limpetlab.Options{VMs: 3}, 4)
+			Convey("the trainer gets each sample once", t, func() {
+				// The trainer talks to a VM that stays.
+				So(limpetlab.Until(s.ctx, "an owner", func() bool { return s.ownerOf("job/notes") >= 0 }), ShouldBeNil)
+				vm := (s.ownerOf("job/notes") + 1) % 3
+				trainer := &limpetlab.Trainer{Caller: limpetlab.NewCaller(s.URL(vm), s.trainer), Job: "notes"}
+				So(trainer.Open(s.ctx, "t1"), ShouldBeNil)
+				n, err := s.step(trainer, 1, groups, func(batch int) { c.disturb(s, batch) })
+				So(err, ShouldBeNil)
+				So(n, ShouldEqual, 4*groups)
+			})
+		})
+	}
+}
+
+// ownerOf returns the VM that holds a duty by its own belief, or -1.
+func (s *system) ownerOf(duty string) int {
+	for i := range s.Nodes {
+		t, err := s.Query(s.ctx, i, fmt.Sprintf("show leases where vm = vm%d and duty = %q", i+1, duty))
+		if err == nil && len(t.Rows) == 1 {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestIdempotencyKeyOverVMs(t *testing.T) {
+	s := newSystem(t, limpetlab.Options{VMs: 3}, 1)
+	Convey("one key sent to all VMs at once and again runs once", t, func() {
+		var mu sync.Mutex
+		answers := map[string]int{}
+		for round := range 5 {
+			var g errgroup.Group
+			body := fmt.Sprintf("fee %d", round)
+			for send := range 9 {
+				g.Go(func() error {
+					header := http.Header{"Idempotency-Key": {body}}
+					r, err := limpetlab.NewCaller(s.URL(send%3), s.caller).Do(s.ctx, http.MethodPost, "/records/fees", header, []byte(body))
+					mu.Lock()
+					defer mu.Unlock()
+					if err == nil && r.Status == http.StatusOK {
+						answers[body]++
+					}
+					return err
+				})
+			}
+			So(g.Wait(), ShouldBeNil)
+			header := http.Header{"Idempotency-Key": {body}}
+			r, err := limpetlab.NewCaller(s.URL(round%3), s.caller).Do(s.ctx, http.MethodPost, "/records/fees", header, []byte(body))
+			So(err, ShouldBeNil)
+			So(r.Status, ShouldEqual, http.StatusOK)
+			So(string(r.Body), ShouldEqual, "ran:"+body)
+			So(answers[body], ShouldBeGreaterThan, 0)
+			s.service.Lock()
+			So(s.service.Runs[body], ShouldEqual, 1)
+			s.service.Unlock()
+		}
+	})
+	Convey("with the store down the call is refused and not run", t, func() {
+		s.Store.SetDown(true)
+		header := http.Header{"Idempotency-Key": {"down"}}
+		r, err := limpetlab.NewCaller(s.URL(0), s.caller).Do(s.ctx, http.MethodPost, "/records/fees", header, []byte("down"))
+		So(err, ShouldBeNil)
+		So(r.Status, ShouldEqual, http.StatusServiceUnavailable)
+		So(r.Header.Get("Retry-After"), ShouldNotBeEmpty)
+		s.service.Lock()
+		So(s.service.Runs["down"], ShouldEqual, 0)
+		s.service.Unlock()
+	})
+}
+
+func TestCrashingRequestIsRefusedOnAllVMs(t *testing.T) {
+	s := newSystem(t, limpetlab.Options{VMs: 2}, 3)
+	Convey("after two crashes no VM sends it on, until an operator releases it", t, func() {
+		for _, e := range s.Engines() {
+			e.Lock()
+			e.CrashOn = "poison"
+			e.Unlock()
+		}
+		first, err := s.stream(0, "poison", 5)
+		So(err, ShouldBeNil)
+		So(first.Whole, ShouldBeFalse)
+		crashes := func() int {
+			n := 0
+			for _, e := range s.Engines() {
+				e.Lock()
+				n += e.Runs["poison"]
+				e.Unlock()
+			}
+			return n
+		}
+		So(limpetlab.Until(s.ctx, "quarantine on VM 2", func() bool { return len(s.Nodes[1].View().Quarantine.Quarantined) == 1 }), ShouldBeNil)
+		So(crashes(), ShouldEqual, 2)
+		again, err := s.stream(1, "poison", 5)
+		So(err, ShouldBeNil)
+		So(again.Status, ShouldEqual, http.StatusUnauthorized)
+		So(again.Error.Message, ShouldContainSubstring, "quarantined")
+		So(crashes(), ShouldEqual, 2)
+		innocent, err := s.stream(1, "innocent", 5)
+		So(err, ShouldBeNil)
+		So(innocent.Whole, ShouldBeTrue)
+		list, err := s.Query(s.ctx, 0, "show quarantines where vm = vm1")
+		So(err, ShouldBeNil)
+		_, err = s.Operate(s.ctx, 0, fmt.Sprintf("release request %q", list.Rows[0][1].Text))
+		So(err, ShouldBeNil)
+		for _, e := range s.Engines() {
+			e.Lock()
+			e.CrashOn = ""
+			e.Unlock()
+		}
+		So(limpetlab.Until(s.ctx, "released", func() bool { r, err := s.stream(1, "poison", 5); return err == nil && r.Whole }), ShouldBeNil)
+	})
+}
--- a/internal/limpetlab/limpetlab.go
+++ b/internal/limpetlab/limpetlab.go
@@ -60,13 +60,14 @@
 	halts   map[string]context.CancelFunc
 	urls    limpetsettings.Platform
 	hash    string
+	links   *links
 }
 
 // New starts the stand-ins and the nodes.
 func New(ctx context.Context, o Options) (*Lab, error) {
 	l := &Lab{
 		Options: o, Store: limpetstub.NewStore(), Platform: limpetstub.NewPlatform(), group: limpettask.New(ctx),
-		engines: map[string]*limpetstub.Engine{}, halts: map[string]context.CancelFunc{},
+		engines: map[string]*limpetstub.Engine{}, halts: map[string]context.CancelFunc{}, links: newLinks(),
 	}
 	l.OperatorKey, l.hash = limpetkey.New("first")
 	l.Platform.Launch = l.launch
@@ -143,6 +144,7 @@
 	}
 	l.Settings = append(l.Settings, s)
 	l.Nodes = append(l.Nodes, nil)
+	l.links.name(i, s.Peer.Address)
 	l.Platform.Lock()
 	l.Platform.VMs = append(l.Platform.VMs, limpetvms.VM{Name: name, Zone: s.VM.Zone, Peer: s.Peer.Address})
 	l.Platform.Unlock()
@@ -156,6 +158,7 @@
 		log = limpetlog.Discard()
 	}
 	peers := limpetnode.NewPeers(l.Settings[i].Platform)
+	peers.Dial = l.links.dial(i, peers.Dial)
 	if l.Options.Peers != nil {
 		peers = l.Options.Peers(i, peers)
 	}
--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -30,13 +30,21 @@
 	confirmedAt time.Time
 	loaded      bool
 	table       *limpetmember.Table
-	// suspended holds the hashes of suspended keys, by name.
-	suspended  map[string]string
+	// suspended holds the suspended keys by name.
+	suspended  map[string]suspension
 	servers    map[string]*serverState
 	quarantine *limpetquarantine.State
 	draining   bool
 	honour     bool
 	down       map[string]bool
+	// asked are the askers to be told after the next snapshot.
+	asked []chan struct{}
+}
+
+// A suspension holds a key that is stopped but not yet durably withdrawn.
+type suspension struct {
+	hash  string
+	since time.Time
 }
 
 // A serverState holds what is known about a backend server.
@@ -72,7 +80,8 @@
 	}
 }
 
-// ask runs f in the control goroutine and waits for its end.
+// ask runs f in the control goroutine and waits until the snapshot with its
+// effect, and with that of all events sent before, is published.
 func (n *Node) ask(f func(c *control)) {
 	done := make(chan struct{})
 	n.send(askEvent{f: f, done: done})
@@ -89,13 +98,13 @@
 
 func (e askEvent) apply(c *control, _ time.Time) {
 	e.f(c)
-	close(e.done)
+	c.asked = append(c.asked, e.done)
 }
 
 // control applies events and publishes a snapshot after each batch.
 func (n *Node) control(ctx context.Context) {
 	c := &control{
-		node: n, doc: limpetconfig.NewDocument(), table: limpetmember.New(n.self), suspended: map[string]string{},
+		node: n, doc: limpetconfig.NewDocument(), table: limpetmember.New(n.self), suspended: map[string]suspension{},
 		servers: map[string]*serverState{}, quarantine: limpetquarantine.New(suspectsKept), down: map[string]bool{},
 	}
 	c.loadFolder()
@@ -112,6 +121,10 @@
 			c.tick(time.Now())
 		}
 		c.publish(time.Now())
+		for _, done := range c.asked {
+			close(done)
+		}
+		c.asked = c.asked[:0]
 	}
 }
 
@@ -179,8 +192,8 @@
 		Servers: map[string][]limpetroute.Candidate{}, Quarantine: c.quarantine.View(),
 		StoreDown: n.health.down(now), Draining: c.draining, Loaded: c.loaded,
 	}
-	for key, hash := range c.suspended {
-		if c.doc.Keys[key].Hash == hash {
+	for key, s := range c.suspended {
+		if c.doc.Keys[key].Hash == s.hash {
 			v.Suspended[key] = true
 		}
 	}
@@ -248,8 +261,8 @@
 		}
 	}
 	c.recent = c.recent[max(0, len(c.recent)-recentEntries):]
-	for key, hash := range c.suspended {
-		if c.doc.Keys[key].Hash != hash {
+	for key, s := range c.suspended {
+		if c.doc.Keys[key].Hash != s.hash {
 			delete(c.suspended, key)
 		}
 	}
@@ -287,15 +300,15 @@
 		c.confirmedAt = e.state.ConfirmedAt
 	}
 	for key, hash := range e.suspended {
-		c.suspend(key, hash)
+		c.suspend(now, key, hash)
 	}
 }
 
-func (c *control) suspend(key, hash string) {
-	if c.suspended[key] == hash || c.doc.Keys[key].Hash != hash {
+func (c *control) suspend(now time.Time, key, hash string) {
+	if c.suspended[key].hash == hash || c.doc.Keys[key].Hash != hash {
 		return
 	}
-	c.suspended[key] = hash
+	c.suspended[key] = suspension{hash: hash, since: now}
 	c.node.log.Emit(limpetlog.KeySuspended, limpetlog.Value("key", key))
 }
 
@@ -304,7 +317,7 @@
 	key, hash string
 }
 
-func (e suspendEvent) apply(c *control, _ time.Time) { c.suspend(e.key, e.hash) }
+func (e suspendEvent) apply(c *control, now time.Time) { c.suspend(now, e.key, e.hash) }
 
 // listEvent brings the platform's list of VMs.
 type listEvent struct {
--- a/internal/limpetnode/feed.go
+++ b/internal/limpetnode/feed.go
@@ -219,8 +219,8 @@
 	}
 	n.ask(func(c *control) {
 		var suspended []*limpetwire.Suspension
-		for key, hash := range c.suspended {
-			suspended = append(suspended, &limpetwire.Suspension{Key: key, Hash: hash})
+		for key, s := range c.suspended {
+			suspended = append(suspended, &limpetwire.Suspension{Key: key, Hash: s.hash})
 		}
 		own = limpetpeer.EncodeState(limpetmember.State{
 			VM: n.self, Applied: c.doc.Index, ConfirmedAt: c.confirmedAt, StoreDown: n.health.down(now),
@@ -327,6 +327,8 @@
 // crashed records a blame here and tells all other VMs.
 func (n *Node) crashed(fingerprint uint64, account, server string) {
 	n.send(crashEvent{fingerprint: fingerprint, account: account, server: server})
+	// The next attempt must see the quarantine.
+	n.ask(func(*control) {})
 	n.group.Go(func(ctx context.Context) error {
 		n.tellAll(ctx, func(ctx context.Context, c limpetwire.PeerServiceClient) error {
 			_, err := c.ReportCrash(ctx, connect.NewRequest(&limpetwire.ReportCrashRequest{Fingerprint: fingerprint, Account: account, Server: server}))
@@ -369,25 +371,39 @@
 	return told
 }
 
-// appendSuspended makes suspensions durable once the store answers. One live
-// VM does it, by rank, so that they do not race.
+// appendSuspended makes suspensions durable that the VM which took them has
+// not: because the store was out, or because that VM is gone. One live VM does
+// it, by rank, so that they do not race.
 func (n *Node) appendSuspended(ctx context.Context) {
 	v := n.View()
 	if v.StoreDown || len(v.Suspended) == 0 {
 		return
 	}
+	var due []string
+	n.ask(func(c *control) {
+		for key, s := range c.suspended {
+			if time.Since(s.since) > suspensionOwned {
+				due = append(due, key)
+			}
+		}
+	})
 	names := memberNames(v.Members)
-	for key := range v.Suspended {
+	for _, key := range due {
 		if limpetmember.Rank("suspend/"+key, n.self.Name, names) != 0 {
 			continue
 		}
-		hash := v.Config.Keys[key].Hash
 		change := limpetconfig.Change{Verb: limpetconfig.Remove, Entity: limpetconfig.Keys, Name: key, Place: "suspension",
-			If: []limpetconfig.Setting{{Field: "hash", Value: hash}}}
-		_, _ = n.appendChanges(ctx, unique(), "system/suspension", []limpetconfig.Change{change})
+			If: []limpetconfig.Setting{{Field: "hash", Value: v.Config.Keys[key].Hash}}}
+		appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		// What fails is tried again in the next round.
+		_, _ = n.appendChanges(appendCtx, unique(), "system/suspension", []limpetconfig.Change{change})
+		cancel()
 	}
 }
 
+// suspensionOwned is how long a suspension is left to the VM that took it.
+const suspensionOwned = 2 * appendTimeout
+
 func memberNames(members []limpetmember.State) []string {
 	names := make([]string, 0, len(members))
 	for _, m := range members {
--- a/internal/limpetnode/limpetnode.go
+++ b/internal/limpetnode/limpetnode.go
@@ -54,13 +54,15 @@
 	VMs    limpetvms.List
 	Engine limpetengine.Engine
 	Scorer limpetscore.Scorer
+	// Dial opens connections to other VMs.
+	Dial limpetpeer.Dial
 }
 
 // NewPeers returns the adapters for the addresses in the settings.
 func NewPeers(p limpetsettings.Platform) Peers {
 	return Peers{
 		Store: limpetstore.NewHTTP(p.Store), Orders: limpetorder.NewHTTP(p.Orders), Intake: limpetintake.NewHTTP(p.Usage),
-		VMs: limpetvms.NewHTTP(p.VMs), Engine: limpetengine.NewHTTP(), Scorer: limpetscore.NewHTTP(),
+		VMs: limpetvms.NewHTTP(p.VMs), Engine: limpetengine.NewHTTP(), Scorer: limpetscore.NewHTTP(), Dial: limpetpeer.NewDial(),
 	}
 }
 
@@ -151,7 +153,7 @@
 	n.tally = limpetusage.NewTally(n.self.Name, n.self.Incarnation, n.settings.Timing.Window)
 	n.usageStore = store("usage")
 	n.held = limpetduty.NewHeldUsage(n.usageStore)
-	n.client = limpetpeer.New(n.pair.Client())
+	n.client = limpetpeer.New(n.pair.Client(), n.peers.Dial)
 	n.serve = limpetserve.New(limpetserve.Seams{
 		View: n.View, Engine: n.peers.Engine, Claim: n.claim,
 		Crashed: n.crashed, Failed: n.failed,
--- a/internal/limpetnode/operator.go
+++ b/internal/limpetnode/operator.go
@@ -135,13 +135,12 @@
 		reply.Results = append(reply.Results, &limpetwire.Result{Text: difference(before, planned)})
 		return nil
 	}
-	var withdrawn []string
-	told := []string{}
-	if err == nil && onlyWithdrawals(changes) {
-		withdrawn, told = n.suspendWithdrawn(ctx, before, changes)
+	told, suspended := 0, err == nil && onlyWithdrawals(changes)
+	if suspended {
+		told = n.suspendWithdrawn(before, changes)
 	}
 	timeout := appendTimeout
-	if len(withdrawn) == len(changes) && n.View().StoreDown {
+	if suspended && n.View().StoreDown {
 		timeout = durableAttempts
 	}
 	operation := q.GetOperation()
@@ -152,10 +151,10 @@
 	defer cancel()
 	doc, err := n.appendChanges(appendCtx, operation, who, changes)
 	var findings *limpeterror.Findings
-	if err != nil && len(withdrawn) == len(changes) && !errors.As(err, &findings) {
+	if err != nil && suspended && !errors.As(err, &findings) {
 		reply.Durable = false
 		reply.Results = append(reply.Results, &limpetwire.Result{
-			Text: fmt.Sprintf("in force on %d VMs, not yet durable: the store does not answer; it will be recorded when it does", len(told)+1),
+			Text: fmt.Sprintf("in force on %d VMs, not yet durable: the store does not answer; it will be recorded when it does", told+1),
 		})
 		return nil
 	}
@@ -180,22 +179,49 @@
 }
 
 // suspendWithdrawn stops the keys that a batch removes on every VM that can be
-// reached, before the batch is durable.
-func (n *Node) suspendWithdrawn(ctx context.Context, before *limpetconfig.Document, changes []limpetconfig.Change) (keys, told []string) {
+// reached, before the batch is durable, and returns how many other VMs did so.
+// VMs that do not answer at once are told again in the background.
+func (n *Node) suspendWithdrawn(before *limpetconfig.Document, changes []limpetconfig.Change) (told int) {
+	var mu sync.Mutex
+	done := make(chan struct{})
+	n.group.Go(func(ctx context.Context) error {
+		defer close(done)
+		var g errgroup.Group
+		for _, c := range changes {
+			q := &limpetwire.SuspendKeyRequest{Suspension: &limpetwire.Suspension{Key: c.Name, Hash: before.Keys[c.Name].Hash}}
+			g.Go(func() error {
+				n.tellAll(ctx, func(ctx context.Context, p limpetwire.PeerServiceClient) error {
+					_, err := p.SuspendKey(ctx, connect.NewRequest(q))
+					if err == nil {
+						mu.Lock()
+						told++
+						mu.Unlock()
+					}
+					return err
+				})
+				return nil
+			})
+		}
+		return g.Wait()
+	})
 	for _, c := range changes {
-		key := before.Keys[c.Name]
-		keys = append(keys, c.Name)
-		n.send(suspendEvent{key: c.Name, hash: key.Hash})
-		told = n.tellAll(ctx, func(ctx context.Context, p limpetwire.PeerServiceClient) error {
-			_, err := p.SuspendKey(ctx, connect.NewRequest(&limpetwire.SuspendKeyRequest{
-				Suspension: &limpetwire.Suspension{Key: c.Name, Hash: key.Hash},
-			}))
-			return err
-		})
+		n.send(suspendEvent{key: c.Name, hash: before.Keys[c.Name].Hash})
+	}
+	n.ask(func(*control) {})
+	timer := time.NewTimer(tellWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
 	}
-	return keys, told
+	mu.Lock()
+	defer mu.Unlock()
+	return told / len(changes)
 }
 
+// tellWait is how long a withdrawal waits for the other VMs before it goes on.
+const tellWait = 300 * time.Millisecond
+
 // waitInForce waits until every live VM has applied an index, and returns how
 // many have.
 func (n *Node) waitInForce(ctx context.Context, index uint64) (in, all int) {
--- a/internal/limpetpeer/limpetpeer.go
+++ b/internal/limpetpeer/limpetpeer.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -32,10 +33,19 @@
 	peers  map[string]limpetwire.PeerServiceClient
 }
 
+// A Dial opens a connection to another VM. It is a seam for faults.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+const dialTimeout = time.Second
+
+// NewDial returns the ordinary way to open a connection.
+func NewDial() Dial { return (&net.Dialer{Timeout: dialTimeout}).DialContext }
+
 // New returns a client that shows the certificate in config.
-func New(config *tls.Config) *Client {
+func New(config *tls.Config, dial Dial) *Client {
 	return &Client{
 		client: &http.Client{Transport: &http.Transport{
+			DialContext:     dial,
 			TLSClientConfig: config, ForceAttemptHTTP2: true, TLSHandshakeTimeout: 2 * time.Second,
 			IdleConnTimeout: 30 * time.Second,
 			HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
