--- a/internal/limpetcaller/limpetcaller.go
+++ b/internal/limpetcaller/limpetcaller.go
@@ -187,7 +187,11 @@
 	if !v.Honour {
 		return limpetkey.Principal{}, limpeterror.Unavailable.New("this VM cannot confirm its configuration; the request was not run")
 	}
-	return limpetkey.Authenticate(v.Config, v.Suspended, token)
+	who, err := limpetkey.Authenticate(v.Config, v.Suspended, token)
+	if err == nil && who.Role != limpetconfig.Caller && who.Role != limpetconfig.Trainer {
+		return who, limpeterror.Denied.New("key %s is an operator's key; it works with limpetctl only", who.Key)
+	}
+	return who, err
 }
 
 func (f *Front) enter(who limpetkey.Principal, s *session) bool {
--- a/internal/limpetcaller/plain.go
+++ b/internal/limpetcaller/plain.go
@@ -96,7 +96,7 @@
 	answer, result, err := f.Serve.Call(q.Context(), limpetserve.Call{
 		ID: requestID(q.Context()), Account: account, Service: service, Method: q.Method, Target: q.URL.RequestURI(),
 		Header: forwardable(q.Header), Body: body, IdempotencyKey: key, Deadline: deadline,
-		Fingerprint: limpetquarantine.Fingerprint(account.Name, service.Name, body),
+		Fingerprint: limpetquarantine.Fingerprint(account.Name, service.Name, body), Unbilled: service.Open,
 	})
 	if err != nil {
 		fail(w, endCause(q.Context(), err), result.RetryAfter)
--- a/internal/limpetduty/orders.go
+++ b/internal/limpetduty/orders.go
@@ -28,10 +28,12 @@
 	// their demand and servers.
 	Services func() []FleetService
 	// Drain takes a server out of service by a configuration change.
-	Drain  func(ctx context.Context, server string) error
-	Unique func() string
-	Log    *limpetlog.Logger
-	Now    func() time.Time
+	Drain func(ctx context.Context, server string) error
+	// SurplusFor is how long a surplus must last before a server is drained.
+	SurplusFor time.Duration
+	Unique     func() string
+	Log        *limpetlog.Logger
+	Now        func() time.Time
 
 	surplus map[string]time.Time
 	settled bool
@@ -105,7 +107,7 @@
 }
 
 func (o *Orderer) plan(s FleetService, prices []limpetorder.Price) []limpetfleet.Action {
-	b := limpetfleet.Bounds{Least: s.Service.Servers, Most: s.Service.Most, CheapShare: s.Service.CheapShare}
+	b := limpetfleet.Bounds{Least: s.Service.Servers, Most: s.Service.Most, CheapShare: s.Service.CheapShare, SurplusFor: o.SurplusFor}
 	now := o.Now()
 	kept := 0
 	for _, server := range s.Servers {
--- a/internal/limpetfleet/limpetfleet.go
+++ b/internal/limpetfleet/limpetfleet.go
@@ -40,6 +40,8 @@
 type Bounds struct {
 	Least, Most int
 	CheapShare  float64
+	// SurplusFor is how long a surplus must last before a server is drained.
+	SurplusFor time.Duration
 }
 
 // An Action is one thing to do: start a server, drain one, or stop one that
@@ -64,8 +66,6 @@
 const (
 	// headroom is kept above the demand for the time that a start takes.
 	headroom = 1.2
-	// SurplusFor is how long a surplus must last before a server is drained.
-	SurplusFor = 60 * time.Second
 	// DrainLimit is the longest wait for a draining server's requests.
 	DrainLimit = 10 * time.Minute
 )
@@ -110,7 +110,7 @@
 		actions = append(actions, a)
 		kept = append(kept, Server{Server: limpetorder.Server{Zone: a.Zone, Class: a.Class}})
 	}
-	if len(kept) > needed && !d.SurplusSince.IsZero() && now.Sub(d.SurplusSince) >= SurplusFor {
+	if len(kept) > needed && !d.SurplusSince.IsZero() && now.Sub(d.SurplusSince) >= b.SurplusFor {
 		actions = append(actions, nextDrain(kept, prices))
 	}
 	return actions
--- a/internal/limpetlab/failure_test.go
+++ b/internal/limpetlab/failure_test.go
@@ -72,11 +72,11 @@
 	return limpetlab.Options{
 		VMs:    vms,
 		Adjust: func(s *limpetsettings.Settings) { s.Timing.Confirm = 2 * time.Second },
-		Peers: func(i int, p limpetnode.Peers) limpetnode.Peers {
+		Deps: func(i int, d limpetnode.Deps) limpetnode.Deps {
 			if i == cutVM {
-				p.Store = cut.wrap(p.Store)
+				d.Store = cut.wrap(d.Store)
 			}
-			return p
+			return d
 		},
 	}, cut
 }
--- a/internal/limpetlab/limpetlab.go
+++ b/internal/limpetlab/limpetlab.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"limpetmount.org/internal/limpethttp"
@@ -36,9 +37,9 @@
 	Zones  []string
 	// Adjust changes a node's settings before it starts.
 	Adjust func(s *limpetsettings.Settings)
-	// Peers changes the adapters of VM i, for faults between one VM and the
-	// platform.
-	Peers func(i int, p limpetnode.Peers) limpetnode.Peers
+	// Deps changes the adapters of VM i, for faults between one VM and the
+	// platform, and the policy, for experiments.
+	Deps func(i int, d limpetnode.Deps) limpetnode.Deps
 	// Engine returns the stand-in for an engine that the platform starts.
 	Engine func(id string) *limpetstub.Engine
 	Log    *limpetlog.Logger
@@ -61,6 +62,8 @@
 	urls    limpetsettings.Platform
 	hash    string
 	links   *links
+
+	storeBytes, platformBytes, otherBytes atomic.Int64
 }
 
 // New starts the stand-ins and the nodes.
@@ -78,11 +81,11 @@
 	if err := limpettls.MakeAuthority(o.Folder); err != nil {
 		return nil, err
 	}
-	store, err := l.serve(l.group, l.Store.Handler())
+	store, err := l.serve(l.group, l.Store.Handler(), &l.storeBytes)
 	if err != nil {
 		return nil, err
 	}
-	platform, err := l.serve(l.group, l.Platform.Handler())
+	platform, err := l.serve(l.group, l.Platform.Handler(), &l.platformBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -100,13 +103,13 @@
 	return l, nil
 }
 
-// serve serves a stand-in on a free loopback port.
-func (l *Lab) serve(g *limpettask.Group, h http.Handler) (string, error) {
+// serve serves a stand-in on a free loopback port and counts its bytes.
+func (l *Lab) serve(g *limpettask.Group, h http.Handler, bytes *atomic.Int64) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", fmt.Errorf("stand-in: %w", err)
 	}
-	limpethttp.Serve(g, listener, &http.Server{Handler: h})
+	limpethttp.Serve(g, countedListener{Listener: listener, bytes: bytes}, &http.Server{Handler: h})
 	return listener.Addr().String(), nil
 }
 
@@ -157,12 +160,12 @@
 	if log == nil {
 		log = limpetlog.Discard()
 	}
-	peers := limpetnode.NewPeers(l.Settings[i].Platform)
-	peers.Dial = l.links.dial(i, peers.Dial)
-	if l.Options.Peers != nil {
-		peers = l.Options.Peers(i, peers)
+	deps := limpetnode.NewDeps(l.Settings[i].Platform)
+	deps.Dial = l.links.dial(i, deps.Dial)
+	if l.Options.Deps != nil {
+		deps = l.Options.Deps(i, deps)
 	}
-	n, err := limpetnode.Start(l.group.Context(), l.Settings[i], peers, log)
+	n, err := limpetnode.Start(l.group.Context(), l.Settings[i], deps, log)
 	if err != nil {
 		return err
 	}
@@ -186,7 +189,7 @@
 
 func (l *Lab) launchHandler(id string, h http.Handler) (string, error) {
 	g := limpettask.New(l.group.Context())
-	address, err := l.serve(g, h)
+	address, err := l.serve(g, h, &l.otherBytes)
 	if err != nil {
 		return "", err
 	}
--- a/internal/limpetlab/links.go
+++ b/internal/limpetlab/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"limpetmount.org/internal/limpetpeer"
 )
@@ -14,6 +15,8 @@
 	mu    sync.Mutex
 	byURL map[string]int
 	cut   map[[2]int]bool
+	// bytes counts what went over all links between VMs.
+	bytes atomic.Int64
 	// healed is closed and replaced when a link is restored.
 	healed chan struct{}
 }
@@ -98,5 +101,59 @@
 	if dead {
 		return len(b), nil
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.links.bytes.Add(int64(n))
+	return n, err
+}
+
+// Read counts what it reads.
+func (c *linkConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.links.bytes.Add(int64(n))
+	return n, err
+}
+
+// A countedListener counts the bytes of its connections.
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept returns a counted connection.
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{Conn: c, bytes: l.bytes}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read counts what it reads.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// A Traffic holds the bytes that went between VMs, both ends of each link
+// counted once, and between VMs and the platform's stand-ins.
+type Traffic struct {
+	Peers, Store, Platform int64
+}
+
+// Traffic returns the bytes so far.
+func (l *Lab) Traffic() Traffic {
+	return Traffic{Peers: l.links.bytes.Load(), Store: l.storeBytes.Load(), Platform: l.platformBytes.Load()}
 }
--- /dev/null
+++ b/internal/limpetmember/limpetmember_test.go
@@ -0,0 +1,105 @@
+package limpetmember_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpetmember"
+)
+
+func state(name, zone string, heard time.Time) limpetmember.State {
+	return limpetmember.State{VM: limpetmember.VM{Name: name, Incarnation: name + "-1", Zone: zone, Peer: name}, Heard: heard}
+}
+
+func TestHonourKeys(t *testing.T) {
+	const bound = 5 * time.Second
+	for _, c := range []struct {
+		name string
+		c    limpetmember.Confirmation
+		want bool
+	}{
+		{"confirmed of late", limpetmember.Confirmation{Confirmed: true, Age: time.Second}, true},
+		{"too old, store up", limpetmember.Confirmation{Confirmed: true, Age: time.Minute, ListKnown: true}, false},
+		{"too old, store down for all", limpetmember.Confirmation{Confirmed: true, Age: time.Minute, ListKnown: true, Listed: 2, Agreeing: 2, StoreDown: true}, true},
+		{"too old, one VM does not agree", limpetmember.Confirmation{Confirmed: true, Age: time.Minute, ListKnown: true, Listed: 2, Agreeing: 1, StoreDown: true}, false},
+		{"too old, list unknown", limpetmember.Confirmation{Confirmed: true, Age: time.Minute, StoreDown: true}, false},
+		{"never confirmed, others agree", limpetmember.Confirmation{Age: time.Minute, ListKnown: true, Listed: 1, Agreeing: 1, StoreDown: true}, true},
+		{"never confirmed, alone", limpetmember.Confirmation{Age: time.Minute, ListKnown: true, StoreDown: true}, false},
+		{"never confirmed, age unset", limpetmember.Confirmation{ListKnown: true}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			Convey("keys are honoured only while a withdrawal cannot be missed", t, func() {
+				c.c.Bound = bound
+				So(limpetmember.HonourKeys(c.c), ShouldEqual, c.want)
+			})
+		})
+	}
+}
+
+func TestTable(t *testing.T) {
+	now := time.Now()
+	self := limpetmember.VM{Name: "vm0", Zone: "a"}
+	Convey("older news changes nothing, silence ends liveness", t, func() {
+		table := limpetmember.New(self)
+		So(table.Hear(now, state("vm1", "a", now)), ShouldBeTrue)
+		old := state("vm1", "a", now.Add(-time.Second))
+		old.Leaving = true
+		So(table.Hear(now, old), ShouldBeFalse)
+		So(len(table.Live(now)), ShouldEqual, 1)
+		So(len(table.Live(now.Add(2*limpetmember.DownAfter))), ShouldEqual, 0)
+		table.Hear(now, state("vm0", "a", now))
+		So(len(table.Known()), ShouldEqual, 1)
+	})
+	Convey("a lagging list removes nobody who answers", t, func() {
+		table := limpetmember.New(self)
+		table.Hear(now, state("vm1", "a", now))
+		table.List(nil)
+		table.Expire(now.Add(time.Hour))
+		So(len(table.Known()), ShouldEqual, 0)
+		table.Hear(now, state("vm1", "a", now))
+		table.Expire(now.Add(time.Minute))
+		So(len(table.Known()), ShouldEqual, 1)
+	})
+	Convey("partners are bounded, and one is in another zone", t, func() {
+		table := limpetmember.New(self)
+		for i := range 50 {
+			zone := "a"
+			if i == 7 {
+				zone = "b"
+			}
+			table.Hear(now, state(fmt.Sprintf("vm%d", i+1), zone, now))
+		}
+		r := rand.New(rand.NewPCG(1, 1))
+		for range 100 {
+			partners := table.Partners(3, r)
+			So(len(partners), ShouldEqual, 3)
+			So(partners[0].Zone == "b" || partners[1].Zone == "b" || partners[2].Zone == "b", ShouldBeTrue)
+		}
+	})
+}
+
+func TestRankIsAgreed(t *testing.T) {
+	Convey("every VM computes the same order, and subjects are spread", t, func() {
+		names := []string{"vm1", "vm2", "vm3", "vm4"}
+		firsts := map[string]int{}
+		for subject := range 400 {
+			ranks := map[int]bool{}
+			for i, self := range names {
+				others := append(append([]string{}, names[:i]...), names[i+1:]...)
+				rank := limpetmember.Rank(fmt.Sprint(subject), self, others)
+				So(ranks[rank], ShouldBeFalse)
+				ranks[rank] = true
+				if rank == 0 {
+					firsts[self]++
+				}
+			}
+		}
+		for _, name := range names {
+			So(firsts[name], ShouldBeBetween, 60, 140)
+		}
+	})
+}
--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -42,9 +42,11 @@
 }
 
 // A suspension holds a key that is stopped but not yet durably withdrawn.
+// Own is set on the VM that took it, once its first try to append it failed.
 type suspension struct {
 	hash  string
 	since time.Time
+	own   bool
 }
 
 // A serverState holds what is known about a backend server.
@@ -197,11 +199,7 @@
 			v.Suspended[key] = true
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
-		if s := c.servers[id]; s.known(c.doc) {
-			v.Servers[s.server.Service] = append(v.Servers[s.server.Service], c.candidate(s, now))
-		}
-	}
+	c.addCandidates(v, now)
 	old := n.view.Swap(v)
 	n.metrics.Control(c.doc.Index, honour)
 	n.serve.Refresh(v)
@@ -213,6 +211,30 @@
 	}
 }
 
+// addCandidates adds the servers that requests may be sent to.
+func (c *control) addCandidates(v *limpetview.View, now time.Time) {
+	reports := map[string][]limpetroute.Report{}
+	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
+		s := c.servers[id]
+		if !s.known(c.doc) {
+			continue
+		}
+		service := s.server.Service
+		v.Servers[service] = append(v.Servers[service], c.candidate(s, now))
+		reports[service] = append(reports[service], limpetroute.Report{
+			Others: max(s.load.Running+s.load.Queued-s.ownThen, 0), Age: now.Sub(s.load.At),
+		})
+	}
+	for service, candidates := range v.Servers {
+		if c.doc.Services[service].Kind == limpetconfig.Plain {
+			continue
+		}
+		for i, others := range limpetroute.Estimate(reports[service], c.node.serve.MeanService(service)) {
+			candidates[i].Others = others
+		}
+	}
+}
+
 // known reports whether requests may be sent to a server: it runs, and an
 // engine has reported its load since.
 func (s *serverState) known(d *limpetconfig.Document) bool {
@@ -225,13 +247,13 @@
 func (c *control) candidate(s *serverState, now time.Time) limpetroute.Candidate {
 	_, drained := c.doc.Drains[s.server.ID]
 	k := limpetroute.Candidate{
-		Server: s.server, Capacity: s.load.Capacity, Reported: s.load.Running + s.load.Queued, OwnThen: s.ownThen,
+		Server: s.server, Capacity: s.load.Capacity,
 		Version: s.load.Version, Incarnation: s.load.Incarnation, ReportAt: s.load.At,
 		Leaving: drained || s.load.Draining || s.listed.State == limpetorder.Reclaiming,
 		Failing: now.Sub(s.failedAt) < failingFor || s.misses >= missesToFail,
 	}
 	if c.doc.Services[s.server.Service].Kind == limpetconfig.Plain {
-		k.Capacity, k.Reported, k.OwnThen = plainCapacity, 0, 0
+		k.Capacity = plainCapacity
 	}
 	return k
 }
--- a/internal/limpetnode/duties.go
+++ b/internal/limpetnode/duties.go
@@ -63,7 +63,7 @@
 
 func (n *Node) reporter(store limpetstore.Store) *limpetduty.Reporter {
 	return &limpetduty.Reporter{
-		Store: store, Intake: n.peers.Intake, Length: n.settings.Timing.Window, Holds: n.holds(usageDuty), Log: n.log, Now: time.Now,
+		Store: store, Intake: n.deps.Intake, Length: n.settings.Timing.Window, Holds: n.holds(usageDuty), Log: n.log, Now: time.Now,
 		Live: func(before time.Time) []string {
 			var live []string
 			if n.self.Started.Before(before) {
@@ -143,8 +143,8 @@
 
 func (n *Node) orderer(store limpetstore.Store, fence uint64) *limpetduty.Orderer {
 	return &limpetduty.Orderer{
-		Store: store, Platform: n.peers.Orders, Fence: fence, Holds: n.holds(ordersDuty), Unique: unique, Log: n.log, Now: time.Now,
-		Services: n.fleet,
+		Store: store, Platform: n.deps.Orders, Fence: fence, Holds: n.holds(ordersDuty), Unique: unique, Log: n.log, Now: time.Now,
+		Services: n.fleet, SurplusFor: n.settings.Timing.SurplusFor,
 		Drain: func(ctx context.Context, server string) error {
 			ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 			defer cancel()
@@ -213,7 +213,7 @@
 func (n *Node) runJob(ctx context.Context, store limpetstore.Store, job limpetconfig.Job, fence uint64) {
 	g := limpettask.New(ctx)
 	loader := &limpetduty.WeightLoader{
-		Service: job.Service, Fence: fence, Engine: n.peers.Engine, Holds: n.holds(jobDuty(job.Name)), Log: n.log, Now: time.Now,
+		Service: job.Service, Fence: fence, Engine: n.deps.Engine, Holds: n.holds(jobDuty(job.Name)), Log: n.log, Now: time.Now,
 		Servers: func(context.Context) ([]limpetorder.Server, error) { return n.runningServers(job.Service), nil },
 	}
 	runner := limpetrollout.NewRunner(g, limpetrollout.Seams{
@@ -221,7 +221,7 @@
 			j, ok := n.View().Config.Jobs[job.Name]
 			return j, ok
 		},
-		Generate: n.generate, Score: n.score, Log: n.log, Now: time.Now,
+		Generate: n.generate, Stragglers: n.deps.Stragglers, Score: n.score, Log: n.log, Now: time.Now,
 		Published: func(job limpetconfig.Job, version uint64) {
 			if job.Publishes {
 				loader.Publish(version)
@@ -299,7 +299,7 @@
 }
 
 func (n *Node) score(ctx context.Context, job limpetconfig.Job, name, prompt, text string) (float64, error) {
-	reply, err := n.peers.Scorer.Score(ctx, job.Scorer, limpetscore.Request{Sample: name, Prompt: prompt, Text: text})
+	reply, err := n.deps.Scorer.Score(ctx, job.Scorer, limpetscore.Request{Sample: name, Prompt: prompt, Text: text})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/limpetnode/feed.go
+++ b/internal/limpetnode/feed.go
@@ -268,7 +268,7 @@
 }
 
 func (n *Node) readList(ctx context.Context) {
-	vms, err := n.peers.VMs.Read(ctx)
+	vms, err := n.deps.VMs.Read(ctx)
 	if err != nil {
 		n.log.Emit(limpetlog.PeerCallFailed, limpetlog.Value("peer", "vm list"), limpetlog.Error(err))
 		return
@@ -284,7 +284,7 @@
 
 // readServers reads the changes of the list of backend servers.
 func (n *Node) readServers(ctx context.Context) {
-	listing, err := n.peers.Orders.Servers(ctx, n.serversRevision.Load())
+	listing, err := n.deps.Orders.Servers(ctx, n.serversRevision.Load())
 	if err != nil {
 		n.log.Emit(limpetlog.PeerCallFailed, limpetlog.Value("peer", "ordering"), limpetlog.Error(err))
 		return
@@ -314,7 +314,7 @@
 	g.SetLimit(loadCallsAtOnce)
 	for _, s := range limpetroute.Subset(engines, n.self.Name, vms, replicas) {
 		g.Go(func() error {
-			load, err := n.peers.Engine.Load(ctx, s.Address)
+			load, err := n.deps.Engine.Load(ctx, s.Address)
 			n.send(loadEvent{server: s.ID, load: load, ownThen: int(s.Own.Load()), err: err})
 			return nil
 		})
@@ -371,27 +371,24 @@
 	return told
 }
 
-// appendSuspended makes suspensions durable that the VM which took them has
-// not: because the store was out, or because that VM is gone. One live VM does
-// it, by rank, so that they do not race.
+// appendSuspended makes suspensions durable that could not be appended at once.
+// The VM that took them does it; when it is gone, one live VM does, by rank.
 func (n *Node) appendSuspended(ctx context.Context) {
 	v := n.View()
 	if v.StoreDown || len(v.Suspended) == 0 {
 		return
 	}
 	var due []string
+	names := memberNames(v.Members)
 	n.ask(func(c *control) {
 		for key, s := range c.suspended {
-			if time.Since(s.since) > suspensionOwned {
+			first := limpetmember.Rank("suspend/"+key, n.self.Name, names) == 0
+			if s.own || (first && time.Since(s.since) > suspensionOwned) {
 				due = append(due, key)
 			}
 		}
 	})
-	names := memberNames(v.Members)
 	for _, key := range due {
-		if limpetmember.Rank("suspend/"+key, n.self.Name, names) != 0 {
-			continue
-		}
 		change := limpetconfig.Change{Verb: limpetconfig.Remove, Entity: limpetconfig.Keys, Name: key, Place: "suspension",
 			If: []limpetconfig.Setting{{Field: "hash", Value: v.Config.Keys[key].Hash}}}
 		appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
--- a/internal/limpetnode/limpetnode.go
+++ b/internal/limpetnode/limpetnode.go
@@ -46,8 +46,8 @@
 	"limpetmount.org/internal/limpetwire"
 )
 
-// Peers holds the adapters of the outside systems.
-type Peers struct {
+// Deps holds the adapters of the outside systems, and the policy.
+type Deps struct {
 	Store  limpetstore.Store
 	Orders limpetorder.Platform
 	Intake limpetintake.Intake
@@ -56,20 +56,25 @@
 	Scorer limpetscore.Scorer
 	// Dial opens connections to other VMs.
 	Dial limpetpeer.Dial
+	// Policy decides on requests.
+	Policy limpetserve.Policy
+	// Stragglers decides which samples get a second attempt.
+	Stragglers func(running []limpetrollout.Running, durations []time.Duration, samples int, now time.Time) []limpetrollout.Running
 }
 
-// NewPeers returns the adapters for the addresses in the settings.
-func NewPeers(p limpetsettings.Platform) Peers {
-	return Peers{
+// NewDeps returns the adapters for the addresses in the settings.
+func NewDeps(p limpetsettings.Platform) Deps {
+	return Deps{
 		Store: limpetstore.NewHTTP(p.Store), Orders: limpetorder.NewHTTP(p.Orders), Intake: limpetintake.NewHTTP(p.Usage),
 		VMs: limpetvms.NewHTTP(p.VMs), Engine: limpetengine.NewHTTP(), Scorer: limpetscore.NewHTTP(), Dial: limpetpeer.NewDial(),
+		Policy: limpetserve.NewPolicy(), Stragglers: limpetrollout.Stragglers,
 	}
 }
 
 // A Node holds one running limpetd.
 type Node struct {
 	settings   limpetsettings.Settings
-	peers      Peers
+	deps       Deps
 	log        *limpetlog.Logger
 	metrics    *limpetmetric.Set
 	group      *limpettask.Group
@@ -112,9 +117,9 @@
 
 // Start opens the listeners and starts a node. It returns once callers can
 // connect; the node is ready when it has read its configuration.
-func Start(ctx context.Context, settings limpetsettings.Settings, peers Peers, logger *limpetlog.Logger) (*Node, error) {
+func Start(ctx context.Context, settings limpetsettings.Settings, deps Deps, logger *limpetlog.Logger) (*Node, error) {
 	n := &Node{
-		settings: settings, peers: peers, log: logger, metrics: limpetmetric.New(), group: limpettask.New(ctx),
+		settings: settings, deps: deps, log: logger, metrics: limpetmetric.New(), group: limpettask.New(ctx),
 		events: make(chan event, eventQueue), runners: map[string]*limpetrollout.Runner{},
 	}
 	n.self = limpetmember.VM{Name: settings.VM.Name, Incarnation: settings.VM.Name + "-" + unique(), Zone: settings.VM.Zone, Peer: settings.Peer.Address, Started: time.Now()}
@@ -144,7 +149,7 @@
 func (n *Node) build() {
 	meter := limpetstore.NewMeter(n.metrics.Registry)
 	n.health = &storeHealth{}
-	watched := n.health.wrap(n.peers.Store)
+	watched := n.health.wrap(n.deps.Store)
 	store := func(mechanism string) limpetstore.Store { return meter.Wrap(watched, mechanism) }
 	n.view.Store(&limpetview.View{Config: limpetconfig.NewDocument()})
 	n.config = limpetconfig.NewLog(store("config"), time.Now)
@@ -153,9 +158,9 @@
 	n.tally = limpetusage.NewTally(n.self.Name, n.self.Incarnation, n.settings.Timing.Window)
 	n.usageStore = store("usage")
 	n.held = limpetduty.NewHeldUsage(n.usageStore)
-	n.client = limpetpeer.New(n.pair.Client(), n.peers.Dial)
+	n.client = limpetpeer.New(n.pair.Client(), n.deps.Dial)
 	n.serve = limpetserve.New(limpetserve.Seams{
-		View: n.View, Engine: n.peers.Engine, Claim: n.claim,
+		View: n.View, Policy: n.deps.Policy, Engine: n.deps.Engine, Claim: n.claim,
 		Crashed: n.crashed, Failed: n.failed,
 		Tally: n.tally, Metrics: n.metrics, Log: n.log, Now: time.Now, Unique: unique,
 	}, n.settings.VM.Zone, n.settings.Limits, n.settings.Timing)
--- a/internal/limpetnode/operator.go
+++ b/internal/limpetnode/operator.go
@@ -153,6 +153,7 @@
 	var findings *limpeterror.Findings
 	if err != nil && suspended && !errors.As(err, &findings) {
 		reply.Durable = false
+		n.ask(func(c *control) { c.ownSuspensions(changes) })
 		reply.Results = append(reply.Results, &limpetwire.Result{
 			Text: fmt.Sprintf("in force on %d VMs, not yet durable: the store does not answer; it will be recorded when it does", told+1),
 		})
@@ -219,6 +220,16 @@
 	return told / len(changes)
 }
 
+// ownSuspensions makes this VM append the withdrawals when the store answers.
+func (c *control) ownSuspensions(changes []limpetconfig.Change) {
+	for _, change := range changes {
+		if s, ok := c.suspended[change.Name]; ok {
+			s.own = true
+			c.suspended[change.Name] = s
+		}
+	}
+}
+
 // tellWait is how long a withdrawal waits for the other VMs before it goes on.
 const tellWait = 300 * time.Millisecond
 
--- /dev/null
+++ b/internal/limpetquarantine/limpetquarantine_test.go
@@ -0,0 +1,55 @@
+package limpetquarantine_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpetquarantine"
+)
+
+func TestReports(t *testing.T) {
+	now := time.Now()
+	Convey("two distinct servers make a case, one server twice does not", t, func() {
+		s := limpetquarantine.New(time.Minute)
+		So(s.Report(now, 1, "desk", "e1/1"), ShouldBeFalse)
+		So(s.Report(now, 1, "desk", "e1/1"), ShouldBeFalse)
+		So(s.View().Suspects[1], ShouldBeTrue)
+		So(s.Report(now, 1, "desk", "e2/1"), ShouldBeTrue)
+		So(s.Report(now, 1, "desk", "e3/1"), ShouldBeFalse)
+		So(s.View().Quarantined[1].Account, ShouldEqual, "desk")
+		s.Expire(now.Add(time.Hour))
+		So(len(s.View().Quarantined), ShouldEqual, 1)
+		s.Release(1)
+		So(len(s.View().Quarantined), ShouldEqual, 0)
+	})
+	Convey("a suspect that is not blamed again is forgotten", t, func() {
+		s := limpetquarantine.New(time.Minute)
+		s.Report(now, 1, "desk", "e1/1")
+		s.Expire(now.Add(2 * time.Minute))
+		So(len(s.View().Suspects), ShouldEqual, 0)
+	})
+	Convey("a view does not change afterwards", t, func() {
+		s := limpetquarantine.New(time.Minute)
+		s.Report(now, 1, "desk", "e1/1")
+		s.Report(now, 1, "desk", "e2/1")
+		v := s.View()
+		s.Report(now, 1, "desk", "e3/1")
+		So(len(v.Quarantined[1].Servers), ShouldEqual, 2)
+	})
+}
+
+func TestBlame(t *testing.T) {
+	Convey("a suspect in the batch is blamed alone", t, func() {
+		So(limpetquarantine.Blame([]uint64{1, 2, 3}, map[uint64]bool{2: true}), ShouldResemble, []uint64{2})
+		So(limpetquarantine.Blame([]uint64{1, 2, 3}, nil), ShouldResemble, []uint64{1, 2, 3})
+	})
+}
+
+func TestFingerprint(t *testing.T) {
+	Convey("account, service and body cannot be shifted into each other", t, func() {
+		So(limpetquarantine.Fingerprint("a", "b", []byte("c")), ShouldNotEqual, limpetquarantine.Fingerprint("ab", "", []byte("c")))
+		So(limpetquarantine.Fingerprint("a", "b", []byte("c")), ShouldEqual, limpetquarantine.Fingerprint("a", "b", []byte("c")))
+	})
+}
--- a/internal/limpetrollout/calls.go
+++ b/internal/limpetrollout/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -313,9 +314,12 @@
 	var ready []Sealed
 	for _, number := range r.order {
 		s := r.steps[number]
-		for n := 0; n < s.spec.Samples() && len(ready) < limit; n++ {
-			if sample, ok := s.ready[n]; ok && r.ledger.Wanted(number, n) {
-				ready = append(ready, sample.sealed)
+		for _, n := range slices.Sorted(maps.Keys(s.ready)) {
+			if len(ready) >= limit {
+				return ready
+			}
+			if r.wanted(number, n) {
+				ready = append(ready, s.ready[n].sealed)
 			}
 		}
 	}
--- a/internal/limpetrollout/limpetrollout_test.go
+++ b/internal/limpetrollout/limpetrollout_test.go
@@ -154,7 +154,7 @@
 func FuzzDecodeLedger(f *testing.F) {
 	f.Add([]byte(`{"session":1,"cursor":2,"batch":[{"step":1,"number":3}],"steps":[{"number":1,"samples":9,"delivered":"AAA="}]}`))
 	f.Add([]byte(`{"steps":[{"number":1,"samples":99}]}`))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		l, err := limpetrollout.DecodeLedger(data)
 		if err != nil {
 			return
--- a/internal/limpetrollout/runner.go
+++ b/internal/limpetrollout/runner.go
@@ -42,6 +42,8 @@
 	Job func() (limpetconfig.Job, bool)
 	// Generate runs one attempt to its end mark.
 	Generate func(ctx context.Context, r Request) (Generation, error)
+	// Stragglers decides which running samples get a second attempt.
+	Stragglers func(running []Running, durations []time.Duration, samples int, now time.Time) []Running
 	// Score scores a sample.
 	Score func(ctx context.Context, job limpetconfig.Job, name, prompt, text string) (float64, error)
 	// Published is told of each published version, also when an owner takes
@@ -64,15 +66,26 @@
 	revision uint64
 	loaded   bool
 	writes   uint64
+	// sealed is the ledger's current batch as a set.
+	sealed   map[sampleKey]bool
 	steps    map[uint64]*stepState
 	order    []uint64
 	changed  chan struct{}
 	discards int
 }
 
-// A stepState holds a step's samples at the owner.
+// A sampleKey names a sample of a job.
+type sampleKey struct {
+	step   uint64
+	number int
+}
+
+// A stepState holds a step's samples at the owner. Pending holds the numbers
+// to be generated; those that are no longer wanted are skipped when their turn
+// comes.
 type stepState struct {
 	spec      Spec
+	pending   []int
 	ready     map[int]readySample
 	running   map[int]*attempts
 	durations []time.Duration
@@ -183,7 +196,8 @@
 			return err
 		}
 	}
-	r.ledger, r.revision, r.loaded = ledger, v.Revision, true
+	r.take(ledger, v.Revision)
+	r.loaded = true
 	if ledger.Published > 0 {
 		r.Published(r.job, ledger.Published)
 	}
@@ -211,7 +225,11 @@
 	if r.steps[spec.Step] != nil {
 		return
 	}
-	r.steps[spec.Step] = &stepState{spec: spec, ready: map[int]readySample{}, running: map[int]*attempts{}}
+	s := &stepState{spec: spec, ready: map[int]readySample{}, running: map[int]*attempts{}}
+	for n := range spec.Samples() {
+		s.pending = append(s.pending, n)
+	}
+	r.steps[spec.Step] = s
 	r.order = append(r.order, spec.Step)
 	slices.Sort(r.order)
 }
@@ -254,11 +272,39 @@
 	if err != nil {
 		return err
 	}
-	r.ledger, r.revision = ledger, v.Revision
+	former := r.ledger.Batch
+	r.take(ledger, v.Revision)
+	for _, b := range former {
+		// What an amendment took out of the batch is generated again.
+		if r.wanted(b.Step, b.Number) && r.steps[b.Step] != nil {
+			r.steps[b.Step].again(b.Number)
+		}
+	}
 	r.prune()
 	return nil
 }
 
+// take makes a ledger the current one.
+func (r *Runner) take(ledger Ledger, revision uint64) {
+	r.ledger, r.revision = ledger, revision
+	r.sealed = make(map[sampleKey]bool, len(ledger.Batch))
+	for _, b := range ledger.Batch {
+		r.sealed[sampleKey{b.Step, b.Number}] = true
+	}
+}
+
+// wanted is Ledger.Wanted with the batch as a set.
+func (r *Runner) wanted(step uint64, number int) bool {
+	s := r.ledger.step(step)
+	return s != nil && !s.Cancelled && !s.Delivered.Has(number) && !r.sealed[sampleKey{step, number}]
+}
+
+// again queues a sample whose content is gone for another generation.
+func (s *stepState) again(n int) {
+	delete(s.ready, n)
+	s.pending = append(s.pending, n)
+}
+
 // prune drops steps that the ledger no longer lists, and samples that are no
 // longer wanted.
 func (r *Runner) prune() {
@@ -298,8 +344,10 @@
 	free := r.job.Parallel - r.runningCount()
 	for _, number := range r.order {
 		s := r.steps[number]
-		for n := 0; n < s.spec.Samples() && free > 0; n++ {
-			if _, ready := s.ready[n]; ready || s.running[n] != nil || !r.ledger.Wanted(number, n) {
+		for len(s.pending) > 0 && free > 0 {
+			n := s.pending[0]
+			s.pending = s.pending[1:]
+			if _, ready := s.ready[n]; ready || s.running[n] != nil || !r.wanted(number, n) {
 				continue
 			}
 			s.running[n] = &attempts{began: r.Now(), cancels: map[string]context.CancelFunc{}, oldest: map[string]*atomic.Uint64{}}
@@ -404,6 +452,7 @@
 		limpetlog.Value("sample", n), limpetlog.Error(err))
 	if len(s.running[n].cancels) == 0 {
 		delete(s.running, n)
+		s.pending = append(s.pending, n)
 	}
 }
 
@@ -414,7 +463,7 @@
 		for n, a := range s.running {
 			running = append(running, Running{Step: number, Number: n, Began: a.began, Attempts: len(a.cancels)})
 		}
-		for _, straggler := range Stragglers(running, s.durations, s.spec.Samples(), r.Now()) {
+		for _, straggler := range r.Stragglers(running, s.durations, s.spec.Samples(), r.Now()) {
 			r.start(s, straggler.Number)
 		}
 	}
@@ -433,8 +482,10 @@
 		}
 		for n, sample := range s.ready {
 			if !Fresh(r.ledger.Published, sample.sealed.Oldest, r.job.Staleness) {
-				delete(s.ready, n)
 				r.discards++
+				if r.wanted(s.spec.Step, n) {
+					s.again(n)
+				}
 			}
 		}
 	}
--- a/internal/limpetrollout/runner_test.go
+++ b/internal/limpetrollout/runner_test.go
@@ -90,7 +90,7 @@
 	w.owners++
 	w.group = limpettask.New(context.Background())
 	w.runner = limpetrollout.NewRunner(w.group, limpetrollout.Seams{
-		Store: w.stub.Client(), Generate: w.generate,
+		Store: w.stub.Client(), Generate: w.generate, Stragglers: limpetrollout.Stragglers,
 		Job: func() (limpetconfig.Job, bool) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -107,7 +107,7 @@
 	return former
 }
 
-func call[T any](w *world, r *limpetrollout.Runner, op limpetrollout.Operation, body any) (T, error) {
+func call[T any](r *limpetrollout.Runner, op limpetrollout.Operation, body any) (T, error) {
 	var zero T
 	data, _ := json.Marshal(body)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
@@ -122,7 +122,7 @@
 // retry repeats a call while it is refused for now or its outcome is unknown.
 func retry[T any](w *world, op limpetrollout.Operation, body any) (T, error) {
 	for {
-		reply, err := call[T](w, w.runner, op, body)
+		reply, err := call[T](w.runner, op, body)
 		if limpeterror.Is(err, limpeterror.Unavailable) || limpeterror.Is(err, limpeterror.Unknown) {
 			time.Sleep(50 * time.Millisecond)
 			continue
@@ -234,12 +234,12 @@
 			}
 		}},
 		{"answers of the store are lost", func(w *world) {
-			w.stub.Fault = func(kind, _ string) limpetstub.Fault {
+			w.stub.Fault = func(_, _ string) limpetstub.Fault {
 				return []limpetstub.Fault{limpetstub.None, limpetstub.None, limpetstub.LostAfter, limpetstub.LostBefore}[w.intN(4)]
 			}
 		}, nil},
 		{"everything at once", func(w *world) {
-			w.stub.Fault = func(kind, _ string) limpetstub.Fault {
+			w.stub.Fault = func(_, _ string) limpetstub.Fault {
 				return []limpetstub.Fault{limpetstub.None, limpetstub.None, limpetstub.None, limpetstub.LostAfter, limpetstub.Refused}[w.intN(5)]
 			}
 			w.generationFault = func(r *rand.Rand) error {
@@ -248,7 +248,7 @@
 				}
 				return nil
 			}
-		}, func(w *world, session uint64, round int) {
+		}, func(w *world, session uint64, _ int) {
 			switch w.intN(6) {
 			case 0:
 				w.own(false)
@@ -299,7 +299,7 @@
 			second, err := retry[limpetrollout.SessionReply](w, limpetrollout.OpSession, limpetrollout.SessionRequest{Trainer: "t2"})
 			So(err, ShouldBeNil)
 			So(second.Session, ShouldBeGreaterThan, first.Session)
-			_, err = call[limpetrollout.Status](w, w.runner, limpetrollout.OpStep, spec(first.Session, 1))
+			_, err = call[limpetrollout.Status](w.runner, limpetrollout.OpStep, spec(first.Session, 1))
 			So(limpeterror.Is(err, limpeterror.Fenced), ShouldBeTrue)
 			_ = w.group.Stop()
 		})
@@ -317,7 +317,7 @@
 			old := w.own(true)
 			_, err = retry[limpetrollout.Status](w, limpetrollout.OpWeights, limpetrollout.WeightsRequest{Session: s.Session, Version: 2})
 			So(err, ShouldBeNil)
-			_, err = call[limpetrollout.Status](w, former, limpetrollout.OpWeights, limpetrollout.WeightsRequest{Session: s.Session, Version: 3})
+			_, err = call[limpetrollout.Status](former, limpetrollout.OpWeights, limpetrollout.WeightsRequest{Session: s.Session, Version: 3})
 			So(limpeterror.Is(err, limpeterror.Fenced), ShouldBeTrue)
 			So(former.Fenced(), ShouldBeTrue)
 			_ = old.Stop()
--- a/internal/limpetroute/limpetroute.go
+++ b/internal/limpetroute/limpetroute.go
@@ -3,6 +3,7 @@
 package limpetroute
 
 import (
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -31,14 +32,12 @@
 	return &Server{ID: s.ID, Service: s.Service, Zone: s.Zone, Address: s.Address, Class: s.Class, Hash: xxhash.Sum64String(s.ID)}
 }
 
-// A Candidate holds what a snapshot knows about a server. Reported is the
-// number of requests that the server's last report names, and OwnThen the
-// number of them that were this VM's when the report came.
+// A Candidate holds what a snapshot knows about a server. Others is the
+// estimate of the requests that other VMs have there.
 type Candidate struct {
 	*Server
 	Capacity    int
-	Reported    int
-	OwnThen     int
+	Others      float64
 	Version     uint64
 	Incarnation string
 	// Leaving excludes the server from new work.
@@ -48,17 +47,44 @@
 	ReportAt time.Time
 }
 
-// Load returns the estimated number of requests at the server: the lagging
-// report, corrected by what this VM has begun and ended since.
-func (c *Candidate) Load() int {
-	return max(c.Reported-c.OwnThen, 0) + int(c.Own.Load())
+// Load returns the estimated number of requests at the server: other VMs' by
+// the last report, and this VM's own as they are now.
+func (c *Candidate) Load() float64 {
+	return c.Others + float64(c.Own.Load())
+}
+
+// A Report holds what a server's last report says of other VMs' requests, and
+// its age.
+type Report struct {
+	Others int
+	Age    time.Duration
+}
+
+// Estimate returns the expected number of other VMs' requests at each server.
+// A report loses its worth as the requests that it counted end, so that each
+// estimate moves from the report towards the mean of all reports with the age
+// relative to the mean time of a request. Without this, all VMs send to the
+// server that an old report calls idle.
+func Estimate(reports []Report, service time.Duration) []float64 {
+	mean := 0.0
+	for _, r := range reports {
+		mean += float64(r.Others) / float64(len(reports))
+	}
+	estimates := make([]float64, len(reports))
+	for i, r := range reports {
+		worth := math.Exp(-float64(r.Age) / float64(max(service, time.Millisecond)))
+		estimates[i] = worth*float64(r.Others) + (1-worth)*mean
+	}
+	return estimates
 }
 
 // A Query holds what a request needs of a server.
 type Query struct {
 	Zone string
-	// Prefix is the hash of the prompt's beginning, 0 for none.
-	Prefix uint64
+	// Prefix is the hash of the prompt's beginning, 0 for none, and
+	// PromptBytes the size of the prompt, which bounds what a cache can save.
+	Prefix      uint64
+	PromptBytes int
 	// MinVersion excludes servers with older weights.
 	MinVersion uint64
 	// Exclude names servers that failed the request already.
@@ -67,12 +93,16 @@
 	Alone bool
 	// Cheap prefers servers that can be reclaimed.
 	Cheap bool
+	// Random chooses among the servers that are compared.
+	Random uint64
 }
 
 // Weights of the score, in units of a full server's load.
 const (
 	otherZonePenalty = 0.05
 	affinityBonus    = 0.3
+	// affinityBytes is the size of a prompt for which the bonus is full.
+	affinityBytes    = 8 << 10
 	affinityCeiling  = 0.85
 	classPenalty     = 0.2
 	fullPenalty      = 10
@@ -83,27 +113,55 @@
 // None is Pick's answer when no candidate is eligible.
 const None = -1
 
-// Pick returns the index of the server with the lowest score, or None. The
-// score is the estimated load relative to capacity, less a bonus for the
-// server that rendezvous hashing assigns to the request's prefix while that
-// server is not crowded, plus a cost for leaving the availability zone.
+// choices is the number of servers drawn at random and compared.
+const choices = 3
+
+// Pick returns the index of the server for a request, or None. It compares a
+// few servers drawn at random, and the one that rendezvous hashing assigns to
+// the request's prefix, and takes the one with the lowest score: the estimated
+// load relative to capacity, less a bonus for the prefix's server while that
+// is not crowded, plus a cost for leaving the availability zone or the price
+// class. Comparing few instead of all keeps VMs that read the same lagging
+// reports from sending everything to the same server (Mitzenmacher: The power
+// of two choices in randomized load balancing, 2001).
 func Pick(candidates []Candidate, q Query) int {
 	home := None
 	if q.Prefix != 0 {
 		home = homeOf(candidates, q)
 	}
-	best, bestScore := None, 0.0
-	for i := range candidates {
-		c := &candidates[i]
-		if !eligible(c, q) {
-			continue
-		}
-		s := score(c, q, i == home)
-		if best == None || s < bestScore {
-			best, bestScore = i, s
+	b := best{index: None}
+	if home != None {
+		b.offer(candidates, q, home, home)
+	}
+	for draw := range uint64(choices) {
+		if len(candidates) <= choices || q.Alone {
+			break
 		}
+		b.offer(candidates, q, int(mix(q.Random+draw)%uint64(len(candidates))), home)
+	}
+	if b.index != None && b.score < failingPenalty {
+		return b.index
+	}
+	for i := range candidates {
+		b.offer(candidates, q, i, home)
+	}
+	return b.index
+}
+
+// A best holds the server with the lowest score so far.
+type best struct {
+	index int
+	score float64
+}
+
+func (b *best) offer(candidates []Candidate, q Query, i, home int) {
+	c := &candidates[i]
+	if !eligible(c, q) {
+		return
+	}
+	if s := score(c, q, i == home); b.index == None || s < b.score {
+		b.index, b.score = i, s
 	}
-	return best
 }
 
 func eligible(c *Candidate, q Query) bool {
@@ -132,12 +190,12 @@
 
 func score(c *Candidate, q Query, home bool) float64 {
 	load := c.Load()
-	s := float64(load) / float64(max(c.Capacity, 1))
-	if load >= c.Capacity {
+	s := load / float64(max(c.Capacity, 1))
+	if load >= float64(c.Capacity) {
 		s += fullPenalty
 	}
 	if home && s < affinityCeiling {
-		s -= affinityBonus
+		s -= affinityBonus * min(1, float64(q.PromptBytes)/affinityBytes)
 	}
 	if c.Zone != q.Zone {
 		s += otherZonePenalty
--- a/internal/limpetroute/limpetroute_test.go
+++ b/internal/limpetroute/limpetroute_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
@@ -13,7 +14,7 @@
 
 func candidate(id, zone string, reported int) limpetroute.Candidate {
 	s := limpetroute.NewServer(limpetorder.Server{ID: id, Zone: zone, Class: limpetorder.Standard})
-	return limpetroute.Candidate{Server: s, Capacity: 10, Reported: reported, Version: 3}
+	return limpetroute.Candidate{Server: s, Capacity: 10, Others: float64(reported), Version: 3}
 }
 
 func TestPick(t *testing.T) {
@@ -64,19 +65,34 @@
 		for i := range 8 {
 			candidates = append(candidates, candidate(fmt.Sprintf("e%d", i), "a", 2))
 		}
-		q := limpetroute.Query{Zone: "a", Prefix: 42}
+		q := limpetroute.Query{Zone: "a", Prefix: 42, PromptBytes: 1 << 20}
 		first := limpetroute.Pick(candidates, q)
 		for i := range candidates {
 			if i != first {
-				candidates[i].Reported = 0
+				candidates[i].Others = 0
 			}
 		}
 		So(limpetroute.Pick(candidates, q), ShouldEqual, first)
-		candidates[first].Reported = 9
+		candidates[first].Others = 9
 		So(limpetroute.Pick(candidates, q), ShouldNotEqual, first)
 	})
 }
 
+func TestEstimate(t *testing.T) {
+	reports := []limpetroute.Report{{Others: 8}, {Others: 0}}
+	Convey("a fresh report is taken as it is, an old one as the mean", t, func() {
+		So(limpetroute.Estimate(reports, time.Second), ShouldResemble, []float64{8, 0})
+		for i := range reports {
+			reports[i].Age = time.Minute
+		}
+		old := limpetroute.Estimate(reports, time.Second)
+		So(old[0], ShouldAlmostEqual, 4, 0.01)
+		So(old[1], ShouldAlmostEqual, 4, 0.01)
+		long := limpetroute.Estimate(reports, time.Hour)
+		So(long[0], ShouldBeGreaterThan, 7.9)
+	})
+}
+
 func TestPickIsAlwaysEligible(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var candidates []limpetroute.Candidate
--- /dev/null
+++ b/internal/limpetserve/bench_test.go
@@ -0,0 +1,39 @@
+package limpetserve_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"limpetmount.org/internal/limpetquarantine"
+)
+
+// BenchmarkComplete measures the way of a completion with a fake engine. The
+// difference between two lengths gives the cost of a token.
+func BenchmarkComplete(b *testing.B) {
+	for _, tokens := range []int{1, 1001} {
+		b.Run(fmt.Sprint(tokens), func(b *testing.B) {
+			f := &fleet{}
+			server, _ := newServer(f, limpetquarantine.New(time.Minute))
+			middle := []byte(`{"id":"cmpl","choices":[{"text":"w12-3 ","finish_reason":null}],"weights":{"version":1,"incarnation":"e1/1"},"index":3}`)
+			last := []byte(`{"id":"cmpl","choices":[{"text":"w12-3 ","finish_reason":"stop"}],"index":4}`)
+			server.Engine.Stream = func(_ context.Context, _, _ string, _ []byte, onData func([]byte) error) error {
+				for range tokens - 1 {
+					if err := onData(middle); err != nil {
+						return err
+					}
+				}
+				return onData(last)
+			}
+			c := completion("p", nil)
+			c.OnData = func([]byte) error { return nil }
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := server.Complete(context.Background(), c); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/limpetserve/call.go
+++ b/internal/limpetserve/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -35,6 +36,8 @@
 	IdempotencyKey string
 	Deadline       time.Time
 	Fingerprint    uint64
+	// Unbilled is set for requests on open routes, which no account pays for.
+	Unbilled bool
 }
 
 // An Answer holds a backend server's whole answer.
@@ -158,7 +161,7 @@
 	ended := s.Now()
 	gate.Leave(ticket, ended.Sub(admitted), 1)
 	count := limpetusage.Count{}
-	if err == nil || limpeterror.Is(err, limpeterror.Unknown) {
+	if !c.Unbilled && (err == nil || limpeterror.Is(err, limpeterror.Unknown)) {
 		count = limpetusage.Count{Requests: 1, ServerMillis: uint64(ended.Sub(admitted).Milliseconds())}
 	}
 	s.record(c.Service.Name, c.Account, outcomeOf(err), 0, count, limpetmetric.Timing{Queue: admitted.Sub(arrived), Total: ended.Sub(arrived)})
@@ -203,7 +206,7 @@
 
 func (s *Server) callOnce(ctx context.Context, c Call, exclude []string) (Answer, string, error) {
 	candidates := s.View().Servers[c.Service.Name]
-	picked := limpetroute.Pick(candidates, limpetroute.Query{Zone: s.zone, Exclude: exclude})
+	picked := s.Policy.Pick(candidates, limpetroute.Query{Zone: s.zone, Exclude: exclude, Random: rand.Uint64()})
 	if picked == limpetroute.None {
 		return Answer{}, "", limpeterror.Unavailable.New("no backend server of service %s takes requests", c.Service.Name)
 	}
--- a/internal/limpetserve/complete.go
+++ b/internal/limpetserve/complete.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -207,10 +208,10 @@
 	candidates := view.Servers[c.Service]
 	suspect := view.Quarantine.Suspects[c.Fingerprint]
 	query := limpetroute.Query{
-		Zone: s.zone, Prefix: prefixOf(c.Prompt), MinVersion: c.MinVersion,
-		Exclude: a.exclude, Alone: suspect, Cheap: c.Cheap,
+		Zone: s.zone, Prefix: prefixOf(c.Prompt), PromptBytes: len(c.Prompt), MinVersion: c.MinVersion,
+		Exclude: a.exclude, Alone: suspect, Cheap: c.Cheap, Random: rand.Uint64(),
 	}
-	picked := limpetroute.Pick(candidates, query)
+	picked := s.Policy.Pick(candidates, query)
 	if picked == limpetroute.None {
 		a.exclude = nil
 		return limpeterror.Unavailable.New("no backend server of service %s takes requests", c.Service)
@@ -323,7 +324,7 @@
 		return
 	}
 	s.Log.Emit(limpetlog.CrashReported, limpetlog.Request(c.ID), limpetlog.Account(c.Account.Name), limpetlog.Server(candidate.ID))
-	s.Crashed(c.Fingerprint, c.Account.Name, candidate.Incarnation)
+	s.Crashed(c.Fingerprint, c.Account.Name, candidate.ID)
 }
 
 const probeTimeout = time.Second
--- a/internal/limpetserve/limpetserve.go
+++ b/internal/limpetserve/limpetserve.go
@@ -7,6 +7,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"limpetmount.org/internal/limpetclaim"
@@ -23,8 +24,34 @@
 	"limpetmount.org/internal/limpetview"
 )
 
+// A Policy holds the decisions that experiments replace by baselines.
+type Policy struct {
+	// Pick chooses a server.
+	Pick func(candidates []limpetroute.Candidate, q limpetroute.Query) int
+	// NewScheduler returns the order of admission of a service.
+	NewScheduler func() *limpetshare.Scheduler
+}
+
+// NewPolicy returns the product's policy.
+func NewPolicy() Policy {
+	return Policy{Pick: limpetroute.Pick, NewScheduler: limpetshare.NewScheduler}
+}
+
+// NewBaseline returns a plain policy: servers in turn, requests in the order
+// of their arrival.
+func NewBaseline() Policy {
+	var turn atomic.Uint64
+	return Policy{
+		Pick: func(candidates []limpetroute.Candidate, q limpetroute.Query) int {
+			return limpetroute.RoundRobin(candidates, q, turn.Add(1))
+		},
+		NewScheduler: limpetshare.NewFIFO,
+	}
+}
+
 // Seams holds what a Server uses of the rest of the system.
 type Seams struct {
+	Policy Policy
 	// View returns the current snapshot.
 	View func() *limpetview.View
 	// Engine reaches model engines.
@@ -86,7 +113,7 @@
 	defer s.mu.Unlock()
 	g, ok := s.gates[service]
 	if !ok {
-		g = limpetshare.NewGate(limpetshare.Limits{Queue: s.limits.Queue, Wait: s.timing.Queue}, s.Now)
+		g = limpetshare.NewGate(limpetshare.Limits{Queue: s.limits.Queue, Wait: s.timing.Queue}, s.Policy.NewScheduler(), s.Now)
 		g.SetPlaces(s.View().Places(service))
 		s.gates[service] = g
 	}
@@ -181,6 +208,10 @@
 	return consumed
 }
 
+// MeanService returns the moving mean of the time that a request of a service
+// takes from admission to its end.
+func (s *Server) MeanService(service string) time.Duration { return s.gate(service).MeanService() }
+
 // Queues returns the waiting and running requests of each service.
 func (s *Server) Queues() map[string][2]int {
 	s.mu.Lock()
--- a/internal/limpetserve/limpetserve_test.go
+++ b/internal/limpetserve/limpetserve_test.go
@@ -139,6 +139,7 @@
 	var n atomic.Int64
 	settings := limpetsettings.Default()
 	server := limpetserve.New(limpetserve.Seams{
+		Policy: limpetserve.NewPolicy(),
 		View: func() *limpetview.View {
 			v := *view
 			f.mu.Lock()
--- a/internal/limpetsettings/limpetsettings.go
+++ b/internal/limpetsettings/limpetsettings.go
@@ -81,20 +81,21 @@
 
 // Timing holds the section [timing].
 type Timing struct {
-	Header    time.Duration `ini:"header" default:"5s" check:"positive" doc:"Time limit for a request's headers."`
-	Body      time.Duration `ini:"body" default:"30s" check:"positive" doc:"Time limit for a request's body."`
-	Write     time.Duration `ini:"write" default:"20s" check:"positive" doc:"Time limit for a caller to take each part of an answer."`
-	Queue     time.Duration `ini:"queue" default:"30s" check:"positive" doc:"Longest wait for admission."`
-	First     time.Duration `ini:"first" default:"10s" check:"positive" doc:"Time limit for a stream's first token, after which the request goes elsewhere."`
-	Stall     time.Duration `ini:"stall" default:"3s" check:"positive" doc:"Time limit between tokens, after which the stream is resumed elsewhere."`
-	Service   time.Duration `ini:"service" default:"30s" check:"positive" doc:"Time limit for a plain service's answer."`
-	Heartbeat time.Duration `ini:"heartbeat" default:"1s" check:"positive" doc:"Period of heartbeats between VMs."`
-	Confirm   time.Duration `ini:"confirm" default:"5s" check:"positive" doc:"Age of the configuration's last confirmation up to which keys are honoured."`
-	Load      time.Duration `ini:"load" default:"1s" check:"positive" doc:"Period of reading load reports and the list of backend servers."`
-	Lease     time.Duration `ini:"lease" default:"6s" check:"positive" doc:"Duration of the lease under which this VM holds duties."`
-	Window    time.Duration `ini:"window" default:"5m" check:"positive" doc:"Length of a usage window; the same on all VMs."`
-	Grace     time.Duration `ini:"grace" default:"2s" check:"positive" doc:"Time in a graceful shutdown between the end of readiness and the end of new connections, for the balancer to notice."`
-	Drain     time.Duration `ini:"drain" default:"10m" check:"positive" doc:"Longest wait for open requests in a graceful shutdown."`
+	Header     time.Duration `ini:"header" default:"5s" check:"positive" doc:"Time limit for a request's headers."`
+	Body       time.Duration `ini:"body" default:"30s" check:"positive" doc:"Time limit for a request's body."`
+	Write      time.Duration `ini:"write" default:"20s" check:"positive" doc:"Time limit for a caller to take each part of an answer."`
+	Queue      time.Duration `ini:"queue" default:"30s" check:"positive" doc:"Longest wait for admission."`
+	First      time.Duration `ini:"first" default:"10s" check:"positive" doc:"Time limit for a stream's first token, after which the request goes elsewhere."`
+	Stall      time.Duration `ini:"stall" default:"3s" check:"positive" doc:"Time limit between tokens, after which the stream is resumed elsewhere."`
+	Service    time.Duration `ini:"service" default:"30s" check:"positive" doc:"Time limit for a plain service's answer."`
+	Heartbeat  time.Duration `ini:"heartbeat" default:"1s" check:"positive" doc:"Period of heartbeats between VMs."`
+	Confirm    time.Duration `ini:"confirm" default:"5s" check:"positive" doc:"Age of the configuration's last confirmation up to which keys are honoured."`
+	Load       time.Duration `ini:"load" default:"1s" check:"positive" doc:"Period of reading load reports and the list of backend servers."`
+	Lease      time.Duration `ini:"lease" default:"6s" check:"positive" doc:"Duration of the lease under which this VM holds duties."`
+	Window     time.Duration `ini:"window" default:"5m" check:"positive" doc:"Length of a usage window; the same on all VMs."`
+	SurplusFor time.Duration `ini:"surplus" default:"60s" check:"positive" doc:"How long backend servers must be more than needed before one is drained."`
+	Grace      time.Duration `ini:"grace" default:"2s" check:"positive" doc:"Time in a graceful shutdown between the end of readiness and the end of new connections, for the balancer to notice."`
+	Drain      time.Duration `ini:"drain" default:"10m" check:"positive" doc:"Longest wait for open requests in a graceful shutdown."`
 }
 
 // Log holds the section [log].
--- a/internal/limpetshare/gate.go
+++ b/internal/limpetshare/gate.go
@@ -42,9 +42,10 @@
 	forgetAccounts = 256
 )
 
-// NewGate returns a gate with no places; SetPlaces opens it.
-func NewGate(limits Limits, now func() time.Time) *Gate {
-	return &Gate{scheduler: NewScheduler(), limits: limits, now: now, service: firstService}
+// NewGate returns a gate with no places that admits in the scheduler's order;
+// SetPlaces opens it.
+func NewGate(limits Limits, scheduler *Scheduler, now func() time.Time) *Gate {
+	return &Gate{scheduler: scheduler, limits: limits, now: now, service: firstService}
 }
 
 // SetPlaces changes the number of requests that may be at work.
@@ -69,6 +70,13 @@
 	return g.scheduler.Waiting(""), g.running
 }
 
+// MeanService returns the moving mean of a request's time at work.
+func (g *Gate) MeanService() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.service
+}
+
 // Enter waits until the ticket may go to work. An error of type Overloaded
 // is a refusal; nothing was run.
 func (g *Gate) Enter(ctx context.Context, t *Ticket) (Refusal, error) {
--- a/internal/limpetshare/limpetshare.go
+++ b/internal/limpetshare/limpetshare.go
@@ -38,6 +38,8 @@
 	sequence uint64
 	tickets  int
 	turns    int
+	// fifo takes all tickets as one account's of one class.
+	fifo bool
 }
 
 // Indexes of the classes.
@@ -47,8 +49,8 @@
 	classes
 )
 
-func classOf(c limpetconfig.Class) int {
-	if c == limpetconfig.Live {
+func (s *Scheduler) classOf(c limpetconfig.Class) int {
+	if s.fifo || c == limpetconfig.Live {
 		return live
 	}
 	return rollout
@@ -62,6 +64,9 @@
 	served float64
 	queues [classes]ticketQueue
 	place  [classes]int
+	// debt is service at other VMs that was not charged yet; remote and local
+	// are moving sums of service there and here.
+	debt, remote, local float64
 }
 
 const outside = -1
@@ -135,7 +140,18 @@
 	return s
 }
 
+// NewFIFO returns the baseline that experiments compare with: tickets in the
+// order of their arrival, whatever their account and class.
+func NewFIFO() *Scheduler {
+	s := NewScheduler()
+	s.fifo = true
+	return s
+}
+
 func (s *Scheduler) account(name string) *account {
+	if s.fifo {
+		name = ""
+	}
 	a, ok := s.accounts[name]
 	if !ok {
 		a = &account{name: name, served: s.virtual, place: [classes]int{outside, outside}}
@@ -179,9 +195,9 @@
 // Push queues a ticket. An account that begins to wait is not credited for
 // the time in which it asked for nothing.
 func (s *Scheduler) Push(t *Ticket) {
-	a, class := s.account(t.Account), classOf(t.Class)
+	a, class := s.account(t.Account), s.classOf(t.Class)
 	if a.tickets() == 0 {
-		a.served = max(a.served, s.virtual)
+		a.served, a.debt = max(a.served, s.virtual), 0
 	}
 	s.sequence++
 	t.sequence = s.sequence
@@ -192,7 +208,7 @@
 
 // Remove takes a ticket out of its queue and reports whether it was there.
 func (s *Scheduler) Remove(t *Ticket) bool {
-	a, class := s.account(t.Account), classOf(t.Class)
+	a, class := s.account(t.Account), s.classOf(t.Class)
 	queue := &a.queues[class]
 	if t.index < 0 || t.index >= len(*queue) || (*queue)[t.index] != t {
 		return false
@@ -224,7 +240,8 @@
 	s.turns++
 	s.virtual = max(s.virtual, a.served)
 	s.update(a, class)
-	s.charge(a, t.Cost/t.Weight)
+	service := t.Cost / t.Weight
+	s.charge(a, service+a.pay(service))
 	return t
 }
 
@@ -233,12 +250,33 @@
 	s.charge(s.account(t.Account), (used-t.Cost)/t.Weight)
 }
 
-// Remote charges an account with tokens that other VMs served, so that the
-// share holds over the VMs together.
+// Remote notes tokens that other VMs served, so that the share holds over the
+// VMs together. They are not charged at once: all VMs hear of an account's
+// service at about the same time, and would all turn away from it and then all
+// back to it. They are charged with the account's next tickets here, in
+// proportion, which makes each ticket count as much as it does over all VMs.
 func (s *Scheduler) Remote(name string, tokens, weight float64) {
-	s.charge(s.account(name), tokens/weight)
+	a := s.account(name)
+	a.debt += tokens / weight
+	a.remote = a.remote*rateMemory + tokens/weight
+	a.local *= rateMemory
 }
 
+// pay returns the part of an account's debt that goes with local service.
+func (a *account) pay(service float64) float64 {
+	a.local += service
+	part := min(a.debt, payback*service*a.remote/a.local)
+	a.debt -= part
+	return part
+}
+
+const (
+	// rateMemory is what is kept of the local and remote rates at each report.
+	rateMemory = 0.9
+	// payback above 1 keeps debts from growing when the rates change.
+	payback = 1.2
+)
+
 // Forget drops accounts that neither wait nor stand ahead of the others, and
 // so bounds the scheduler by the accounts that were active of late.
 func (s *Scheduler) Forget() {
--- a/internal/limpetshare/limpetshare_test.go
+++ b/internal/limpetshare/limpetshare_test.go
@@ -81,10 +81,15 @@
 	})
 	Convey("service at other VMs counts", t, func() {
 		s := limpetshare.NewScheduler()
+		for range 4 {
+			s.Push(ticket("a", 1, 1))
+			s.Push(ticket("b", 1, 1))
+		}
 		s.Remote("a", 1000, 1)
-		s.Push(ticket("a", 1, 1))
-		s.Push(ticket("b", 1, 1))
-		So(s.Next().Account, ShouldEqual, "b")
+		So(s.Next().Account, ShouldEqual, "a")
+		for range 4 {
+			So(s.Next().Account, ShouldEqual, "b")
+		}
 	})
 	Convey("an account that was idle has saved up nothing", t, func() {
 		s := limpetshare.NewScheduler()
@@ -105,7 +110,7 @@
 }
 
 func newGate(places int) *limpetshare.Gate {
-	g := limpetshare.NewGate(limpetshare.Limits{Queue: 4, Wait: 10 * time.Second}, time.Now)
+	g := limpetshare.NewGate(limpetshare.Limits{Queue: 4, Wait: 10 * time.Second}, limpetshare.NewScheduler(), time.Now)
 	g.SetPlaces(places)
 	return g
 }
@@ -158,7 +163,7 @@
 func TestGateNeverExceedsItsPlaces(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("places that are taken away are not refilled", t, func() {
-			g := limpetshare.NewGate(limpetshare.Limits{Queue: 1000, Wait: time.Hour}, time.Now)
+			g := limpetshare.NewGate(limpetshare.Limits{Queue: 1000, Wait: time.Hour}, limpetshare.NewScheduler(), time.Now)
 			g.SetPlaces(8)
 			var group errgroup.Group
 			over := 0
--- /dev/null
+++ b/internal/limpetshare/together_test.go
@@ -0,0 +1,98 @@
+package limpetshare_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpetshare"
+)
+
+// A together holds schedulers of several VMs that tell each other what they
+// served once a period, as heartbeats do.
+type together struct {
+	schedulers []*limpetshare.Scheduler
+	weights    map[string]float64
+	// at reports whether an account sends requests to a VM.
+	at     func(account string, vm int) bool
+	served []map[string]float64
+}
+
+// period lets every VM serve n tickets, and then exchanges what was served.
+func (g *together) period(n int) map[string]float64 {
+	const cost = 141
+	served := map[string]float64{}
+	for range n {
+		for vm, s := range g.schedulers {
+			if next := s.Next(); next != nil {
+				served[next.Account] += next.Cost
+				g.served[vm][next.Account] += next.Cost
+				s.Push(ticket(next.Account, g.weights[next.Account], cost))
+			}
+		}
+	}
+	for vm, s := range g.schedulers {
+		for other := range g.schedulers {
+			if other == vm {
+				continue
+			}
+			for a, tokens := range g.served[other] {
+				s.Remote(a, tokens, g.weights[a])
+			}
+		}
+	}
+	for vm := range g.served {
+		g.served[vm] = map[string]float64{}
+	}
+	return served
+}
+
+func TestSharesHoldOverVMs(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		at   func(account string, vm int) bool
+	}{
+		{"every account at every VM", func(string, int) bool { return true }},
+		{"each small account at two VMs", func(a string, vm int) bool { return a < "a3" || vm%4 == int(a[1])%4 }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			Convey("each period's service follows the weights, and the sum closely", t, func() {
+				g := &together{weights: map[string]float64{"a1": 4, "a2": 4, "a3": 2, "a4": 1, "a5": 1, "a6": 1, "a7": 1, "a8": 1}, at: c.at}
+				for vm := range 8 {
+					s := limpetshare.NewScheduler()
+					g.schedulers = append(g.schedulers, s)
+					g.served = append(g.served, map[string]float64{})
+					for a, w := range g.weights {
+						if c.at(a, vm) {
+							for range 20 {
+								s.Push(ticket(a, w, 141))
+							}
+						}
+					}
+				}
+				const periods, perVM, warm = 30, 40, 5
+				sum, total := map[string]float64{}, 0.0
+				worst := 0.0
+				for p := range periods {
+					served := g.period(perVM)
+					if p < warm {
+						continue
+					}
+					all := 0.0
+					for a := range g.weights {
+						all += served[a]
+						sum[a] += served[a]
+						total += served[a]
+					}
+					for a, w := range g.weights {
+						worst = max(worst, (w/15-served[a]/all)/(w/15))
+					}
+				}
+				for a, w := range g.weights {
+					So(sum[a]/total, ShouldAlmostEqual, w/15, 0.05*w/15)
+				}
+				t.Logf("worst share of a period is %.0f%% below its weight", 100*worst)
+			})
+		})
+	}
+}
--- a/internal/limpettask/limpettask.go
+++ b/internal/limpettask/limpettask.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -15,6 +16,9 @@
 	group  *errgroup.Group
 	ctx    context.Context
 	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	stopped bool
 }
 
 // New returns a group whose context ends with parent, with the first failing
@@ -28,8 +32,13 @@
 // Context returns the context that the group's goroutines run under.
 func (g *Group) Context() context.Context { return g.ctx }
 
-// Go runs f in the group.
+// Go runs f in the group, unless the group was stopped.
 func (g *Group) Go(f func(ctx context.Context) error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return
+	}
 	g.group.Go(func() error { return f(g.ctx) })
 }
 
@@ -47,13 +56,13 @@
 
 // Stop cancels the group and waits for its goroutines.
 func (g *Group) Stop() error {
+	g.mu.Lock()
+	g.stopped = true
+	g.mu.Unlock()
 	g.cancel()
 	return g.group.Wait()
 }
 
-// Wait waits for the group's goroutines without cancelling them.
-func (g *Group) Wait() error { return g.group.Wait() }
-
 const jitterFraction = 0.2
 
 // Jitter returns d changed at random by up to a fifth either way.
--- /dev/null
+++ b/internal/limpettask/limpettask_test.go
@@ -0,0 +1,40 @@
+package limpettask_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpettask"
+)
+
+func TestStoppedGroupStartsNothing(t *testing.T) {
+	Convey("a goroutine that comes after the stop does not run", t, func() {
+		g := limpettask.New(context.Background())
+		So(g.Stop(), ShouldBeNil)
+		ran := make(chan struct{})
+		g.Go(func(context.Context) error { close(ran); return nil })
+		So(g.Stop(), ShouldBeNil)
+		select {
+		case <-ran:
+			t.Fatal("ran after the stop")
+		default:
+		}
+	})
+}
+
+func TestEveryEndsWithItsGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("the period is kept within its jitter", t, func() {
+			g := limpettask.New(context.Background())
+			n := 0
+			g.Every(time.Second, func(context.Context) { n++ })
+			time.Sleep(100 * time.Second)
+			So(g.Stop(), ShouldBeNil)
+			So(n, ShouldBeBetween, 80, 126)
+		})
+	})
+}
--- a/internal/limpetusage/limpetusage_test.go
+++ b/internal/limpetusage/limpetusage_test.go
@@ -142,7 +142,7 @@
 
 func FuzzDecodeRecord(f *testing.F) {
 	f.Add([]byte(`{"window":"20260102T030400Z","counts":{"a":{"tokens":1}}}`))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		if r, err := limpetusage.DecodeRecord(data); err == nil {
 			limpetusage.Freeze("w", []limpetusage.Record{r}, []limpetusage.Record{r}, nil, nil)
 		}
--- a/internal/limpetview/limpetview.go
+++ b/internal/limpetview/limpetview.go
@@ -35,6 +35,7 @@
 // Capacity returns the number of requests that a service's servers run at
 // once, the estimate of what other VMs have there, and the server count.
 func (v *View) Capacity(service string) (capacity, others, servers int) {
+	sum := 0.0
 	for i := range v.Servers[service] {
 		c := &v.Servers[service][i]
 		if c.Leaving {
@@ -42,9 +43,9 @@
 		}
 		servers++
 		capacity += c.Capacity
-		others += max(c.Reported-c.OwnThen, 0)
+		sum += c.Others
 	}
-	return capacity, others, servers
+	return capacity, int(sum), servers
 }
 
 // Places returns how many requests this VM may have at a service's servers:
--- a/limpetbench/main.go
+++ b/limpetbench/main.go
@@ -6,11 +6,15 @@
 	"github.com/alecthomas/kong"
 
 	"limpetmount.org/limpetbench/internal/limpetdemo"
+	"limpetmount.org/limpetbench/internal/limpetslope"
+	"limpetmount.org/limpetbench/internal/limpettrial"
 )
 
 // commandLine holds the commands of limpetbench.
 type commandLine struct {
-	Demo limpetdemo.Command `cmd:"" help:"Run the whole path with three VMs and check it."`
+	Demo       limpetdemo.Command  `cmd:"" help:"Run the whole path with three VMs and check it."`
+	Experiment limpettrial.Command `cmd:"" help:"Run a named, seeded experiment and write its table, CSV and plot."`
+	Slopes     limpetslope.Command `cmd:"" help:"Measure what VMs and objects cost, and project it to the design's size."`
 }
 
 func main() {
--- a/limpetd/main.go
+++ b/limpetd/main.go
@@ -41,7 +41,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	node, err := limpetnode.Start(context.Background(), settings, limpetnode.NewPeers(settings.Platform), log)
+	node, err := limpetnode.Start(context.Background(), settings, limpetnode.NewDeps(settings.Platform), log)
 	if err != nil {
 		return err
 	}
