Usage: counts that come later than three windows are billed too

Cause: TestUsageSurvivesAVM (counts only at another VM, windows of 2 s) was not billed in 60 s: a VM counts as gone after 15 s, and corrections looked back only three windows. With windows of 5 min the same loss needs 15 min of silence. Ruled out: the copy (it was complete), the write by the other VM (the record was in the store). Change: who writes a record of an older window notes it as late; the next freeze looks back as far as the oldest note, and removes it only when it did not change meanwhile. Store outages are logged (events 1201 and 1202 were defined and never written). Before: not billed; 'they come very late' red without the note; after: green. Conclusion: late counts have no horizon below 300 windows.

--- a/internal/limpetduty/limpetduty_test.go
+++ b/internal/limpetduty/limpetduty_test.go
@@ -75,7 +75,7 @@
 func (b *billing) flush(vm int, final bool) {
 	for _, r := range b.tallies[vm].Pending(time.Now(), final) {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		err := limpetduty.WriteRecord(ctx, b.stub.Client(), r)
+		err := limpetduty.Writer{Store: b.stub.Client(), Length: window, Now: time.Now}.Write(ctx, r)
 		cancel()
 		if err != nil {
 			return
@@ -124,6 +124,20 @@
 	return billed
 }
 
+// dieUnwritten kills a VM with counts that were not written, and writes them
+// after a time, as the VM that holds the copy does.
+func (b *billing) dieUnwritten(after time.Duration) {
+	b.mu.Lock()
+	b.muted[2] = true
+	b.mu.Unlock()
+	time.Sleep(window / 2)
+	b.mu.Lock()
+	b.dead[2] = true
+	b.mu.Unlock()
+	time.Sleep(after)
+	b.flush(2, true)
+}
+
 func TestBillsSurvive(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -153,17 +167,8 @@
 			b.stub.Fault = nil
 			b.stub.Unlock()
 		}},
-		{"a VM dies and its counts come late from another", func(b *billing) {
-			b.mu.Lock()
-			b.muted[2] = true
-			b.mu.Unlock()
-			time.Sleep(window / 2)
-			b.mu.Lock()
-			b.dead[2] = true
-			b.mu.Unlock()
-			time.Sleep(2 * window)
-			b.flush(2, true)
-		}},
+		{"a VM dies and its counts come late from another", func(b *billing) { b.dieUnwritten(2 * window) }},
+		{"they come very late", func(b *billing) { b.dieUnwritten(8 * window) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/limpetduty/usage.go
+++ b/internal/limpetduty/usage.go
@@ -36,17 +36,65 @@
 	return nil
 }
 
+// A late holds the oldest window that got counts after it may have been
+// frozen.
+type late struct {
+	Oldest string `json:"oldest"`
+}
+
+const lateKey = "usage/late"
+
+func decodeLate(data []byte) (late, error) {
+	var l late
+	if len(data) == 0 {
+		return l, nil
+	}
+	if err := json.Unmarshal(data, &l); err != nil {
+		return l, limpeterror.Invalid.Wrap(err, "late usage")
+	}
+	return l, nil
+}
+
+// A Writer holds how usage records are written.
+type Writer struct {
+	Store  limpetstore.Store
+	Length time.Duration
+	Now    func() time.Time
+}
+
+// Write writes a record. When its window is not the last one or a newer, the
+// window is noted as late, so that the next freeze looks back far enough.
+func (w Writer) Write(ctx context.Context, r limpetusage.Record) error {
+	if err := WriteRecord(ctx, w.Store, r); err != nil {
+		return err
+	}
+	if r.Window >= limpetusage.WindowOf(w.Now().Add(-w.Length), w.Length) {
+		return nil
+	}
+	data, err := json.Marshal(late{Oldest: r.Window})
+	if err != nil {
+		return limpeterror.Invalid.Wrap(err, "late usage")
+	}
+	_, err = w.Store.Update(ctx, lateKey,
+		func(limpetstore.Value) ([]byte, error) { return data, nil },
+		func(v limpetstore.Value) bool {
+			l, err := decodeLate(v.Data)
+			return err == nil && l.Oldest != "" && l.Oldest <= r.Window
+		})
+	return err
+}
+
 // HeldUsage holds other VMs' counts that may not be in the store yet, so that
 // they survive the death of their VM.
 type HeldUsage struct {
-	store   limpetstore.Store
+	writer  Writer
 	mu      sync.Mutex
 	records map[string]limpetusage.Record
 }
 
-// NewHeldUsage returns an empty holder that writes to s.
-func NewHeldUsage(s limpetstore.Store) *HeldUsage {
-	return &HeldUsage{store: s, records: map[string]limpetusage.Record{}}
+// NewHeldUsage returns an empty holder that writes with w.
+func NewHeldUsage(w Writer) *HeldUsage {
+	return &HeldUsage{writer: w, records: map[string]limpetusage.Record{}}
 }
 
 // Hold keeps the newest copy of a record.
@@ -70,7 +118,7 @@
 	h.mu.Unlock()
 	for key, r := range records {
 		write := gone(r)
-		if write && WriteRecord(ctx, h.store, r) != nil {
+		if write && h.writer.Write(ctx, r) != nil {
 			continue
 		}
 		if write || r.Window < before {
@@ -110,12 +158,13 @@
 	// waitWindows is how many windows long a live VM that has not closed a
 	// window is waited for.
 	waitWindows = 2
-	// correctedWindows is how many earlier windows are looked at for late
-	// counts.
-	correctedWindows = 3
-	reportAhead      = 5 * time.Second
-	reportTimeout    = 4 * time.Second
-	storeTimeout     = 3 * time.Second
+	// correctedWindows is how many earlier windows are always looked at for
+	// late counts, and mostCorrectedWindows how many at most.
+	correctedWindows     = 3
+	mostCorrectedWindows = 300
+	reportAhead          = 5 * time.Second
+	reportTimeout        = 4 * time.Second
+	storeTimeout         = 3 * time.Second
 )
 
 // Run reports windows in order until ctx ends.
@@ -232,7 +281,11 @@
 	if !ready && r.Now().Before(end.Add(waitWindows*r.Length)) {
 		return limpetusage.Frozen{}, false, nil
 	}
-	earlier, former, err := r.earlier(ctx, window)
+	noted, oldest, err := r.late(ctx)
+	if err != nil {
+		return limpetusage.Frozen{}, false, err
+	}
+	earlier, former, err := r.earlier(ctx, window, oldest)
 	if err != nil {
 		return limpetusage.Frozen{}, false, err
 	}
@@ -243,23 +296,44 @@
 	if v, err = r.Store.Create(ctx, limpetusage.FrozenKey(window), data); err != nil {
 		return limpetusage.Frozen{}, false, fmt.Errorf("freeze %s: %w", window, err)
 	}
+	if noted > 0 && slices.Equal(v.Data, data) {
+		// A note that changed since it was read stays for the next window.
+		_ = r.Store.Delete(ctx, lateKey, noted)
+	}
 	r.Log.Emit(limpetlog.WindowFrozen, limpetlog.Value("window", window), limpetlog.Value("missing", missing))
 	frozen, err := limpetusage.DecodeFrozen(v.Data)
 	return frozen, err == nil, err
 }
 
+// late returns the store's revision of the note of late counts, 0 when there
+// is none, and the oldest window that it names.
+func (r *Reporter) late(ctx context.Context) (revision uint64, oldest string, err error) {
+	v, err := r.Store.Get(ctx, lateKey)
+	if limpeterror.Is(err, limpeterror.NotFound) {
+		return 0, "", nil
+	}
+	if err != nil {
+		return 0, "", fmt.Errorf("late usage: %w", err)
+	}
+	l, err := decodeLate(v.Data)
+	return v.Revision, l.Oldest, err
+}
+
 // earlier returns the records and the frozen figures of the windows before
-// one, for corrections. The frozen windows reach back far enough to hold
-// every correction of those records.
-func (r *Reporter) earlier(ctx context.Context, window string) ([]limpetusage.Record, []limpetusage.Frozen, error) {
+// one, for corrections: of the last few, and as far back as late counts were
+// noted. The frozen windows hold every correction of those records.
+func (r *Reporter) earlier(ctx context.Context, window, oldest string) ([]limpetusage.Record, []limpetusage.Frozen, error) {
 	start, err := limpetusage.StartOf(window)
 	if err != nil {
 		return nil, nil, err
 	}
 	var records []limpetusage.Record
 	var former []limpetusage.Frozen
-	for i := 1; i <= correctedWindows; i++ {
+	for i := 1; i <= mostCorrectedWindows; i++ {
 		w := limpetusage.WindowOf(start.Add(-time.Duration(i)*r.Length), r.Length)
+		if i > correctedWindows && (oldest == "" || w < oldest) {
+			break
+		}
 		v, err := r.Store.Get(ctx, limpetusage.FrozenKey(w))
 		if limpeterror.Is(err, limpeterror.NotFound) {
 			break
--- a/internal/limpetlab/failure_test.go
+++ b/internal/limpetlab/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -20,6 +21,7 @@
 	"limpetmount.org/internal/limpetsettings"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpetstub"
+	"limpetmount.org/internal/limpetusage"
 )
 
 // storeCut cuts one VM off from the store.
@@ -333,3 +335,56 @@
 		So(limpetlab.Until(s.ctx, "released", func() bool { r, err := s.stream(1, "poison", 5); return err == nil && r.Whole }), ShouldBeNil)
 	})
 }
+
+func TestDataFolder(t *testing.T) {
+	folder := t.TempDir()
+	s := newSystem(t, limpetlab.Options{VMs: 1, Adjust: func(s *limpetsettings.Settings) { s.VM.Data = folder }}, 1)
+	Convey("a VM alone starts from its folder but honours no key before a confirmation", t, func() {
+		index := s.Nodes[0].View().Config.Index
+		So(s.Nodes[0].Kill(), ShouldBeNil)
+		s.Store.SetDown(true)
+		So(s.StartNode(0), ShouldBeNil)
+		So(limpetlab.Until(s.ctx, "configuration from the folder", func() bool { return s.Nodes[0].View().Config.Index == index }), ShouldBeNil)
+		So(limpetlab.Until(s.ctx, "outage noticed", func() bool { return s.Nodes[0].View().StoreDown }), ShouldBeNil)
+		So(s.status(0, s.caller), ShouldEqual, http.StatusServiceUnavailable)
+		s.Store.SetDown(false)
+		So(limpetlab.Until(s.ctx, "confirmed", func() bool { return s.status(0, s.caller) == 200 }), ShouldBeNil)
+	})
+}
+
+func TestUsageSurvivesAVM(t *testing.T) {
+	s := newSystem(t, limpetlab.Options{VMs: 3, Adjust: func(s *limpetsettings.Settings) { s.Timing.Window = 2 * time.Second }}, 1)
+	Convey("what a VM counted and could not write is billed by another", t, func() {
+		const requests, tokens = 5, 7
+		// The store is out while the requests run and their VM dies: only the
+		// copy at another VM has the counts.
+		s.Store.SetDown(true)
+		for i := range requests {
+			r, err := s.stream(0, fmt.Sprintf("billed %d", i), tokens)
+			So(err, ShouldBeNil)
+			So(r.Whole, ShouldBeTrue)
+		}
+		So(limpetlab.Until(s.ctx, "copied", func() bool { return s.Nodes[0].Copied() }), ShouldBeNil)
+		So(s.Nodes[0].Kill(), ShouldBeNil)
+		s.Store.SetDown(false)
+		So(limpetlab.Until(s.ctx, "billed", func() bool { return s.billed("desk").Tokens >= requests*tokens }), ShouldBeNil)
+		So(s.billed("desk").Tokens, ShouldEqual, requests*tokens)
+		So(s.billed("desk").Requests, ShouldEqual, requests)
+		So(s.Platform.Doubled, ShouldBeEmpty)
+	})
+}
+
+// billed sums an account's reports with their corrections.
+func (s *system) billed(account string) limpetusage.Count {
+	var total limpetusage.Count
+	for _, data := range s.Platform.ReportsOf(account) {
+		var r limpetusage.Report
+		if json.Unmarshal(data, &r) == nil {
+			total = total.Plus(r.Figures)
+			for _, c := range r.Corrections {
+				total = total.Plus(c.Count)
+			}
+		}
+	}
+	return total
+}
--- a/internal/limpetlab/limpetlab.go
+++ b/internal/limpetlab/limpetlab.go
@@ -113,8 +113,15 @@
 	return listener.Addr().String(), nil
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// vmIP returns the loopback address of VM i. Each process and VM has its own,
+// so that ports of other connections cannot collide with a VM's.
+func vmIP(i int) net.IP {
+	const octet = 250
+	return net.IPv4(127, byte(1+os.Getpid()%octet), byte(i/octet), byte(2+i%octet))
+}
+
+func freeAddress(ip net.IP) (string, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		return "", fmt.Errorf("free port: %w", err)
 	}
@@ -125,14 +132,14 @@
 // prepare makes the settings of VM i and lists it.
 func (l *Lab) prepare(i int) error {
 	name := fmt.Sprintf("vm%d", i+1)
-	if err := limpettls.Issue(l.Folder, name, []net.IP{net.IPv4(127, 0, 0, 1)}); err != nil {
+	if err := limpettls.Issue(l.Folder, name, []net.IP{vmIP(i)}); err != nil {
 		return err
 	}
 	s := limpetsettings.Default()
 	s.VM = limpetsettings.VM{Name: name, Zone: l.Zones[i%len(l.Zones)]}
 	for _, address := range []*string{&s.Caller.Address, &s.Peer.Address, &s.Operator.Address, &s.Metrics.Address} {
 		var err error
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = freeAddress(vmIP(i)); err != nil {
 			return err
 		}
 	}
--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -206,6 +206,13 @@
 	if old.Config != v.Config || !maps.Equal(old.Suspended, v.Suspended) || old.Honour != v.Honour {
 		n.front.Refresh(v)
 	}
+	if old.StoreDown != v.StoreDown {
+		e := limpetlog.StoreBack
+		if v.StoreDown {
+			e = limpetlog.StoreDown
+		}
+		n.log.Emit(e)
+	}
 	if !old.Ready() && v.Ready() {
 		n.log.Emit(limpetlog.NodeReady, limpetlog.Value("index", c.doc.Index))
 	}
--- a/internal/limpetnode/duties.go
+++ b/internal/limpetnode/duties.go
@@ -79,16 +79,20 @@
 	}
 }
 
+func (n *Node) usageWriter() limpetduty.Writer {
+	return limpetduty.Writer{Store: n.usageStore, Length: n.settings.Timing.Window, Now: time.Now}
+}
+
 // flushUsage gives the changed counts to a VM of another zone and writes them
 // to the store, and writes what this VM holds for VMs that are gone.
 func (n *Node) flushUsage(ctx context.Context, final bool) {
 	now := time.Now()
 	pending := n.tally.Pending(now, final)
 	n.holdElsewhere(ctx, pending)
-	store := n.usageStore
+	writer := n.usageWriter()
 	for _, r := range pending {
 		callCtx, cancel := context.WithTimeout(ctx, usageTimeout)
-		err := limpetduty.WriteRecord(callCtx, store, r)
+		err := writer.Write(callCtx, r)
 		cancel()
 		if err != nil {
 			break
@@ -138,7 +142,25 @@
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	// The counts are also written to the store; the copy is a second place.
-	_, _ = n.client.At(buddy.Peer).HoldUsage(callCtx, connect.NewRequest(q))
+	if _, err := n.client.At(buddy.Peer).HoldUsage(callCtx, connect.NewRequest(q)); err == nil {
+		n.copied.Store(sequences(records))
+	}
+}
+
+// sequences sums the sequence numbers of records, which grow with each count.
+func sequences(records []limpetusage.Record) uint64 {
+	sum := uint64(0)
+	for _, r := range records {
+		sum += r.Sequence
+	}
+	return sum
+}
+
+// Copied reports whether another VM holds all counts of this one that are not
+// in the store.
+func (n *Node) Copied() bool {
+	pending := n.tally.Pending(time.Now(), false)
+	return n.copied.Load() >= sequences(pending)
 }
 
 func (n *Node) orderer(store limpetstore.Store, fence uint64) *limpetduty.Orderer {
--- a/internal/limpetnode/limpetnode.go
+++ b/internal/limpetnode/limpetnode.go
@@ -96,6 +96,8 @@
 
 	// serversRevision is the revision of the last listing of backend servers.
 	serversRevision atomic.Uint64
+	// copied sums the sequence numbers of the records that another VM holds.
+	copied atomic.Uint64
 
 	mu      sync.Mutex
 	runners map[string]*limpetrollout.Runner
@@ -157,7 +159,7 @@
 	n.holder = limpetlease.New(store("leases"), n.self.Name, n.self.Incarnation, n.settings.Timing.Lease, time.Now)
 	n.tally = limpetusage.NewTally(n.self.Name, n.self.Incarnation, n.settings.Timing.Window)
 	n.usageStore = store("usage")
-	n.held = limpetduty.NewHeldUsage(n.usageStore)
+	n.held = limpetduty.NewHeldUsage(n.usageWriter())
 	n.client = limpetpeer.New(n.pair.Client(), n.deps.Dial)
 	n.serve = limpetserve.New(limpetserve.Seams{
 		View: n.View, Policy: n.deps.Policy, Engine: n.deps.Engine, Claim: n.claim,
