--- a/internal/limpetduty/limpetduty.go
+++ b/internal/limpetduty/limpetduty.go
@@ -29,6 +29,8 @@
 	View   func() *limpetview.View
 	Holder *limpetlease.Holder
 	Self   string
+	// Lease is the duration of a lease.
+	Lease time.Duration
 	// Wanted returns the duties that some VM must do.
 	Wanted func() []Duty
 	Log    *limpetlog.Logger
@@ -70,7 +72,7 @@
 	m.stopLost(ctx, wanted)
 	v := m.View()
 	for _, d := range wanted {
-		if m.isRunning(d.Name) || heldElsewhere(v, d.Name) {
+		if m.isRunning(d.Name) || m.heldElsewhere(v, d.Name) {
 			delete(m.free, d.Name)
 			continue
 		}
@@ -86,8 +88,14 @@
 	return m.running[name] != nil || m.stopping
 }
 
-func heldElsewhere(v *limpetview.View, name string) bool {
-	return slices.ContainsFunc(v.Members, func(s limpetmember.State) bool { return slices.Contains(s.Duties, name) })
+// heldElsewhere reports whether another VM said of late that it holds a duty.
+// A holder that was silent for longer than a lease lasts may have lost it; the
+// acquisition then tells.
+func (m *Manager) heldElsewhere(v *limpetview.View, name string) bool {
+	now := m.Now()
+	return slices.ContainsFunc(v.Members, func(s limpetmember.State) bool {
+		return now.Sub(s.Heard) < m.Lease && slices.Contains(s.Duties, name)
+	})
 }
 
 // turn reports whether it is this VM's turn to try a free duty.
--- a/internal/limpetengine/limpetengine.go
+++ b/internal/limpetengine/limpetengine.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpethttp"
 )
@@ -103,6 +105,15 @@
 	Dropped  bool   `json:"dropped"`
 }
 
+// PrefixBytes is the size of the part of a prompt under whose hash engines
+// announce that they have cached it.
+const PrefixBytes = 64
+
+// PrefixHash returns the hash under which engines announce a prompt.
+func PrefixHash(prompt string) uint64 {
+	return xxhash.Sum64String(prompt[:min(len(prompt), PrefixBytes)])
+}
+
 // Params holds a completion's parameters as the caller sent them. The system
 // reads and sets a few of them and passes on the rest unread.
 type Params map[string]json.RawMessage
--- a/internal/limpeterror/limpeterror.go
+++ b/internal/limpeterror/limpeterror.go
@@ -38,13 +38,8 @@
 // Is reports whether err has type t. The outermost typed error decides: an
 // Unknown that wraps an Unavailable is not Unavailable.
 func Is(err error, t *errorx.Type) bool {
-	for err != nil {
-		if e, ok := err.(*errorx.Error); ok {
-			return e.IsOfType(t)
-		}
-		err = errors.Unwrap(err)
-	}
-	return false
+	var e *errorx.Error
+	return errors.As(err, &e) && e.IsOfType(t)
 }
 
 // A Finding is one fault of an input and the place where it stands, for
--- a/internal/limpetlang/reference.go
+++ b/internal/limpetlang/reference.go
@@ -18,6 +18,8 @@
 var Examples = []string{
 	`show vms`,
 	`show servers where service = drafts and running > 10 sort by running desc limit 5`,
+	`show servers group by service, zone, class sum price`,
+	`show windows where state = frozen group by account sum tokens, server_ms`,
 	`show requests group by account sum requests sort by sum_requests desc`,
 	`show usage group by account sum tokens, server_ms`,
 	`show keys where account ~ "^desk"`,
--- a/internal/limpetmember/limpetmember.go
+++ b/internal/limpetmember/limpetmember.go
@@ -44,8 +44,16 @@
 	listKnown bool
 }
 
-// DownAfter is the silence after which a VM counts as down.
-const DownAfter = 5 * time.Second
+// SmallSystem is the number of other VMs up to which all exchange heartbeats
+// with all. In a larger system each talks to a few, and news travels through
+// others, so that silence must last longer before it means anything.
+const SmallSystem = 16
+
+// Silence after which a VM counts as down.
+const (
+	DownAfter      = 5 * time.Second
+	DownAfterLarge = 30 * time.Second
+)
 
 // forgetAfter is the silence after which a VM that is no longer listed is
 // dropped from the table.
@@ -67,7 +75,7 @@
 		return false
 	}
 	t.states[s.Name] = s
-	return !known || old.Incarnation != s.Incarnation || now.Sub(old.Heard) > DownAfter
+	return !known || old.Incarnation != s.Incarnation || now.Sub(old.Heard) > t.downAfter()
 }
 
 // List merges the platform's list, which only adds VMs to talk to: a lagging
@@ -81,6 +89,24 @@
 	}
 }
 
+// Count returns the number of other VMs that are listed or were heard of.
+func (t *Table) Count() int {
+	count := len(t.states)
+	for name := range t.listed {
+		if _, ok := t.states[name]; !ok {
+			count++
+		}
+	}
+	return count
+}
+
+func (t *Table) downAfter() time.Duration {
+	if t.Count() > SmallSystem {
+		return DownAfterLarge
+	}
+	return DownAfter
+}
+
 // Listed returns the number of other VMs on the platform's list, and whether
 // the list was ever read.
 func (t *Table) Listed() (count int, known bool) { return len(t.listed), t.listKnown }
@@ -89,7 +115,7 @@
 func (t *Table) Live(now time.Time) []State {
 	var live []State
 	for _, s := range t.states {
-		if now.Sub(s.Heard) <= DownAfter && !s.Leaving {
+		if now.Sub(s.Heard) <= t.downAfter() && !s.Leaving {
 			live = append(live, s)
 		}
 	}
--- a/internal/limpetmember/limpetmember_test.go
+++ b/internal/limpetmember/limpetmember_test.go
@@ -64,6 +64,21 @@
 		table.Expire(now.Add(time.Minute))
 		So(len(table.Known()), ShouldEqual, 1)
 	})
+	Convey("in a large system silence must last longer", t, func() {
+		table := limpetmember.New(self)
+		for i := range limpetmember.SmallSystem + 1 {
+			table.Hear(now, state(fmt.Sprintf("vm%d", i+1), "a", now))
+		}
+		So(table.Count(), ShouldEqual, limpetmember.SmallSystem+1)
+		So(len(table.Live(now.Add(2*limpetmember.DownAfter))), ShouldEqual, limpetmember.SmallSystem+1)
+		So(len(table.Live(now.Add(2*limpetmember.DownAfterLarge))), ShouldEqual, 0)
+	})
+	Convey("a VM that is listed and heard of counts once", t, func() {
+		table := limpetmember.New(self)
+		table.Hear(now, state("vm1", "a", now))
+		table.List([]limpetmember.VM{{Name: "vm1"}, {Name: "vm2"}})
+		So(table.Count(), ShouldEqual, 2)
+	})
 	Convey("partners are bounded, and one is in another zone", t, func() {
 		table := limpetmember.New(self)
 		for i := range 50 {
--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -33,6 +33,7 @@
 	// suspended holds the suspended keys by name.
 	suspended  map[string]suspension
 	servers    map[string]*serverState
+	prices     map[string]limpetorder.Price
 	quarantine *limpetquarantine.State
 	draining   bool
 	honour     bool
@@ -58,6 +59,9 @@
 	ownThen  int
 	misses   int
 	failedAt time.Time
+	// cached is replaced, never changed; cachedUpTo is the last event's number.
+	cached     limpetroute.Prefixes
+	cachedUpTo uint64
 }
 
 const (
@@ -254,7 +258,7 @@
 func (c *control) candidate(s *serverState, now time.Time) limpetroute.Candidate {
 	_, drained := c.doc.Drains[s.server.ID]
 	k := limpetroute.Candidate{
-		Server: s.server, Capacity: s.load.Capacity,
+		Server: s.server, Capacity: s.load.Capacity, Cached: s.cached,
 		Version: s.load.Version, Incarnation: s.load.Incarnation, ReportAt: s.load.At,
 		Leaving: drained || s.load.Draining || s.listed.State == limpetorder.Reclaiming,
 		Failing: now.Sub(s.failedAt) < failingFor || s.misses >= missesToFail,
@@ -379,6 +383,18 @@
 	}
 }
 
+// pricesEvent brings the prices of the zones.
+type pricesEvent struct {
+	prices []limpetorder.Price
+}
+
+func (e pricesEvent) apply(c *control, _ time.Time) {
+	c.prices = map[string]limpetorder.Price{}
+	for _, p := range e.prices {
+		c.prices[p.Zone] = p
+	}
+}
+
 // loadEvent brings a load report, or its failure.
 type loadEvent struct {
 	server  string
@@ -396,9 +412,43 @@
 		s.misses++
 		return
 	}
+	if s.load.Incarnation != e.load.Incarnation {
+		// A new process begins with an empty cache and counts from 1 again.
+		s.cached, s.cachedUpTo = nil, 0
+	}
 	s.load, s.loadAt, s.ownThen, s.misses = e.load, now, e.ownThen, 0
 }
 
+// cacheEvent brings what a server announced about its prefix cache.
+type cacheEvent struct {
+	server      string
+	incarnation string
+	events      []limpetengine.CacheEvent
+}
+
+// prefixesKept bounds what is known of one server's cache.
+const prefixesKept = 4096
+
+func (e cacheEvent) apply(c *control, _ time.Time) {
+	s, ok := c.servers[e.server]
+	if !ok || s.load.Incarnation != e.incarnation || len(e.events) == 0 {
+		return
+	}
+	next := maps.Clone(s.cached)
+	if next == nil || len(next) > prefixesKept {
+		next = limpetroute.Prefixes{}
+	}
+	for _, a := range e.events {
+		s.cachedUpTo = max(s.cachedUpTo, a.Sequence)
+		if a.Dropped {
+			delete(next, a.Prefix)
+		} else {
+			next[a.Prefix] = struct{}{}
+		}
+	}
+	s.cached = next
+}
+
 // failedEvent says that an attempt at a server failed.
 type failedEvent struct {
 	server string
--- a/internal/limpetnode/feed.go
+++ b/internal/limpetnode/feed.go
@@ -143,8 +143,7 @@
 
 const (
 	heartbeatTimeout = time.Second
-	// smallSystem is the number of VMs up to which all exchange heartbeats.
-	smallSystem   = 16
+	// fewPartners and relayedStates bound a heartbeat in a large system.
 	fewPartners   = 3
 	relayedStates = 16
 )
@@ -153,8 +152,8 @@
 func (n *Node) heartbeat(ctx context.Context) {
 	var partners []limpetmember.VM
 	n.ask(func(c *control) {
-		count := c.peerCount()
-		if count > smallSystem {
+		count := c.table.Count()
+		if count > limpetmember.SmallSystem {
 			count = fewPartners
 		}
 		partners = c.table.Partners(count, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
@@ -172,12 +171,6 @@
 	_ = g.Wait()
 }
 
-// peerCount returns an upper bound of the number of other VMs.
-func (c *control) peerCount() int {
-	listed, _ := c.table.Listed()
-	return len(c.table.Known()) + listed
-}
-
 func (n *Node) heartbeatWith(ctx context.Context, p limpetmember.VM) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
@@ -226,12 +219,12 @@
 			VM: n.self, Applied: c.doc.Index, ConfirmedAt: c.confirmedAt, StoreDown: n.health.down(now),
 			Leaving: c.draining, Duties: duties, Heard: now,
 		}, now, suspended, consumed)
-		live := c.table.Live(now)
-		if len(live) <= smallSystem {
+		if c.table.Count() <= limpetmember.SmallSystem {
 			return
 		}
+		live := c.table.Live(now)
 		rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-		for _, s := range live[:relayedStates] {
+		for _, s := range live[:min(relayedStates, len(live))] {
 			others = append(others, limpetpeer.EncodeState(s, now, nil, nil))
 		}
 	})
@@ -293,12 +286,29 @@
 	n.send(serversEvent{servers: listing.Servers})
 }
 
+func (n *Node) readPrices(ctx context.Context) {
+	prices, err := n.deps.Orders.Prices(ctx)
+	if err != nil {
+		n.log.Emit(limpetlog.PeerCallFailed, limpetlog.Value("peer", "ordering"), limpetlog.Error(err))
+		return
+	}
+	n.send(pricesEvent{prices: prices})
+}
+
 const loadCallsAtOnce = 32
 
-// readLoads reads the load reports of the engines in this VM's subset.
-func (n *Node) readLoads(ctx context.Context) {
+// A reportTarget holds an engine whose reports are read.
+type reportTarget struct {
+	server      *limpetroute.Server
+	incarnation string
+	cachedUpTo  uint64
+}
+
+// targets returns the engines in this VM's subset.
+func (n *Node) targets() []reportTarget {
 	var engines []*limpetroute.Server
 	var vms []string
+	known := map[*limpetroute.Server]reportTarget{}
 	n.ask(func(c *control) {
 		vms = append(vms, n.self.Name)
 		for _, m := range c.table.Live(time.Now()) {
@@ -307,15 +317,42 @@
 		for _, s := range c.servers {
 			if s.listed.State != limpetorder.Starting && c.doc.Services[s.server.Service].Kind == limpetconfig.Engine {
 				engines = append(engines, s.server)
+				known[s.server] = reportTarget{server: s.server, incarnation: s.load.Incarnation, cachedUpTo: s.cachedUpTo}
 			}
 		}
 	})
+	var targets []reportTarget
+	for _, s := range limpetroute.Subset(engines, n.self.Name, vms, replicas) {
+		targets = append(targets, known[s])
+	}
+	return targets
+}
+
+// readLoads reads load reports.
+func (n *Node) readLoads(ctx context.Context) {
 	var g errgroup.Group
 	g.SetLimit(loadCallsAtOnce)
-	for _, s := range limpetroute.Subset(engines, n.self.Name, vms, replicas) {
+	for _, t := range n.targets() {
+		g.Go(func() error {
+			load, err := n.deps.Engine.Load(ctx, t.server.Address)
+			n.send(loadEvent{server: t.server.ID, load: load, ownThen: int(t.server.Own.Load()), err: err})
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// readCaches reads what engines announce about their prefix caches. An engine
+// that announces nothing costs only locality.
+func (n *Node) readCaches(ctx context.Context) {
+	var g errgroup.Group
+	g.SetLimit(loadCallsAtOnce)
+	for _, t := range n.targets() {
 		g.Go(func() error {
-			load, err := n.deps.Engine.Load(ctx, s.Address)
-			n.send(loadEvent{server: s.ID, load: load, ownThen: int(s.Own.Load()), err: err})
+			events, err := n.deps.Engine.Cache(ctx, t.server.Address, t.cachedUpTo)
+			if err == nil && len(events) > 0 {
+				n.send(cacheEvent{server: t.server.ID, incarnation: t.incarnation, events: events})
+			}
 			return nil
 		})
 	}
@@ -345,7 +382,7 @@
 func (n *Node) tellAll(ctx context.Context, call func(context.Context, limpetwire.PeerServiceClient) error) []string {
 	var vms []limpetmember.VM
 	n.ask(func(c *control) {
-		vms = c.table.Partners(c.peerCount(), rand.New(rand.NewPCG(0, 0)))
+		vms = c.table.Partners(c.table.Count(), rand.New(rand.NewPCG(0, 0)))
 	})
 	var mu sync.Mutex
 	var told []string
--- a/internal/limpetnode/limpetnode.go
+++ b/internal/limpetnode/limpetnode.go
@@ -170,7 +170,7 @@
 		View: n.View, Serve: n.serve, CallJob: n.callJob, Metrics: n.metrics, Log: n.log, Unique: unique,
 	}, n.settings.Limits, n.settings.Timing)
 	n.duties = limpetduty.NewManager(limpetduty.ManagerSeams{
-		View: n.View, Holder: n.holder, Self: n.self.Name, Log: n.log, Now: time.Now,
+		View: n.View, Holder: n.holder, Self: n.self.Name, Lease: n.settings.Timing.Lease, Log: n.log, Now: time.Now,
 		Wanted: func() []limpetduty.Duty { return n.wantedDuties(store) },
 	})
 }
@@ -256,7 +256,9 @@
 	n.group.Every(timing.Heartbeat, n.heartbeat)
 	n.group.Every(listPeriod, n.readList)
 	n.group.Every(timing.Load, n.readServers)
+	n.group.Every(pricePeriod, n.readPrices)
 	n.group.Every(timing.Load, n.readLoads)
+	n.group.Every(cacheFactor*timing.Load, n.readCaches)
 	n.group.Every(timing.Lease/renewFraction, n.renew)
 	n.group.Every(flushPeriod(timing.Window), func(ctx context.Context) { n.flushUsage(ctx, false) })
 	n.group.Every(suspendPeriod, n.appendSuspended)
@@ -265,7 +267,10 @@
 
 const (
 	listPeriod    = 2 * time.Second
+	pricePeriod   = 30 * time.Second
 	renewFraction = 3
+	// cacheFactor times the period of load reports is that of cache events.
+	cacheFactor   = 2
 	suspendPeriod = time.Second
 )
 
--- a/internal/limpetnode/tables.go
+++ b/internal/limpetnode/tables.go
@@ -11,6 +11,7 @@
 
 	"limpetmount.org/internal/limpetconfig"
 	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetfleet"
 	"limpetmount.org/internal/limpetlang"
 	"limpetmount.org/internal/limpetoperator"
 	"limpetmount.org/internal/limpetrollout"
@@ -170,7 +171,7 @@
 }
 
 func (n *Node) serverTable() limpetlang.Table {
-	t := limpetlang.Table{Columns: []string{"server", "service", "zone", "class", "state", "version", "running", "queued", "capacity", "report_age_ms", "failing"}}
+	t := limpetlang.Table{Columns: []string{"server", "service", "zone", "class", "state", "version", "running", "queued", "capacity", "report_age_ms", "failing", "price"}}
 	n.ask(func(c *control) {
 		now := time.Now()
 		for _, id := range slices.Sorted(maps.Keys(c.servers)) {
@@ -184,6 +185,7 @@
 				limpetlang.Text(id), limpetlang.Text(s.server.Service), limpetlang.Text(s.server.Zone), limpetlang.Text(string(s.server.Class)),
 				limpetlang.Text(state), limpetlang.Number(s.load.Version), limpetlang.Number(s.load.Running), limpetlang.Number(s.load.Queued),
 				limpetlang.Number(k.Capacity), limpetlang.Number(now.Sub(s.load.At).Milliseconds()), limpetlang.Text(fmt.Sprint(k.Failing)),
+				limpetlang.Number(limpetfleet.PriceOf(c.prices[s.server.Zone], s.server.Class)),
 			})
 		}
 	})
@@ -212,7 +214,7 @@
 // windowTable lists the newest usage windows by VM and account with their
 // state.
 func (n *Node) windowTable(ctx context.Context) (limpetlang.Table, error) {
-	t := limpetlang.Table{Columns: []string{"window", "state", "vm", "account", "requests", "prompt_tokens", "tokens"}}
+	t := limpetlang.Table{Columns: []string{"window", "state", "vm", "account", "requests", "prompt_tokens", "tokens", "server_ms"}}
 	length := n.settings.Timing.Window
 	for i := range shownWindows {
 		w := limpetusage.WindowOf(time.Now().Add(-time.Duration(i)*length), length)
@@ -233,7 +235,7 @@
 				c := r.Counts[a]
 				t.Rows = append(t.Rows, []limpetlang.Cell{
 					limpetlang.Text(w), limpetlang.Text(state), limpetlang.Text(r.VM), limpetlang.Text(a),
-					limpetlang.Number(c.Requests), limpetlang.Number(c.PromptTokens), limpetlang.Number(c.Tokens),
+					limpetlang.Number(c.Requests), limpetlang.Number(c.PromptTokens), limpetlang.Number(c.Tokens), limpetlang.Number(c.ServerMillis),
 				})
 			}
 		}
--- a/internal/limpetroute/limpetroute.go
+++ b/internal/limpetroute/limpetroute.go
@@ -40,6 +40,9 @@
 	Others      float64
 	Version     uint64
 	Incarnation string
+	// Cached holds the prompt prefixes that the server is known to have cached.
+	// It is shared by views and never changed.
+	Cached Prefixes
 	// Leaving excludes the server from new work.
 	Leaving bool
 	// Failing excludes the server unless nothing else is left.
@@ -47,6 +50,9 @@
 	ReportAt time.Time
 }
 
+// Prefixes is a set of hashes of prompt prefixes.
+type Prefixes map[uint64]struct{}
+
 // Load returns the estimated number of requests at the server: other VMs' by
 // the last report, and this VM's own as they are now.
 func (c *Candidate) Load() float64 {
@@ -117,8 +123,8 @@
 const choices = 3
 
 // Pick returns the index of the server for a request, or None. It compares a
-// few servers drawn at random, and the one that rendezvous hashing assigns to
-// the request's prefix, and takes the one with the lowest score: the estimated
+// few servers drawn at random, and the one where the request's prefix
+// is at home, and takes the one with the lowest score: the estimated
 // load relative to capacity, less a bonus for the prefix's server while that
 // is not crowded, plus a cost for leaving the availability zone or the price
 // class. Comparing few instead of all keeps VMs that read the same lagging
@@ -168,14 +174,31 @@
 	return !c.Leaving && c.Version >= q.MinVersion && (len(q.Exclude) == 0 || !slices.Contains(q.Exclude, c.ID))
 }
 
-// homeOf returns the candidate that rendezvous hashing assigns to the prefix,
-// so that all VMs send equal prefixes to the same server without agreement.
+// homeOf returns the candidate where the prefix is best at home: the least
+// loaded of those that announced it, or else the one that rendezvous hashing
+// assigns to it, so that all VMs send equal prefixes to the same server without
+// agreement. Announcements come late and with gaps; a wrong one costs no more
+// than a cache miss.
 func homeOf(candidates []Candidate, q Query) int {
 	home, top := None, uint64(0)
+	cached, least := None, 0.0
 	for i := range candidates {
-		if w := mix(candidates[i].Hash ^ q.Prefix); eligible(&candidates[i], q) && (home == None || w > top) {
+		c := &candidates[i]
+		if !eligible(c, q) {
+			continue
+		}
+		if w := mix(c.Hash ^ q.Prefix); home == None || w > top {
 			home, top = i, w
 		}
+		if _, ok := c.Cached[q.Prefix]; !ok {
+			continue
+		}
+		if load := c.Load() / float64(max(c.Capacity, 1)); cached == None || load < least {
+			cached, least = i, load
+		}
+	}
+	if cached != None {
+		return cached
 	}
 	return home
 }
--- a/internal/limpetroute/limpetroute_test.go
+++ b/internal/limpetroute/limpetroute_test.go
@@ -78,6 +78,24 @@
 	})
 }
 
+func TestAnnouncedPrefixes(t *testing.T) {
+	Convey("a server that announced the prefix goes before the hashed one", t, func() {
+		var candidates []limpetroute.Candidate
+		for i := range 8 {
+			candidates = append(candidates, candidate(fmt.Sprintf("e%d", i), "a", 2))
+		}
+		q := limpetroute.Query{Zone: "a", Prefix: 42, PromptBytes: 1 << 20}
+		hashed := limpetroute.Pick(candidates, q)
+		for _, i := range []int{(hashed + 3) % 8, (hashed + 5) % 8} {
+			candidates[i].Cached = limpetroute.Prefixes{42: {}}
+		}
+		candidates[(hashed+3)%8].Others = 4
+		So(limpetroute.Pick(candidates, q), ShouldEqual, (hashed+5)%8)
+		candidates[(hashed+5)%8].Leaving = true
+		So(limpetroute.Pick(candidates, q), ShouldEqual, (hashed+3)%8)
+	})
+}
+
 func TestEstimate(t *testing.T) {
 	reports := []limpetroute.Report{{Others: 8}, {Others: 0}}
 	Convey("a fresh report is taken as it is, an old one as the mean", t, func() {
--- a/internal/limpetserve/complete.go
+++ b/internal/limpetserve/complete.go
@@ -208,7 +208,7 @@
 	candidates := view.Servers[c.Service]
 	suspect := view.Quarantine.Suspects[c.Fingerprint]
 	query := limpetroute.Query{
-		Zone: s.zone, Prefix: prefixOf(c.Prompt), PromptBytes: len(c.Prompt), MinVersion: c.MinVersion,
+		Zone: s.zone, Prefix: limpetengine.PrefixHash(c.Prompt), PromptBytes: len(c.Prompt), MinVersion: c.MinVersion,
 		Exclude: a.exclude, Alone: suspect, Cheap: c.Cheap, Random: rand.Uint64(),
 	}
 	picked := s.Policy.Pick(candidates, query)
@@ -232,13 +232,6 @@
 	return err
 }
 
-// prefixOf returns the hash of a prompt's beginning, under which requests that
-// share a cached prefix meet.
-func prefixOf(prompt string) uint64 {
-	const prefixBytes = 64
-	return limpetquarantine.Fingerprint("", "", []byte(prompt[:min(len(prompt), prefixBytes)]))
-}
-
 // params returns the body for the engine, with the answer so far when the
 // request goes on elsewhere.
 func (a *attempt) params() ([]byte, error) {
--- a/internal/limpetstub/engine.go
+++ b/internal/limpetstub/engine.go
@@ -44,6 +44,12 @@
 	Silent bool
 	// Truncate ends streams after so many tokens without an end mark.
 	Truncate int
+	// CacheSize is the number of prefixes that the cache holds; 0 for all.
+	CacheSize int
+	// LoseEvents loses every so many-th cache event; 0 for none.
+	LoseEvents int
+	// Hits counts prompts whose prefix was cached.
+	Hits int
 	// FetchWeights waits for the weight store when a version is staged.
 	FetchWeights func(ctx context.Context, version uint64) error
 
@@ -55,6 +61,8 @@
 	batch           chan struct{}
 	down            chan struct{}
 	cached          map[uint64]bool
+	oldest          []uint64
+	sequence        uint64
 	events          []limpetengine.CacheEvent
 	report          limpetengine.Load
 	// Runs counts generations that began, by prompt.
@@ -96,7 +104,7 @@
 	e.down = make(chan struct{})
 	e.version, e.staged = 1, 1
 	e.starts++
-	e.cached = map[uint64]bool{}
+	e.cached, e.oldest, e.events = map[uint64]bool{}, nil, nil
 }
 
 func (e *Engine) mark() (m *limpetengine.Mark, down chan struct{}, step time.Duration) {
@@ -166,10 +174,13 @@
 func (e *Engine) eventsAfter(sequence uint64) []limpetengine.CacheEvent {
 	e.Lock()
 	defer e.Unlock()
-	if sequence >= uint64(len(e.events)) {
-		return []limpetengine.CacheEvent{}
+	events := []limpetengine.CacheEvent{}
+	for _, c := range e.events {
+		if c.Sequence > sequence {
+			events = append(events, c)
+		}
 	}
-	return append([]limpetengine.CacheEvent{}, e.events[sequence:]...)
+	return events
 }
 
 func (e *Engine) order(ctx context.Context, o limpetengine.Order) error {
@@ -203,12 +214,6 @@
 	return nil
 }
 
-// PrefixHash returns the hash under which engines announce a cached prompt.
-func PrefixHash(prompt string) uint64 {
-	const prefixBytes = 64
-	return xxhash.Sum64String(prompt[:min(len(prompt), prefixBytes)])
-}
-
 // enter waits for a place in the batch and returns the prefill time.
 func (e *Engine) enter(ctx context.Context, prompt string) (prefill time.Duration, ok bool) {
 	e.Lock()
@@ -227,12 +232,31 @@
 	}
 	e.running++
 	e.Runs[prompt]++
-	if hash := PrefixHash(prompt); !e.cached[hash] {
-		e.cached[hash] = true
-		e.events = append(e.events, limpetengine.CacheEvent{Sequence: uint64(len(e.events) + 1), Prefix: hash})
-		prefill = e.PrefillTime * time.Duration(len(prompt)) / 1000
+	hash := limpetengine.PrefixHash(prompt)
+	if e.cached[hash] {
+		e.Hits++
+		return 0, true
+	}
+	e.remember(hash)
+	return e.PrefillTime * time.Duration(len(prompt)) / 1000, true
+}
+
+// remember caches a prefix and drops the oldest beyond the cache's size.
+func (e *Engine) remember(hash uint64) {
+	announce := func(prefix uint64, dropped bool) {
+		e.sequence++
+		if e.LoseEvents == 0 || e.sequence%uint64(e.LoseEvents) != 0 {
+			e.events = append(e.events, limpetengine.CacheEvent{Sequence: e.sequence, Prefix: prefix, Dropped: dropped})
+		}
+	}
+	e.cached[hash] = true
+	e.oldest = append(e.oldest, hash)
+	announce(hash, false)
+	if e.CacheSize > 0 && len(e.oldest) > e.CacheSize {
+		delete(e.cached, e.oldest[0])
+		announce(e.oldest[0], true)
+		e.oldest = e.oldest[1:]
 	}
-	return prefill, true
 }
 
 func (e *Engine) leave() {
@@ -318,3 +342,10 @@
 	defer e.Unlock()
 	return e.running
 }
+
+// Version returns the version of the active weights.
+func (e *Engine) Version() uint64 {
+	e.Lock()
+	defer e.Unlock()
+	return e.version
+}
--- /dev/null
+++ b/limpetbench/internal/limpetdemo/limpetdemo_test.go
@@ -0,0 +1,15 @@
+package limpetdemo_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/limpetbench/internal/limpetdemo"
+)
+
+func TestDemo(t *testing.T) {
+	Convey("the whole path holds", t, func() {
+		So((&limpetdemo.Command{}).Run(), ShouldBeNil)
+	})
+}
--- a/limpetbench/internal/limpetload/limpetload.go
+++ b/limpetbench/internal/limpetload/limpetload.go
@@ -11,6 +11,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"limpetmount.org/internal/limpetengine"
 	"limpetmount.org/internal/limpetlab"
 	"limpetmount.org/internal/limpetstub"
 	"limpetmount.org/internal/limpettask"
@@ -29,7 +30,9 @@
 	// Shared is the number of different prompt beginnings; 0 makes every
 	// prompt different from its start.
 	Shared int
-	Seed   uint64
+	// Bytes is the size of a prompt.
+	Bytes int
+	Seed  uint64
 }
 
 const (
@@ -70,6 +73,11 @@
 	return time.Duration(r.Total.ValueAtQuantile(percentile)) * time.Microsecond
 }
 
+// FirstAt returns a percentile of the time to the first token.
+func (r *Result) FirstAt(percentile float64) time.Duration {
+	return time.Duration(r.First.ValueAtQuantile(percentile)) * time.Microsecond
+}
+
 // P50 returns the median of the whole answer's time.
 func (r *Result) P50() time.Duration {
 	const percentile = 50
@@ -141,9 +149,10 @@
 	}
 }
 
-// prompt returns a prompt of about 400 bytes.
+// prompt returns a prompt of the source's size, 400 bytes by default.
 func (s Source) prompt(random *rand.Rand, n int) string {
-	const prefix, body = 64, 340
+	const prefix, usual = limpetengine.PrefixBytes, 400
+	body := max(s.Bytes, usual) - prefix
 	if s.Shared == 0 {
 		return fmt.Sprintf("%-*s", prefix+body, fmt.Sprintf("%s request %d", s.Account, n))
 	}
--- a/limpetbench/internal/limpettrial/limpettrial.go
+++ b/limpetbench/internal/limpettrial/limpettrial.go
@@ -40,6 +40,8 @@
 	"rollout":  {"trainer idle time with stragglers and crashing engines, beside live load", runRollout},
 	"withdraw": {"seconds from a withdrawal to the last accepted use, with and without a store outage", runWithdraw},
 	"takeover": {"seconds until a job answers again after its owner's death and graceful shutdown", runTakeover},
+	"weights":  {"seconds from a publication to the version on all engines, through a rate-limited weight store", runWeights},
+	"cache":    {"cache hits and time to the first token with long shared prompts, round robin against the product's routing", runCache},
 	"fleet":    {"spending and waiting with a fixed fleet against the product's orders", runFleet},
 }
 
--- /dev/null
+++ b/limpetbench/internal/limpettrial/weights.go
@@ -0,0 +1,95 @@
+package limpettrial
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"limpetmount.org/internal/limpetlab"
+	"limpetmount.org/limpetbench/internal/limpetplot"
+)
+
+const (
+	weightEngines = 64
+	// fetchRate is the number of fetches a second that the weight store lets
+	// through, and fetchBurst those that it lets through at once.
+	fetchRate  = 40
+	fetchBurst = 8
+	weightRuns = 10
+)
+
+// runWeights measures the time from a publication until every engine reports
+// the version, with a weight store that limits its rate, and with every eighth
+// swap failing at first.
+func runWeights(ctx context.Context, _ *Command) (*limpetplot.Report, error) {
+	r := &limpetplot.Report{Name: "weights", Columns: timeColumns}
+	z := office
+	z.vms, z.engines = 4, weightEngines
+	lab, end, err := newLab(ctx, z, variants[1], nil, accountsOf([]float64{1})+"create job notes account=a1 service=drafts publishes=true")
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	token, err := lab.GrantKey(ctx, 0, "t1", "a1", "trainer")
+	if err != nil {
+		return nil, err
+	}
+	trainer := &limpetlab.Trainer{Caller: limpetlab.NewCaller(lab.URL(0), token), Job: "notes"}
+	if err := trainer.Open(ctx, "t"); err != nil {
+		return nil, err
+	}
+	limiter := rate.NewLimiter(fetchRate, fetchBurst)
+	for _, e := range lab.Engines() {
+		e.Lock()
+		e.FetchWeights = func(ctx context.Context, _ uint64) error { return limiter.Wait(ctx) }
+		e.Unlock()
+	}
+	version := uint64(1)
+	for _, failing := range []bool{false, true} {
+		var times []time.Duration
+		for range weightRuns {
+			version++
+			t, err := publishOnce(ctx, lab, trainer, version, failing)
+			if err != nil {
+				return nil, err
+			}
+			times = append(times, t)
+		}
+		name := fmt.Sprintf("%d engines, %d fetches/s", weightEngines, fetchRate)
+		if failing {
+			name += ", every eighth swap fails for 1 s"
+		}
+		addTimes(r, name, times)
+	}
+	return r, nil
+}
+
+func publishOnce(ctx context.Context, lab *limpetlab.Lab, trainer *limpetlab.Trainer, version uint64, failing bool) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*eventTime)
+	defer cancel()
+	const failEvery = 8
+	setFailing := func(on bool) {
+		for i, e := range lab.Engines() {
+			e.Lock()
+			e.FailSwaps = on && i%failEvery == 0
+			e.Unlock()
+		}
+	}
+	setFailing(failing)
+	time.AfterFunc(time.Second, func() { setFailing(false) })
+	began := time.Now()
+	if err := trainer.Publish(ctx, version); err != nil {
+		return 0, err
+	}
+	err := limpetlab.Until(ctx, "the version on all engines", func() bool {
+		for _, e := range lab.Engines() {
+			if e.Version() != version {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(began), err
+}
--- a/limpetctl/internal/limpetcommand/limpetcommand.go
+++ b/limpetctl/internal/limpetcommand/limpetcommand.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 
@@ -54,6 +55,8 @@
 	Config string `help:"Configuration file in INI." default:"limpetctl.ini" env:"LIMPETCTL_CONFIG" type:"path"`
 	Output string `help:"table or json." enum:"table,json" default:"table" short:"o"`
 	DryRun bool   `help:"Show what a change would do, and do nothing."`
+	// Out gets the results.
+	Out io.Writer `kong:"-"`
 }
 
 // Line holds the commands of limpetctl.
@@ -170,5 +173,5 @@
 	if err != nil {
 		return err
 	}
-	return g.print(os.Stdout, reply)
+	return g.print(g.Out, reply)
 }
--- a/limpetctl/internal/limpetcommand/objects.go
+++ b/limpetctl/internal/limpetcommand/objects.go
@@ -125,7 +125,7 @@
 	err := g.show(ctx, fmt.Sprintf("create key %s account=%s role=%s hash=%s",
 		limpetlang.Quote(c.Name), limpetlang.Quote(c.Account), c.Role, limpetlang.Quote(hash)))
 	if err == nil && !g.DryRun {
-		fmt.Println(token)
+		fmt.Fprintln(g.Out, token)
 	}
 	return err
 }
--- a/limpetctl/main.go
+++ b/limpetctl/main.go
@@ -13,7 +13,7 @@
 )
 
 func main() {
-	var line limpetcommand.Line
+	line := limpetcommand.Line{Global: limpetcommand.Global{Out: os.Stdout}}
 	k := kong.Parse(&line, kong.Name("limpetctl"), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Description("Operators' client of limpetmount.\n\n"+limpetcommand.ExitCodes),
 		kong.BindTo(context.Background(), (*context.Context)(nil)), kong.Bind(&line.Global))
