"Not run" is true when a request was ended while it ran

Cause: found while reading: a completion that crashed two servers was answered as a refusal (outcome not_run) although it ran; a call whose key was withdrawn while it ran was answered not_run too; and a completion whose caller's side broke at the first token. Change: the outcome follows what the attempts did, whatever ended the request; a withdrawn key stays the reason in the message. In a large system heartbeats go out every fourth period with 8 relayed states, receivers pull a newer configuration too, and 3 VMs stand in front of each engine. Conclusion: outcome and reason are two things; they are kept apart now.

--- a/internal/limpetcaller/complete.go
+++ b/internal/limpetcaller/complete.go
@@ -213,12 +213,18 @@
 	return controller.Flush()
 }
 
-// endCause returns the reason why a request was ended, if it was.
+// endCause returns the reason why a request was ended, if it was, as the error
+// to answer with. The outcome stays that of the request: a withdrawn key does
+// not undo what ran.
 func endCause(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil && limpeterror.Is(cause, limpeterror.Denied) {
-		return cause
+	cause := context.Cause(ctx)
+	if cause == nil || !limpeterror.Is(cause, limpeterror.Denied) {
+		return err
+	}
+	if _, body := describe(err); body.Outcome == Unknown {
+		return limpeterror.Unknown.Wrap(cause, "the request may have run")
 	}
-	return err
+	return cause
 }
 
 // A wholeReply holds the answer to a request that was not streamed.
--- a/internal/limpetlab/failure_test.go
+++ b/internal/limpetlab/failure_test.go
@@ -13,6 +13,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sync/errgroup"
 
+	"limpetmount.org/internal/limpetcaller"
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetlab"
 	"limpetmount.org/internal/limpetnode"
@@ -146,6 +147,32 @@
 	}
 }
 
+func TestWithdrawalDoesNotUndoWhatRan(t *testing.T) {
+	s := newSystem(t, limpetlab.Options{VMs: 1}, 1)
+	Convey("a call that runs when its key is withdrawn is not called not run", t, func() {
+		victim, err := s.GrantKey(s.ctx, 0, "victim", "desk", "caller")
+		So(err, ShouldBeNil)
+		s.service.Lock()
+		s.service.Delay = time.Second
+		s.service.Unlock()
+		answers := make(chan limpetlab.Reply, 1)
+		s.Go(func() {
+			r, _ := limpetlab.NewCaller(s.URL(0), victim).Do(s.ctx, http.MethodPost, "/records/fees", nil, []byte("fee"))
+			answers <- r
+		})
+		So(limpetlab.Until(s.ctx, "a call", func() bool {
+			t, err := s.Query(s.ctx, 0, "show requests where service = records")
+			return err == nil && len(t.Rows) == 1
+		}), ShouldBeNil)
+		_, err = s.Operate(s.ctx, 0, "withdraw key victim")
+		So(err, ShouldBeNil)
+		r := <-answers
+		So(r.ErrorBody().Outcome, ShouldEqual, limpetcaller.Unknown)
+		So(r.ErrorBody().Message, ShouldContainSubstring, "withdrawn")
+		So(limpetlab.Until(s.ctx, "the run", func() bool { s.service.Lock(); defer s.service.Unlock(); return s.service.Runs["fee"] == 1 }), ShouldBeNil)
+	})
+}
+
 func TestVMStartsWhileTheStoreIsDown(t *testing.T) {
 	s := newSystem(t, limpetlab.Options{VMs: 3}, 1)
 	Convey("it takes the configuration from its peers and serves", t, func() {
--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -38,6 +38,8 @@
 	draining   bool
 	honour     bool
 	down       map[string]bool
+	// beats counts the periods of heartbeats.
+	beats int
 	// asked are the askers to be told after the next snapshot.
 	asked []chan struct{}
 }
@@ -75,8 +77,6 @@
 	// plainCapacity is the number of calls at a plain service's server, which
 	// reports no load.
 	plainCapacity = 16
-	// replicas is the number of VMs in front of each backend server.
-	replicas = 16
 )
 
 func (n *Node) send(e event) {
--- a/internal/limpetnode/feed.go
+++ b/internal/limpetnode/feed.go
@@ -145,7 +145,9 @@
 	heartbeatTimeout = time.Second
 	// fewPartners and relayedStates bound a heartbeat in a large system.
 	fewPartners   = 3
-	relayedStates = 16
+	relayedStates = 8
+	// largeFactor times the period of heartbeats is that of a large system.
+	largeFactor = 4
 )
 
 // heartbeat exchanges states with some VMs.
@@ -153,8 +155,12 @@
 	var partners []limpetmember.VM
 	n.ask(func(c *control) {
 		count := c.table.Count()
+		c.beats++
 		if count > limpetmember.SmallSystem {
 			count = fewPartners
+			if c.beats%largeFactor != 0 && !c.draining {
+				count = 0
+			}
 		}
 		partners = c.table.Partners(count, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	})
@@ -322,12 +328,22 @@
 		}
 	})
 	var targets []reportTarget
-	for _, s := range limpetroute.Subset(engines, n.self.Name, vms, replicas) {
+	for _, s := range limpetroute.Subset(engines, n.self.Name, vms, replicasOf(len(vms))) {
 		targets = append(targets, known[s])
 	}
 	return targets
 }
 
+// replicasOf returns the number of VMs in front of each backend server: all of
+// a small system, few of a large one, so that each VM reads few reports.
+func replicasOf(vms int) int {
+	const few = 3
+	if vms <= limpetmember.SmallSystem {
+		return vms
+	}
+	return few
+}
+
 // readLoads reads load reports.
 func (n *Node) readLoads(ctx context.Context) {
 	var g errgroup.Group
--- a/internal/limpetnode/peers.go
+++ b/internal/limpetnode/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -30,6 +32,12 @@
 	for _, o := range q.Msg.GetOthers() {
 		p.node.hear(o, limpetpeer.DecodeState(o, now), false)
 	}
+	if state := q.Msg.GetState(); state.GetApplied() > p.node.View().Config.Index && state.GetFrom().GetPeer() != "" {
+		p.node.group.Go(func(ctx context.Context) error {
+			p.node.pull(ctx, state.GetFrom().GetPeer())
+			return nil
+		})
+	}
 	own, others := p.node.ownState()
 	return connect.NewResponse(&limpetwire.HeartbeatResponse{State: own, Others: others}), nil
 }
@@ -113,7 +121,7 @@
 // this one does, and compare-and-swap keeps the claim single.
 func (n *Node) claim(ctx context.Context, r limpetclaim.Request) (limpetclaim.Entry, error) {
 	v := n.View()
-	subject := "claim/" + string(rune('0'+limpetclaim.ShardOf(r.Claim)))
+	subject := fmt.Sprintf("claim/%d", limpetclaim.ShardOf(r.Claim))
 	names := memberNames(v.Members)
 	if limpetmember.Rank(subject, n.self.Name, names) != 0 {
 		for _, m := range v.Members {
@@ -176,11 +184,9 @@
 	if err == nil {
 		var data []byte
 		if data, err = json.Marshal(reply); err == nil {
-			return statusOK, data, true
+			return http.StatusOK, data, true
 		}
 	}
 	status, data := limpetcaller.JobError(err)
 	return status, data, true
 }
-
-const statusOK = 200
--- a/internal/limpetserve/call.go
+++ b/internal/limpetserve/call.go
@@ -85,7 +85,7 @@
 	claimed := !idempotent && c.IdempotencyKey != ""
 	if claimed {
 		if answer, done, err := s.claim(ctx, c, attempt); done || err != nil {
-			return answer, Result{RetryAfter: time.Second}, err
+			return answer, Result{RetryAfter: retrySoon}, err
 		}
 	}
 	answer, result, err := s.callAdmitted(ctx, c, idempotent, arrived)
@@ -171,7 +171,7 @@
 	} else {
 		s.Log.Emit(limpetlog.RequestDone, append(fields, limpetlog.Value("status", answer.Status))...)
 	}
-	return answer, Result{Attempts: tries, RetryAfter: time.Second}, err
+	return answer, Result{Attempts: tries, RetryAfter: retrySoon}, err
 }
 
 func (s *Server) tryCall(ctx context.Context, c Call, idempotent bool) (Answer, int, error) {
--- a/internal/limpetserve/complete.go
+++ b/internal/limpetserve/complete.go
@@ -93,7 +93,7 @@
 	s.record(c.Service, c.Account, outcomeOf(err), a.tokens, count,
 		limpetmetric.Timing{Queue: admitted.Sub(arrived), First: a.first, Total: ended.Sub(arrived)})
 	s.logEnd(c, a, err)
-	return Result{Tokens: a.tokens, Attempts: a.tries, RetryAfter: time.Second}, err
+	return Result{Tokens: a.tokens, Attempts: a.tries, RetryAfter: retrySoon}, err
 }
 
 func outcomeOf(err error) string {
@@ -138,12 +138,15 @@
 	exclude    []string
 	// sent holds the payloads that OnData got, for a resume.
 	sent bytes.Buffer
-	// ran is set once an attempt may have reached an engine.
+	// ran is set once an attempt may have run at an engine.
 	ran bool
 	// finished is set when a chunk with a finish reason came.
 	finished bool
 }
 
+// retrySoon is told to callers whose request could not be placed.
+const retrySoon = time.Second
+
 const (
 	pauseFirst = 50 * time.Millisecond
 	pauseMost  = 2 * time.Second
@@ -193,12 +196,17 @@
 }
 
 // final makes the error tell the truth over all attempts: "not run" only when
-// no attempt may have reached an engine.
+// no attempt may have reached an engine, whatever ended the request.
 func (a *attempt) final(err error) error {
-	if a.ran && !limpeterror.Is(err, limpeterror.Unknown) && !limpeterror.Is(err, limpeterror.Denied) && !errors.Is(err, errSink) {
-		return limpeterror.Unknown.Wrap(err, "an earlier attempt may have run")
+	if !a.ran || limpeterror.Is(err, limpeterror.Unknown) {
+		return err
 	}
-	return err
+	wrapped := limpeterror.Unknown.Wrap(err, "an attempt may have run")
+	if errors.Is(err, errSink) {
+		// errorx hides what it wraps from errors.Is.
+		return errors.Join(errSink, wrapped)
+	}
+	return wrapped
 }
 
 // once runs one attempt at one server.
@@ -270,9 +278,9 @@
 	defer cancel()
 	watchdog := time.AfterFunc(s.timing.First, cancel)
 	defer watchdog.Stop()
-	started := a.tokens
 	err := s.Engine.Stream(ctx, candidate.Address, c.Path, params, func(payload []byte) error {
 		watchdog.Reset(s.timing.Stall)
+		a.ran = true
 		if err := c.OnData(payload); limpeterror.Is(err, limpeterror.Unknown) {
 			return errors.Join(errBadStream, err)
 		} else if err != nil {
@@ -294,9 +302,7 @@
 		// The whole answer was delivered; only the end mark was lost.
 		return nil
 	}
-	if err != nil && (a.tokens > started || limpeterror.Is(err, limpeterror.Unknown)) {
-		a.ran = true
-	}
+	a.ran = a.ran || limpeterror.Is(err, limpeterror.Unknown)
 	return err
 }
 
