Stand-ins as servers; prices; a leaving VM tells the others at once

Cause: trying limpetd as separate processes needed a platform; a VM that started before the platform showed price 0 for 30 s; a graceful takeover took up to 1.01 s because the others heard of the free duty at their next heartbeat. Change: limpetbench platform; unknown prices are shown as unknown and read every 5 s; heartbeats right after duties were given up.

--- a/internal/limpetnode/limpetnode.go
+++ b/internal/limpetnode/limpetnode.go
@@ -267,7 +267,7 @@
 
 const (
 	listPeriod    = 2 * time.Second
-	pricePeriod   = 30 * time.Second
+	pricePeriod   = 5 * time.Second
 	renewFraction = 3
 	// cacheFactor times the period of load reports is that of cache events.
 	cacheFactor   = 2
@@ -307,6 +307,8 @@
 	if err := n.holder.Release(release); err != nil {
 		n.log.Emit(limpetlog.LeaseLost, limpetlog.Error(err))
 	}
+	// The others take the duties over when they hear that they are free.
+	n.heartbeat(release)
 	var firstErr error
 	for _, s := range n.servers {
 		if err := s.Shutdown(ctx); err != nil && firstErr == nil {
--- a/internal/limpetnode/tables.go
+++ b/internal/limpetnode/tables.go
@@ -185,13 +185,22 @@
 				limpetlang.Text(id), limpetlang.Text(s.server.Service), limpetlang.Text(s.server.Zone), limpetlang.Text(string(s.server.Class)),
 				limpetlang.Text(state), limpetlang.Number(s.load.Version), limpetlang.Number(s.load.Running), limpetlang.Number(s.load.Queued),
 				limpetlang.Number(k.Capacity), limpetlang.Number(now.Sub(s.load.At).Milliseconds()), limpetlang.Text(fmt.Sprint(k.Failing)),
-				limpetlang.Number(limpetfleet.PriceOf(c.prices[s.server.Zone], s.server.Class)),
+				c.priceCell(s),
 			})
 		}
 	})
 	return t
 }
 
+// priceCell returns a server's price for an hour, or "?" while it is unknown.
+func (c *control) priceCell(s *serverState) limpetlang.Cell {
+	p, ok := c.prices[s.server.Zone]
+	if !ok {
+		return limpetlang.Text("?")
+	}
+	return limpetlang.Number(limpetfleet.PriceOf(p, s.server.Class))
+}
+
 // changeTable lists the recent changes: who, when, what.
 func (n *Node) changeTable() limpetlang.Table {
 	t := limpetlang.Table{Columns: []string{"index", "at", "who", "what"}}
--- a/limpetbench/main.go
+++ b/limpetbench/main.go
@@ -6,15 +6,17 @@
 	"github.com/alecthomas/kong"
 
 	"limpetmount.org/limpetbench/internal/limpetdemo"
+	"limpetmount.org/limpetbench/internal/limpetserver"
 	"limpetmount.org/limpetbench/internal/limpetslope"
 	"limpetmount.org/limpetbench/internal/limpettrial"
 )
 
 // commandLine holds the commands of limpetbench.
 type commandLine struct {
-	Demo       limpetdemo.Command  `cmd:"" help:"Run the whole path with three VMs and check it."`
-	Experiment limpettrial.Command `cmd:"" help:"Run a named, seeded experiment and write its table, CSV and plot."`
-	Slopes     limpetslope.Command `cmd:"" help:"Measure what VMs and objects cost, and project it to the design's size."`
+	Demo       limpetdemo.Command   `cmd:"" help:"Run the whole path with three VMs and check it."`
+	Experiment limpettrial.Command  `cmd:"" help:"Run a named, seeded experiment and write its table, CSV and plot."`
+	Platform   limpetserver.Command `cmd:"" help:"Serve the platform's stand-ins, to try limpetd as separate processes."`
+	Slopes     limpetslope.Command  `cmd:"" help:"Measure what VMs and objects cost, and project it to the design's size."`
 }
 
 func main() {
