--- a/internal/limpetduty/orders.go
+++ b/internal/limpetduty/orders.go
@@ -58,11 +58,12 @@
 const (
 	intentKey   = "orders/intent"
 	orderPeriod = time.Second
-	// orderFlight is the longest time from the check of the lease to the end
-	// of an order's effect.
-	orderFlight = 2500 * time.Millisecond
 )
 
+// OrderFlight is the longest time from the check of the lease to the end of an
+// order's effect.
+const OrderFlight = 2500 * time.Millisecond
+
 // Run settles what the former holder left, and then orders what is needed
 // until ctx ends.
 func (o *Orderer) Run(ctx context.Context) {
@@ -78,7 +79,7 @@
 	if !o.waited {
 		// Platforms that ignore fencing numbers may still act on an order that
 		// the former holder sent at the end of its lease.
-		limpettask.Sleep(ctx, orderFlight)
+		limpettask.Sleep(ctx, OrderFlight)
 		o.waited = true
 	}
 	if !o.settled {
@@ -141,7 +142,7 @@
 	if len(orders) == 0 {
 		return nil
 	}
-	deadline := o.Now().Add(storeTimeout + orderFlight)
+	deadline := o.Now().Add(storeTimeout + OrderFlight)
 	for i := range orders {
 		orders[i].Deadline = deadline
 	}
@@ -150,7 +151,7 @@
 	}
 	var open []limpetorder.Order
 	for _, order := range orders {
-		if !o.Holds(orderFlight) {
+		if !o.Holds(OrderFlight) {
 			return limpeterror.Fenced.New("the duty of orders is no longer certain")
 		}
 		receipt, err := o.Platform.Send(ctx, order)
--- a/internal/limpetduty/weights.go
+++ b/internal/limpetduty/weights.go
@@ -19,7 +19,11 @@
 type WeightLoader struct {
 	Service string
 	Fence   uint64
-	Engine  limpetengine.Engine
+	// Settle is the wait before the first order. Engines that ignore fencing
+	// numbers may still get an order that the former holder sent at the end of
+	// its lease.
+	Settle time.Duration
+	Engine limpetengine.Engine
 	// Servers returns all running servers of the service.
 	Servers func(ctx context.Context) ([]limpetorder.Server, error)
 	Holds   func(ahead time.Duration) bool
@@ -32,10 +36,9 @@
 }
 
 const (
-	weightPeriod  = 300 * time.Millisecond
-	ordersAtOnce  = 64
-	stageAhead    = 500 * time.Millisecond
-	activateAhead = 2500 * time.Millisecond
+	weightPeriod = 300 * time.Millisecond
+	ordersAtOnce = 64
+	stageAhead   = 500 * time.Millisecond
 	// triesToWarn failed swaps of one engine are told to the operator.
 	triesToWarn = 3
 )
@@ -47,6 +50,7 @@
 // were behind because of a crash or a failed swap are brought up again.
 func (w *WeightLoader) Run(ctx context.Context) {
 	w.tries = map[string]int{}
+	limpettask.Sleep(ctx, w.Settle)
 	for limpettask.Sleep(ctx, limpettask.Jitter(weightPeriod)) {
 		if version := w.published.Load(); version > 0 {
 			w.round(ctx, version)
@@ -99,7 +103,7 @@
 				return
 			}
 		}
-		w.order(ctx, s, limpetengine.Activate, version, activateAhead)
+		w.order(ctx, s, limpetengine.Activate, version, OrderFlight)
 	})
 	for _, s := range behind {
 		w.tries[s.server.ID]++
--- a/internal/limpetnode/duties.go
+++ b/internal/limpetnode/duties.go
@@ -234,8 +234,12 @@
 // service when the job publishes them.
 func (n *Node) runJob(ctx context.Context, store limpetstore.Store, job limpetconfig.Job, fence uint64) {
 	g := limpettask.New(ctx)
+	settle := limpetduty.OrderFlight
+	if n.View().Config.Services[job.Service].Fenced {
+		settle = 0
+	}
 	loader := &limpetduty.WeightLoader{
-		Service: job.Service, Fence: fence, Engine: n.deps.Engine, Holds: n.holds(jobDuty(job.Name)), Log: n.log, Now: time.Now,
+		Service: job.Service, Fence: fence, Settle: settle, Engine: n.deps.Engine, Holds: n.holds(jobDuty(job.Name)), Log: n.log, Now: time.Now,
 		Servers: func(context.Context) ([]limpetorder.Server, error) { return n.runningServers(job.Service), nil },
 	}
 	runner := limpetrollout.NewRunner(g, limpetrollout.Seams{
