--- a/internal/limpetrollout/straggler.go
+++ b/internal/limpetrollout/straggler.go
@@ -10,7 +10,7 @@
 	// stragglerFactor times the median duration makes a sample a straggler.
 	stragglerFactor = 2
 	// stragglerShare of a step may be duplicated at most.
-	stragglerShare = 0.1
+	stragglerShare = 0.25
 	// stragglerEvidence finished samples are needed for a median.
 	stragglerEvidence = 4
 )
