--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -259,7 +259,7 @@
 	_, drained := c.doc.Drains[s.server.ID]
 	k := limpetroute.Candidate{
 		Server: s.server, Capacity: s.load.Capacity, Cached: s.cached,
-		Version: s.load.Version, Incarnation: s.load.Incarnation, ReportAt: s.load.At,
+		Version: s.load.Version, Incarnation: s.load.Incarnation,
 		Leaving: drained || s.load.Draining || s.listed.State == limpetorder.Reclaiming,
 		Failing: now.Sub(s.failedAt) < failingFor || s.misses >= missesToFail,
 	}
--- a/internal/limpetroute/limpetroute.go
+++ b/internal/limpetroute/limpetroute.go
@@ -46,8 +46,7 @@
 	// Leaving excludes the server from new work.
 	Leaving bool
 	// Failing excludes the server unless nothing else is left.
-	Failing  bool
-	ReportAt time.Time
+	Failing bool
 }
 
 // Prefixes is a set of hashes of prompt prefixes.
--- a/internal/limpetserve/call.go
+++ b/internal/limpetserve/call.go
@@ -18,6 +18,7 @@
 	"limpetmount.org/internal/limpetretry"
 	"limpetmount.org/internal/limpetroute"
 	"limpetmount.org/internal/limpetshare"
+	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetusage"
 )
 
@@ -194,11 +195,7 @@
 		}
 		s.Metrics.Retry(c.Service.Name, outcomeOf(err))
 		exclude = append(exclude, server)
-		timer := time.NewTimer(limpetretry.Pause(tries, pauseFirst, pauseMost))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !limpettask.Sleep(ctx, limpetretry.Pause(tries, pauseFirst, pauseMost)) {
 			return Answer{}, tries, err
 		}
 	}
--- a/internal/limpetserve/complete.go
+++ b/internal/limpetserve/complete.go
@@ -18,6 +18,7 @@
 	"limpetmount.org/internal/limpetretry"
 	"limpetmount.org/internal/limpetroute"
 	"limpetmount.org/internal/limpetshare"
+	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetusage"
 )
 
@@ -178,23 +179,12 @@
 			return a.final(err)
 		}
 		s.Metrics.Retry(a.completion.Service, outcomeOf(err))
-		if !a.pause(ctx) {
+		if !limpettask.Sleep(ctx, limpetretry.Pause(a.tries, pauseFirst, pauseMost)) {
 			return a.final(err)
 		}
 	}
 }
 
-func (a *attempt) pause(ctx context.Context) bool {
-	timer := time.NewTimer(limpetretry.Pause(a.tries, pauseFirst, pauseMost))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // final makes the error tell the truth over all attempts: "not run" only when
 // no attempt may have reached an engine, whatever ended the request.
 func (a *attempt) final(err error) error {
--- a/internal/limpetshare/limpetshare.go
+++ b/internal/limpetshare/limpetshare.go
@@ -287,20 +287,6 @@
 	}
 }
 
-// Fairness returns Jain's index of the accounts' service per weight, from
-// 1/n to 1 (Jain, Chiu, Hawe: A quantitative measure of fairness, 1984).
-func Fairness(perWeight []float64) float64 {
-	sum, squares := 0.0, 0.0
-	for _, x := range perWeight {
-		sum += x
-		squares += x * x
-	}
-	if squares == 0 {
-		return 1
-	}
-	return sum * sum / (float64(len(perWeight)) * squares)
-}
-
 // ExpectedWait returns how long a new ticket would wait, given the number of
 // places, the tickets ahead of it and the recent mean service time.
 func ExpectedWait(ahead, places int, service time.Duration) time.Duration {
