--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := internal limpetd limpetctl limpetbench
+MODULES := internal limpetd limpetctl limpetbench platform
 TOOLS := honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
 GENERATORS := github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
 
--- /dev/null
+++ b/internal/limpetbatch/engine.go
@@ -0,0 +1,230 @@
+package limpetbatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"limpetmount.org/internal/limpetsite"
+)
+
+// An engine is one server of a service with the runs that this VM has there.
+type engine struct {
+	server *limpetsite.Server
+	runs   map[*Run]struct{}
+	// versions is the belief about its weights: what it told last.
+	versions map[string]int
+	// pace is the mean time between events of a run; 0 when not known.
+	pace   time.Duration
+	paceAt time.Time
+	// until is when an engine that failed is tried again.
+	until    time.Time
+	failures int
+	// loading is the model whose weights change; empty when none do.
+	loading     string
+	loadingFrom time.Time
+}
+
+const (
+	ejectFirst = 300 * time.Millisecond
+	ejectLast  = 5 * time.Second
+	paceWeight = 0.15
+	// paceLife is how long a slow pace keeps work away from an engine.
+	paceLife = 2500 * time.Millisecond
+	// slowRatio is how much slower than the others an engine must be to get no
+	// new work.
+	slowRatio = 2.0
+)
+
+// Engines takes the engines that may get new work. It returns the runs at
+// engines that left, which may go on until they end by themselves.
+func (l *Ledger) Engines(view *limpetsite.Snapshot) {
+	for id, g := range l.engines {
+		if view.Server(id) == nil && len(g.runs) == 0 {
+			delete(l.engines, id)
+		}
+	}
+	for id, s := range view.All() {
+		if len(s.Models) == 0 {
+			continue
+		}
+		g := l.engines[id]
+		if g == nil || g.server.Born != s.Born {
+			fresh := &engine{server: s, runs: map[*Run]struct{}{}, versions: maps.Clone(s.Models)}
+			if g != nil {
+				fresh.runs = g.runs
+			}
+			l.engines[id] = fresh
+			continue
+		}
+		g.server = s
+		for model, v := range s.Models {
+			g.versions[model] = max(g.versions[model], v)
+		}
+	}
+}
+
+// Learned records the versions that an engine reported.
+func (l *Ledger) Learned(id string, versions map[string]int) {
+	if g := l.engines[id]; g != nil {
+		maps.Copy(g.versions, versions)
+	}
+}
+
+// Loading records that the weights of a model change at an engine, or with an
+// empty model that no change is under way.
+func (l *Ledger) Loading(id, model string, now time.Time) {
+	g := l.engines[id]
+	if g == nil {
+		return
+	}
+	if model == "" {
+		for r := range g.runs {
+			r.last = now
+		}
+	}
+	g.loading, g.loadingFrom = model, now
+}
+
+// usable reports whether an engine may get an item, apart from its load.
+func (g *engine) usable(e *Entry, view *limpetsite.Snapshot, now time.Time) bool {
+	j := e.Job
+	if g.server.Service != j.Rules.Service || !view.Takes(g.server.ID) || now.Before(g.until) {
+		return false
+	}
+	version, serves := g.versions[j.Model]
+	if !serves || version < j.MinVersion || g.loading == j.Model {
+		return false
+	}
+	if j.Rules.OnPolicy && len(e.text.versions) > 0 && version != e.text.version {
+		return false
+	}
+	return len(g.runs) < max(g.server.Slots, 1)
+}
+
+// typicalPace returns the median pace of engines that were seen lately.
+func (l *Ledger) typicalPace(now time.Time) time.Duration {
+	var paces []time.Duration
+	for _, g := range l.engines {
+		if g.pace > 0 && now.Sub(g.paceAt) < paceLife {
+			paces = append(paces, g.pace)
+		}
+	}
+	if len(paces) == 0 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[len(paces)/2]
+}
+
+// slow reports whether an engine is known to be much slower than the others.
+func (g *engine) slow(typical time.Duration, now time.Time) bool {
+	return typical > 0 && g.pace > 0 && now.Sub(g.paceAt) < paceLife &&
+		float64(g.pace) > slowRatio*float64(typical)
+}
+
+// cost ranks engines for an item; the lowest is chosen.
+func (g *engine) cost(e *Entry, typical time.Duration, now time.Time) float64 {
+	cost := float64(len(g.runs)) / float64(max(g.server.Slots, 1))
+	if typical > 0 && g.pace > 0 && now.Sub(g.paceAt) < paceLife {
+		cost += paceCost * (float64(g.pace)/float64(typical) - 1)
+	}
+	if g.server.ID == e.avoid {
+		cost += avoidCost
+	}
+	if g.server.Spot {
+		cost += spotCost
+	}
+	for r := range g.runs {
+		if r.Entry.group == e.group {
+			cost -= sharedPrompt
+			break
+		}
+	}
+	return cost
+}
+
+// The parts of an engine's cost, in shares of its places.
+const (
+	paceCost     = 0.6
+	avoidCost    = 2.0
+	spotCost     = 0.05
+	sharedPrompt = 0.15
+)
+
+// Start is what Dispatch decided: a run to begin.
+type Start = *Run
+
+// Dispatch chooses engines for the items that wait, in their order, until no
+// engine has a place.
+func (l *Ledger) Dispatch(view *limpetsite.Snapshot, now time.Time) []Start {
+	var starts []Start
+	typical := l.typicalPace(now)
+	full := map[string]bool{}
+	for _, e := range l.ready(now) {
+		key := e.Job.Rules.Service + "/" + e.Job.Model
+		if full[key] {
+			continue
+		}
+		g := l.choose(e, view, typical, now)
+		if g == nil {
+			full[key] = !e.Job.Rules.OnPolicy
+			continue
+		}
+		starts = append(starts, l.start(e, g, now))
+	}
+	return starts
+}
+
+func (l *Ledger) choose(e *Entry, view *limpetsite.Snapshot, typical time.Duration, now time.Time) *engine {
+	var best *engine
+	bestCost := 0.0
+	for _, g := range l.engines {
+		if !g.usable(e, view, now) {
+			continue
+		}
+		if g.slow(typical, now) && len(g.runs) > 0 {
+			continue
+		}
+		cost := g.cost(e, typical, now)
+		if best == nil || cost < bestCost || (cost == bestCost && g.server.ID < best.server.ID) {
+			best, bestCost = g, cost
+		}
+	}
+	return best
+}
+
+func (l *Ledger) start(e *Entry, g *engine, now time.Time) *Run {
+	r := &Run{Entry: e, Server: g.server, After: e.text.last, started: now, last: now}
+	if e.Job.Rules.OnPolicy && len(e.text.versions) > 0 {
+		r.Version = e.text.version
+	}
+	e.run, e.phase = r, running
+	e.Job.begun = true
+	g.runs[r] = struct{}{}
+	return r
+}
+
+// detach takes a run off its engine and entry.
+func (l *Ledger) detach(r *Run) {
+	r.cut = true
+	if g := l.engines[r.Server.ID]; g != nil {
+		delete(g.runs, r)
+	}
+	if r.Entry.run == r {
+		r.Entry.run = nil
+		if r.Entry.phase == running {
+			r.Entry.phase = waiting
+		}
+		l.stale = true
+	}
+}
+
+// failed keeps new work away from an engine for a time that grows.
+func (g *engine) failed(now time.Time) {
+	if now.Before(g.until) {
+		return
+	}
+	g.failures++
+	g.until = now.Add(min(ejectLast, ejectFirst<<min(g.failures-1, 5)))
+}
--- /dev/null
+++ b/internal/limpetbatch/fleet.go
@@ -0,0 +1,38 @@
+package limpetbatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpetswap"
+)
+
+// Fleet returns the engines as the choice of weight changes sees them. State
+// tells for an engine whether an order is under way, and whether it is held
+// back.
+func (l *Ledger) Fleet(view *limpetsite.Snapshot, state func(id string) (changing, held bool)) []limpetswap.Engine {
+	var all []limpetswap.Engine
+	for id, g := range l.engines {
+		if !view.Takes(id) {
+			continue
+		}
+		changing, held := state(id)
+		all = append(all, limpetswap.Engine{
+			ID: id, Versions: maps.Clone(g.versions), Running: len(g.runs), Changing: changing, Held: held,
+		})
+	}
+	slices.SortFunc(all, func(a, b limpetswap.Engine) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// OnPolicy reports whether an open job of a model needs texts of one version.
+func (l *Ledger) OnPolicy(model string) bool {
+	for _, j := range l.jobs {
+		if j.Model == model && j.Rules.OnPolicy {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/limpetbatch/listing.go
@@ -0,0 +1,51 @@
+package limpetbatch
+
+import "limpetmount.org/internal/limpetlot"
+
+// chunkBytes bounds the texts of one chunk.
+const chunkBytes = 400 << 10
+
+// A Listing is a chunk of a job's results that is to be written.
+type Listing struct {
+	Job   *Job
+	Chunk limpetlot.Chunk
+}
+
+// Listings returns the next chunk of each job that has settled items, at most
+// so many chunks and no more than one for a job at a time. Committed or
+// Uncommitted must follow.
+func (l *Ledger) Listings(most int) []Listing {
+	var all []Listing
+	bytes := 0
+	for _, j := range l.jobs {
+		if len(all) >= most || bytes >= chunkBytes {
+			break
+		}
+		if j.committing > 0 || len(j.unlisted) == 0 {
+			continue
+		}
+		c := limpetlot.Chunk{First: j.listed}
+		for _, e := range j.unlisted {
+			if bytes += len(e.result.Text); bytes > chunkBytes && len(c.Results) > 0 {
+				break
+			}
+			c.Results = append(c.Results, e.result)
+		}
+		j.committing = len(c.Results)
+		all = append(all, Listing{Job: j, Chunk: c})
+	}
+	return all
+}
+
+// Committed records that a chunk stands in the store.
+func (l *Ledger) Committed(j *Job) {
+	for _, e := range j.unlisted[:j.committing] {
+		e.phase = listed
+	}
+	j.unlisted = j.unlisted[j.committing:]
+	j.listed += j.committing
+	j.committing = 0
+}
+
+// Uncommitted records that a chunk provably does not stand in the store.
+func (l *Ledger) Uncommitted(j *Job) { j.committing = 0 }
--- /dev/null
+++ b/internal/limpetdirector/duty.go
@@ -0,0 +1,278 @@
+package limpetdirector
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetfollow"
+	"limpetmount.org/internal/limpetlease"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpettask"
+)
+
+// termKey holds the VM that was the director last. Unlike the lease's key it
+// stays when the lease ends.
+const termKey = "term/" + Duty
+
+// A dutyRecord says who holds the duty, as far as this VM knows.
+type dutyRecord struct {
+	VM       string
+	Revision uint64
+	Vacant   bool
+}
+
+const (
+	// watchWait is how long watches of the duty and of jobs wait at the store.
+	watchWait = 8 * time.Second
+	// tryPause is the time between tries to take a vacant duty.
+	tryPause = 150 * time.Millisecond
+)
+
+// followDuty watches who holds the duty.
+func (d *Director) followDuty() {
+	f := &limpetfollow.Follower{
+		Store: d.Store, Prefix: limpetlease.Prefix, Wait: watchWait,
+		Listed: func(l limpetstore.Listing) {
+			r := dutyRecord{Vacant: true, Revision: l.Revision}
+			for _, v := range l.Values {
+				if v.Key == limpetlease.Prefix+Duty {
+					r = dutyOf(v)
+				}
+			}
+			d.post(d.group.Context(), r)
+		},
+		Changed: func(values []limpetstore.Value) {
+			for _, v := range values {
+				if v.Key == limpetlease.Prefix+Duty {
+					d.post(d.group.Context(), dutyOf(v))
+				}
+			}
+		},
+		Lost: func(error) {}, Back: func() {},
+	}
+	d.group.Go(f.Run)
+}
+
+func dutyOf(v limpetstore.Value) dutyRecord {
+	if v.Deleted {
+		return dutyRecord{Vacant: true, Revision: v.Revision}
+	}
+	var r limpetlease.Record
+	if json.Unmarshal(v.Data, &r) != nil {
+		return dutyRecord{Revision: v.Revision}
+	}
+	return dutyRecord{VM: r.Holder, Revision: v.Revision}
+}
+
+// apply takes news of the duty. A holder other than this VM ends all that
+// this VM does.
+func (r dutyRecord) apply(d *Director) {
+	if r.Revision < d.record.Revision {
+		return
+	}
+	if r.Vacant {
+		if !d.record.Vacant {
+			d.vacantAt = d.Now()
+		}
+		// Who held it last stays known while it is vacant.
+		r.VM = d.record.VM
+		d.record = r
+		return
+	}
+	d.record = r
+	if r.VM != d.VM && (d.lead != nil || len(d.ledger.Jobs()) > 0) {
+		d.stepDown("another VM holds the duty")
+		d.abandon()
+	}
+}
+
+// compete takes the duty when it is vacant and this VM's turn.
+func (d *Director) compete(ctx context.Context, now time.Time) {
+	if d.lead != nil || d.trying || d.retired || !d.record.Vacant || !d.view.Ready() && !d.View().Ready() {
+		return
+	}
+	wait := d.Reserve
+	if d.record.VM == d.VM {
+		// The last holder still has its runs: it goes first.
+		wait = 0
+	}
+	if now.Sub(d.vacantAt) < wait {
+		return
+	}
+	d.trying = true
+	d.group.Go(func(context.Context) error {
+		d.post(ctx, d.acquire(ctx))
+		return nil
+	})
+}
+
+// An acquired is the outcome of a try to take the duty.
+type acquired struct {
+	fence    uint64
+	previous string
+	err      error
+}
+
+func (d *Director) acquire(ctx context.Context) acquired {
+	fence, err := d.holder.Acquire(ctx, Duty)
+	if err != nil {
+		limpettask.Sleep(ctx, limpettask.Jitter(tryPause))
+		return acquired{err: err}
+	}
+	a := acquired{fence: fence}
+	v, err := d.Store.Get(ctx, termKey)
+	switch {
+	case err == nil:
+		a.previous = string(v.Data)
+	case !limpeterror.Is(err, limpeterror.NotFound):
+		return acquired{err: err}
+	}
+	if a.previous == d.VM {
+		return a
+	}
+	_, err = d.Store.Commit(ctx, limpetstore.Transaction{
+		Checks: []limpetstore.Check{{Key: limpetlease.Prefix + Duty, Revision: fence}},
+		Writes: []limpetstore.Write{{Key: termKey, Data: []byte(d.VM)}},
+	})
+	if err != nil && !limpeterror.Is(err, limpeterror.Unknown) {
+		return acquired{err: err}
+	}
+	return a
+}
+
+func (a acquired) apply(d *Director) {
+	d.trying = false
+	now := d.Now()
+	if a.err != nil {
+		d.Log.Emit(limpetlog.DutyNotTaken, limpetlog.Error(a.err))
+		return
+	}
+	d.record = dutyRecord{VM: d.VM, Revision: a.fence}
+	d.lead = &lead{fence: a.fence, group: limpettask.New(d.group.Context()), renewed: now}
+	d.actAfter = now
+	if a.previous != d.VM && !d.heldAt.IsZero() {
+		// Another VM acted since this one did: a turn back must not be quick.
+		d.actAfter = d.heldAt.Add(d.Turn + turnSlack)
+	}
+	d.heldAt = now
+	d.Log.Emit(limpetlog.LeaseAcquired, limpetlog.Value("fence", a.fence), limpetlog.Value("previous", a.previous))
+	d.takeOver()
+}
+
+const turnSlack = 500 * time.Millisecond
+
+// takeOver starts what a director does.
+func (d *Director) takeOver() {
+	l := d.lead
+	d.loading = map[string]bool{}
+	for id := range d.ledger.Jobs() {
+		d.resync(id)
+	}
+	d.followJobs(l)
+	hold := Hold{VM: d.VM, Fence: d.fence}
+	for _, duty := range d.Duties {
+		l.group.Go(func(ctx context.Context) error { return duty(ctx, hold) })
+	}
+}
+
+// fence tells duties whether they may act.
+func (d *Director) fence(ahead time.Duration) (uint64, bool) {
+	fence, ok := d.holder.Holds(Duty, ahead)
+	return fence, ok
+}
+
+// keepLease renews the lease, and steps down when the belief in it ends.
+func (d *Director) keepLease(now time.Time) {
+	l := d.lead
+	if _, ok := d.holder.Holds(Duty, 0); !ok {
+		d.stepDown("the lease is not sure any more")
+		return
+	}
+	d.heldAt = now
+	if l.renewing || now.Sub(l.renewed) < renewPeriod {
+		return
+	}
+	l.renewing, l.renewed = true, now
+	l.group.Go(func(ctx context.Context) error {
+		lost, err := d.holder.Renew(ctx)
+		d.post(ctx, renewal{lead: l, lost: len(lost) > 0, err: err})
+		return nil
+	})
+}
+
+type renewal struct {
+	lead *lead
+	lost bool
+	err  error
+}
+
+func (r renewal) apply(d *Director) {
+	if d.lead != r.lead {
+		return
+	}
+	r.lead.renewing = false
+	if r.lost {
+		d.stepDown("the store ended the lease")
+	}
+}
+
+// stepDown ends all that needs the lease. Runs go on.
+func (d *Director) stepDown(cause string) {
+	if d.lead == nil {
+		return
+	}
+	d.Log.Emit(limpetlog.LeaseLost, limpetlog.Value("fence", d.lead.fence), limpetlog.Value("cause", cause))
+	l := d.lead
+	d.lead = nil
+	d.swaps = map[string]time.Time{}
+	d.vacantAt = d.Now()
+	d.group.Go(func(context.Context) error { return l.group.Stop() })
+}
+
+// abandon drops all jobs: another VM carries them out.
+func (d *Director) abandon() {
+	now := d.Now()
+	for id := range d.ledger.Jobs() {
+		d.cut(d.ledger.End(id, now), "another VM took over")
+	}
+	d.open = map[string]limpetlot.Summary{}
+	d.loading = map[string]bool{}
+	d.whole = map[string]bool{}
+}
+
+// Spread returns a random part of a period, so that VMs that notice the same
+// thing do not act at once.
+func Spread(period time.Duration) time.Duration {
+	return time.Duration(rand.Int64N(int64(period) + 1))
+}
+
+// A retire asks the director to give the duty up for good.
+type retire struct{ done chan struct{} }
+
+func (r retire) apply(d *Director) {
+	d.retired = true
+	d.stepDown("the VM is being emptied")
+	d.abandon()
+	d.group.Go(func(ctx context.Context) error {
+		defer close(r.done)
+		if err := d.holder.Release(ctx); err != nil {
+			d.Log.Emit(limpetlog.LeaseLost, limpetlog.Error(err))
+		}
+		return nil
+	})
+}
+
+// Retire gives the duty up for good and returns when that is done.
+func (d *Director) Retire(ctx context.Context) {
+	r := retire{done: make(chan struct{})}
+	d.post(ctx, r)
+	select {
+	case <-r.done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/limpetdirector/jobs.go
@@ -0,0 +1,311 @@
+package limpetdirector
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetfollow"
+	"limpetmount.org/internal/limpetlease"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpettask"
+)
+
+// loadPause is the time between tries to read a job.
+const loadPause = 150 * time.Millisecond
+
+// followJobs watches accepted and ended jobs while the VM is the director.
+func (d *Director) followJobs(l *lead) {
+	follow := func(prefix string) {
+		f := &limpetfollow.Follower{
+			Store: d.Store, Prefix: prefix, Wait: watchWait,
+			Listed: func(list limpetstore.Listing) {
+				d.post(l.group.Context(), news{lead: l, values: list.Values, prefix: prefix, complete: true})
+			},
+			Changed: func(values []limpetstore.Value) {
+				d.post(l.group.Context(), news{lead: l, values: values, prefix: prefix})
+			},
+			Lost: func(err error) {
+				d.Log.Emit(limpetlog.StoreDown, limpetlog.Value("prefix", prefix), limpetlog.Error(err))
+			},
+			Back: func() { d.Log.Emit(limpetlog.StoreBack, limpetlog.Value("prefix", prefix)) },
+		}
+		l.group.Go(f.Run)
+	}
+	follow(limpetlot.EndPrefix)
+	follow(limpetlot.OpenPrefix)
+}
+
+// news holds changes of one of the job prefixes.
+type news struct {
+	lead     *lead
+	prefix   string
+	values   []limpetstore.Value
+	complete bool
+}
+
+func (n news) apply(d *Director) {
+	if d.lead != n.lead {
+		return
+	}
+	now := d.Now()
+	for _, v := range n.values {
+		id := strings.TrimPrefix(v.Key, n.prefix)
+		if n.prefix == limpetlot.EndPrefix {
+			d.endJob(id, v.Deleted, now)
+			continue
+		}
+		d.openJob(id, v, now)
+	}
+}
+
+func (d *Director) endJob(id string, cleared bool, now time.Time) {
+	if cleared {
+		delete(d.ended, id)
+		return
+	}
+	if d.ended[id] {
+		return
+	}
+	d.ended[id] = true
+	if d.ledger.Has(id) {
+		j := d.ledger.Jobs()[id]
+		d.Log.Emit(limpetlog.JobEnded, limpetlog.Job(id), limpetlog.Value("listed", j.Listed()),
+			limpetlog.Value("total", len(j.Items)), limpetlog.Value("age_ms", now.Sub(j.Arrived).Milliseconds()))
+		d.cut(d.ledger.End(id, now), "job ended")
+	}
+}
+
+func (d *Director) openJob(id string, v limpetstore.Value, now time.Time) {
+	if v.Deleted {
+		delete(d.open, id)
+		delete(d.whole, id)
+		return
+	}
+	s, err := limpetlot.DecodeSummary(v)
+	if err != nil {
+		d.Log.Emit(limpetlog.JobUnreadable, limpetlog.Job(id), limpetlog.Error(err))
+		return
+	}
+	d.open[id] = s
+	if d.ended[id] || d.whole[id] || d.ledger.Has(id) || now.Sub(s.Arrived) > d.StatusLife {
+		return
+	}
+	d.load(s)
+}
+
+// load reads a job and what is listed of it.
+func (d *Director) load(s limpetlot.Summary) {
+	if d.loading[s.ID] || d.lead == nil {
+		return
+	}
+	d.loading[s.ID] = true
+	l := d.lead
+	l.group.Go(func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			job, err := limpetlot.Load(ctx, d.Store, s)
+			var done []limpetlot.Result
+			if err == nil {
+				done, err = listedResults(ctx, d.Store, s.ID)
+			}
+			if err == nil || limpeterror.Is(err, limpeterror.Invalid) {
+				d.post(ctx, loaded{lead: l, id: s.ID, job: job, done: done, err: err})
+				return nil
+			}
+			limpettask.Sleep(ctx, limpettask.Jitter(loadPause))
+		}
+		return nil
+	})
+}
+
+// listedResults returns the results of a job that stand in the store.
+func listedResults(ctx context.Context, store limpetstore.Store, id string) ([]limpetlot.Result, error) {
+	l, err := store.Scan(ctx, limpetlot.ResultPrefix(id))
+	if err != nil {
+		return nil, err
+	}
+	var all []limpetlot.Result
+	for _, v := range l.Values {
+		c, err := limpetlot.DecodeChunk(v)
+		if err != nil {
+			return nil, err
+		}
+		if c.First != len(all) {
+			return nil, limpeterror.Unavailable.New("job %s: the chunk at %d does not follow on %d", id, c.First, len(all))
+		}
+		all = append(all, c.Results...)
+	}
+	return all, nil
+}
+
+// loaded is a job with what is listed of it.
+type loaded struct {
+	lead *lead
+	id   string
+	job  *limpetlot.Job
+	done []limpetlot.Result
+	err  error
+}
+
+func (m loaded) apply(d *Director) {
+	if d.lead != m.lead {
+		return
+	}
+	delete(d.loading, m.id)
+	if m.err != nil {
+		d.Log.Emit(limpetlog.JobUnreadable, limpetlog.Job(m.id), limpetlog.Error(m.err))
+		return
+	}
+	if d.ended[m.id] || d.ledger.Has(m.id) {
+		return
+	}
+	if len(m.done) >= len(m.job.Items) {
+		d.whole[m.id] = true
+		return
+	}
+	rules, ok := rulesOf(d.View(), m.job)
+	if !ok {
+		// The route may be in a configuration that this VM does not have yet.
+		d.Log.Emit(limpetlog.JobWithoutRoute, limpetlog.Job(m.id), limpetlog.Value("revision", d.View().Revision))
+		s := d.open[m.id]
+		l := d.lead
+		l.group.Go(func(ctx context.Context) error {
+			limpettask.Sleep(ctx, loadPause)
+			d.post(ctx, reload{lead: l, summary: s})
+			return nil
+		})
+		return
+	}
+	now := d.Now()
+	j := d.ledger.Add(m.job, rules, m.done, now)
+	d.Log.Emit(limpetlog.JobTaken, limpetlog.Job(m.id), limpetlog.Account(j.Account), limpetlog.Value("items", len(j.Items)),
+		limpetlog.Value("listed", len(m.done)), limpetlog.Value("step", j.Step), limpetlog.Value("min_version", j.MinVersion),
+		limpetlog.Value("age_ms", now.Sub(j.Arrived).Milliseconds()))
+}
+
+// reload asks for a job again.
+type reload struct {
+	lead    *lead
+	summary limpetlot.Summary
+}
+
+func (m reload) apply(d *Director) {
+	if d.lead == m.lead && !d.ended[m.summary.ID] && !d.ledger.Has(m.summary.ID) {
+		d.load(m.summary)
+	}
+}
+
+// rulesOf returns what the routes say about a job.
+func rulesOf(view *limpetsite.Snapshot, j *limpetlot.Job) (limpetbatch.Rules, bool) {
+	route := view.Route(j.Host, j.Path)
+	if route == nil || len(route.Targets) == 0 {
+		return limpetbatch.Rules{}, false
+	}
+	return limpetbatch.Rules{
+		Service: route.Targets[0].Service, RunTarget: route.RunTarget, ItemLife: route.ItemLife,
+		Attempts: route.Attempts, OnPolicy: route.OnPolicy, Priority: route.Priority,
+	}, true
+}
+
+// resync reads what is listed of a job that the ledger holds.
+func (d *Director) resync(id string) {
+	l := d.lead
+	if l == nil {
+		return
+	}
+	l.group.Go(func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			done, err := listedResults(ctx, d.Store, id)
+			if err == nil {
+				d.post(ctx, resynced{lead: l, id: id, done: done})
+				return nil
+			}
+			limpettask.Sleep(ctx, limpettask.Jitter(loadPause))
+		}
+		return nil
+	})
+}
+
+type resynced struct {
+	lead *lead
+	id   string
+	done []limpetlot.Result
+}
+
+func (m resynced) apply(d *Director) {
+	j := d.ledger.Jobs()[m.id]
+	if d.lead != m.lead || j == nil {
+		return
+	}
+	d.cut(d.ledger.Adopt(j, m.done), "listed already")
+}
+
+// list writes settled results. One write is under way at a time; it has its
+// effect only while this VM is the director.
+func (d *Director) list(now time.Time) {
+	l := d.lead
+	if l.committing || now.Sub(l.committed) < listPeriod {
+		return
+	}
+	chunks := d.ledger.Listings((limpetstore.MaxEntries - 2) / 2)
+	if len(chunks) == 0 {
+		return
+	}
+	t := limpetstore.Transaction{Checks: []limpetstore.Check{{Key: limpetlease.Prefix + Duty, Revision: l.fence}}}
+	for _, c := range chunks {
+		key := limpetlot.ChunkKey(c.Job.ID, c.Chunk.First)
+		t.Checks = append(t.Checks, limpetstore.Check{Key: key})
+		t.Writes = append(t.Writes, limpetstore.Write{Key: key, Data: c.Chunk.Encode()})
+	}
+	l.committing = true
+	l.group.Go(func(ctx context.Context) error {
+		d.post(ctx, listing{lead: l, chunks: chunks, err: d.commit(ctx, t)})
+		return nil
+	})
+}
+
+// commit repeats a write until it is known whether it had its effect.
+func (d *Director) commit(ctx context.Context, t limpetstore.Transaction) error {
+	for {
+		_, err := d.Store.Commit(ctx, t)
+		if err == nil || limpeterror.Is(err, limpeterror.Conflict) || limpeterror.Is(err, limpeterror.Invalid) {
+			return err
+		}
+		if !limpettask.Sleep(ctx, limpettask.Jitter(loadPause)) {
+			return err
+		}
+	}
+}
+
+// A listing is the end of a write of results.
+type listing struct {
+	lead   *lead
+	chunks []limpetbatch.Listing
+	err    error
+}
+
+func (m listing) apply(d *Director) {
+	if d.lead != m.lead {
+		// The next term reads what the store holds.
+		return
+	}
+	m.lead.committing, m.lead.committed = false, d.Now()
+	for _, c := range m.chunks {
+		if !d.ledger.Has(c.Job.ID) {
+			continue
+		}
+		if m.err != nil {
+			d.Log.Emit(limpetlog.ListingFailed, limpetlog.Job(c.Job.ID), limpetlog.Value("first", c.Chunk.First), limpetlog.Error(m.err))
+			d.resync(c.Job.ID)
+			continue
+		}
+		d.ledger.Committed(c.Job)
+		d.Log.Emit(limpetlog.ResultsListed, limpetlog.Job(c.Job.ID), limpetlog.Value("first", c.Chunk.First),
+			limpetlog.Value("count", len(c.Chunk.Results)), limpetlog.Value("age_ms", d.Now().Sub(c.Job.Arrived).Milliseconds()))
+	}
+}
--- /dev/null
+++ b/internal/limpetdirector/limpetdirector.go
@@ -0,0 +1,235 @@
+// Package limpetdirector owns the VM that carries out batch jobs, and the
+// duties that one VM has at a time: orders to engines, usage reports and the
+// size of the fleet. Candidates compete for one lease; the store's checks, not
+// the lease alone, keep a superseded director from listing results.
+package limpetdirector
+
+import (
+	"context"
+	"time"
+
+	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpetforward"
+	"limpetmount.org/internal/limpetlease"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetmetric"
+	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/internal/limpetupstream"
+)
+
+// Duty is the name of the lease.
+const Duty = "director"
+
+// Deps holds what a director works with.
+type Deps struct {
+	VM          string
+	Incarnation string
+	Store       limpetstore.Store
+	Peer        limpetupstream.Peer
+	View        func() *limpetsite.Snapshot
+	Forwarder   *limpetforward.Forwarder
+	Log         *limpetlog.Logger
+	Metrics     *limpetmetric.Set
+	Now         func() time.Time
+	// Reserve is how much longer than others this VM leaves a vacant duty.
+	Reserve time.Duration
+	// LeaseLeast is the shortest lease of the store.
+	LeaseLeast time.Duration
+	// Turn is the time in which two VMs must not take turns in a duty.
+	Turn time.Duration
+	// StatusLife is how long a job can be read after its submission.
+	StatusLife time.Duration
+	// Duties run while the VM is the director.
+	Duties []func(ctx context.Context, hold Hold) error
+}
+
+// A Hold proves to a duty that the VM may act. Fence returns the fencing
+// number and whether the VM may act for the given time ahead.
+type Hold struct {
+	VM    string
+	Fence func(ahead time.Duration) (uint64, bool)
+}
+
+// A Director is a candidate for the duty on one VM.
+type Director struct {
+	Deps
+	holder *limpetlease.Holder
+	ledger *limpetbatch.Ledger
+	inbox  chan message
+
+	// Owned by the loop.
+	group    *limpettask.Group
+	lead     *lead
+	cancels  map[*limpetbatch.Run]context.CancelFunc
+	view     *limpetsite.Snapshot
+	record   dutyRecord
+	heldAt   time.Time
+	actAfter time.Time
+	retired  bool
+	vacantAt time.Time
+	trying   bool
+
+	open    map[string]limpetlot.Summary
+	ended   map[string]bool
+	loading map[string]bool
+	whole   map[string]bool
+
+	swaps   map[string]time.Time
+	held    map[string]time.Time
+	loads   map[load]int
+	planned time.Time
+}
+
+// A load identifies the orders for one version of a model.
+type load struct {
+	model   string
+	version int
+}
+
+// A lead is one time of being the director.
+type lead struct {
+	fence      uint64
+	group      *limpettask.Group
+	committing bool
+	committed  time.Time
+	renewing   bool
+	renewed    time.Time
+}
+
+// A message changes the state of the loop.
+type message interface{ apply(d *Director) }
+
+const (
+	leaseTime   = 2 * time.Second
+	renewPeriod = 450 * time.Millisecond
+	tick        = 25 * time.Millisecond
+	inboxSize   = 2048
+	// listPeriod is the time between writes of results.
+	listPeriod = 90 * time.Millisecond
+	// keepWorking is how long a director whose lease lapsed goes on with its
+	// runs while no other one is known.
+	keepWorking = 20 * time.Second
+)
+
+// New returns a director that Run starts.
+func New(deps Deps) *Director {
+	ttl := max(leaseTime, deps.LeaseLeast)
+	return &Director{
+		Deps: deps, ledger: limpetbatch.New(), inbox: make(chan message, inboxSize),
+		holder:  limpetlease.New(deps.Store, deps.VM, deps.Incarnation, ttl, deps.Now),
+		cancels: map[*limpetbatch.Run]context.CancelFunc{}, view: limpetsite.Empty(),
+		open: map[string]limpetlot.Summary{}, ended: map[string]bool{}, loading: map[string]bool{}, whole: map[string]bool{},
+		swaps: map[string]time.Time{}, held: map[string]time.Time{}, loads: map[load]int{},
+	}
+}
+
+// post hands a message to the loop, unless the loop ended.
+func (d *Director) post(ctx context.Context, m message) {
+	select {
+	case d.inbox <- m:
+	case <-ctx.Done():
+	}
+}
+
+// Run competes for the duty and carries it out until ctx ends. It then gives
+// the duty up.
+func (d *Director) Run(ctx context.Context) error {
+	d.group = limpettask.New(ctx)
+	d.vacantAt = d.Now()
+	d.followDuty()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return d.stop()
+		case m := <-d.inbox:
+			m.apply(d)
+			d.drain()
+		case <-ticker.C:
+		}
+		d.step(ctx)
+	}
+}
+
+// drain takes the messages that are there already, so that one step answers
+// for many.
+func (d *Director) drain() {
+	for range inboxSize {
+		select {
+		case m := <-d.inbox:
+			m.apply(d)
+		default:
+			return
+		}
+	}
+}
+
+func (d *Director) stop() error {
+	d.stepDown("stopped")
+	release, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := d.holder.Release(release)
+	if err != nil {
+		d.Log.Emit(limpetlog.LeaseLost, limpetlog.Error(err))
+	}
+	return d.group.Stop()
+}
+
+// step does what is due.
+func (d *Director) step(ctx context.Context) {
+	now := d.Now()
+	d.compete(ctx, now)
+	if d.lead != nil {
+		d.keepLease(now)
+	}
+	if d.lead == nil && !d.mayWork(now) {
+		return
+	}
+	if view := d.View(); view != d.view {
+		d.view = view
+		d.ledger.Engines(view)
+	}
+	d.giveUp(now)
+	d.cut(d.ledger.Overdue(d.view, now), "overdue")
+	for _, r := range d.ledger.Dispatch(d.view, now) {
+		d.begin(r)
+	}
+	for _, r := range d.ledger.Rewards(now) {
+		d.reward(r)
+	}
+	if d.lead != nil {
+		d.list(now)
+		d.swap(now)
+	}
+}
+
+// mayWork reports whether a director without its lease goes on with its runs:
+// nobody else is known to have taken over.
+func (d *Director) mayWork(now time.Time) bool {
+	return len(d.ledger.Jobs()) > 0 && now.Sub(d.heldAt) < keepWorking && d.record.VM == d.VM
+}
+
+func (d *Director) giveUp(now time.Time) {
+	given, runs := d.ledger.GiveUp(now)
+	for _, e := range given {
+		d.Log.Emit(limpetlog.ItemErrored, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Value("cause", "its time is over"))
+	}
+	d.cut(runs, "item given up")
+	d.ledger.Expire(now)
+}
+
+// cut breaks runs off.
+func (d *Director) cut(runs []*limpetbatch.Run, cause string) {
+	for _, r := range runs {
+		if cancel := d.cancels[r]; cancel != nil {
+			cancel()
+			delete(d.cancels, r)
+		}
+		d.Log.Emit(limpetlog.RunCut, limpetlog.Job(r.Entry.Job.ID), limpetlog.Value("item", r.Entry.Item.ID),
+			limpetlog.Server(r.Server.ID), limpetlog.Value("after", r.After), limpetlog.Value("cause", cause))
+	}
+}
--- /dev/null
+++ b/internal/limpetdirector/orders.go
@@ -0,0 +1,175 @@
+package limpetdirector
+
+import (
+	"context"
+	"time"
+
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpetswap"
+	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/internal/limpetupstream"
+)
+
+const (
+	planPeriod = 50 * time.Millisecond
+	// orderTime bounds one call to an engine.
+	orderTime  = 800 * time.Millisecond
+	reportPoll = 120 * time.Millisecond
+	// swapLongest is when an order that is not seen to be carried out is given
+	// again.
+	swapLongest = 4 * time.Second
+	// swapUnseen is how long an accepted or lost order may leave no trace.
+	swapUnseen = 1200 * time.Millisecond
+	// holdEngine is how long an engine is left alone after an order in vain.
+	holdEngine = time.Second
+)
+
+// swap orders engines to newer weights.
+func (d *Director) swap(now time.Time) {
+	if now.Sub(d.planned) < planPeriod || now.Before(d.actAfter) {
+		return
+	}
+	d.planned = now
+	engines := d.ledger.Fleet(d.view, func(id string) (changing, held bool) {
+		_, changing = d.swaps[id]
+		return changing, now.Before(d.held[id])
+	})
+	for _, c := range limpetswap.Plan(engines, d.models(len(engines))) {
+		d.order(c, now)
+	}
+}
+
+// models returns what is known of the trained models.
+func (d *Director) models(engines int) []limpetswap.Model {
+	need := d.ledger.Need()
+	var models []limpetswap.Model
+	for name, version := range d.view.Named {
+		models = append(models, limpetswap.Model{
+			Name: name, Named: version, Need: need[name], Waiting: d.ledger.Waiting(name),
+			Loads: d.loads[load{name, version}], Free: engines / max(len(d.view.Named), 1),
+		})
+	}
+	return models
+}
+
+func (d *Director) order(c limpetswap.Choice, now time.Time) {
+	server := d.view.Server(c.Engine)
+	if server == nil {
+		return
+	}
+	d.swaps[c.Engine] = now
+	d.loads[load{c.Model, c.Version}]++
+	d.ledger.Loading(c.Engine, c.Model, now)
+	l := d.lead
+	pause := !d.ledger.OnPolicy(c.Model)
+	l.group.Go(func(ctx context.Context) error {
+		d.post(d.group.Context(), d.carryOut(ctx, l, server, c, pause))
+		return nil
+	})
+}
+
+// A swapped is the end of an order.
+type swapped struct {
+	lead     *lead
+	choice   limpetswap.Choice
+	versions map[string]int
+	err      error
+}
+
+// carryOut gives an order and waits until the engine's report shows it.
+func (d *Director) carryOut(ctx context.Context, l *lead, server *limpetsite.Server, c limpetswap.Choice, pause bool) swapped {
+	s := swapped{lead: l, choice: c}
+	ctx, cancel := context.WithTimeout(ctx, swapLongest)
+	defer cancel()
+	report, err := d.report(ctx, server)
+	if err != nil {
+		s.err = err
+		return s
+	}
+	if report.Versions[c.Model] >= c.Version || report.Busy {
+		s.versions = report.Versions
+		return s
+	}
+	fence, ok := d.fence(orderTime)
+	if !ok {
+		s.err = limpeterror.Fenced.New("the lease is not sure any more")
+		return s
+	}
+	accepted := report.Accepted
+	s.err = d.give(ctx, limpetupstream.Order{
+		Server: server, Model: c.Model, Version: c.Version, Expected: accepted,
+		Holder: d.VM, Fence: fence, Pause: pause,
+	})
+	d.Log.Emit(limpetlog.OrderSent, limpetlog.Server(server.ID), limpetlog.Value("model", c.Model), limpetlog.Value("version", c.Version),
+		limpetlog.Value("from", report.Versions[c.Model]), limpetlog.Value("expected", accepted), limpetlog.Value("fence", fence), limpetlog.Value("outcome", outcomeOf(s.err)))
+	if s.err != nil && !limpeterror.Is(s.err, limpeterror.Unknown) {
+		return s
+	}
+	s.versions, s.err = d.await(ctx, server, c, accepted)
+	return s
+}
+
+func outcomeOf(err error) string {
+	if err == nil {
+		return "accepted"
+	}
+	return err.Error()
+}
+
+func (d *Director) give(ctx context.Context, o limpetupstream.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	return d.Peer.Order(ctx, o)
+}
+
+func (d *Director) report(ctx context.Context, server *limpetsite.Server) (limpetupstream.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	return d.Peer.Report(ctx, server)
+}
+
+// await polls an engine until an order is carried out.
+func (d *Director) await(ctx context.Context, server *limpetsite.Server, c limpetswap.Choice, accepted int) (map[string]int, error) {
+	began := d.Now()
+	for limpettask.Sleep(ctx, reportPoll) {
+		r, err := d.report(ctx, server)
+		if err != nil {
+			continue
+		}
+		if r.Versions[c.Model] >= c.Version {
+			return r.Versions, nil
+		}
+		if !r.Busy && r.Accepted <= accepted && d.Now().Sub(began) > swapUnseen {
+			return r.Versions, limpeterror.Unknown.New("no trace of the order")
+		}
+	}
+	return nil, limpeterror.Unknown.New("the order was not seen to be carried out")
+}
+
+func (m swapped) apply(d *Director) {
+	now := d.Now()
+	id := m.choice.Engine
+	d.ledger.Loading(id, "", now)
+	if m.versions != nil {
+		d.ledger.Learned(id, m.versions)
+	}
+	if d.lead != m.lead {
+		return
+	}
+	delete(d.swaps, id)
+	if m.err == nil && m.versions[m.choice.Model] >= m.choice.Version {
+		d.Log.Emit(limpetlog.WeightsActive, limpetlog.Server(id), limpetlog.Value("model", m.choice.Model), limpetlog.Value("version", m.choice.Version))
+		return
+	}
+	d.loads[load{m.choice.Model, m.choice.Version}]--
+	d.held[id] = now.Add(holdEngine)
+	if m.err != nil {
+		d.Log.Emit(limpetlog.WeightsFailed, limpetlog.Server(id), limpetlog.Value("model", m.choice.Model),
+			limpetlog.Value("version", m.choice.Version), limpetlog.Error(m.err))
+	}
+	if limpeterror.Is(m.err, limpeterror.Fenced) {
+		d.stepDown("an engine has seen a later holder")
+	}
+}
--- /dev/null
+++ b/internal/limpetdirector/runs.go
@@ -0,0 +1,196 @@
+package limpetdirector
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpetforward"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetupstream"
+)
+
+const (
+	// runLongest bounds the time that an engine is given for an item.
+	runLongest = 60 * time.Second
+	// rewardPatience bounds one reward call.
+	rewardPatience = 4 * time.Second
+)
+
+// begin starts a run in a goroutine of its own.
+func (d *Director) begin(r *limpetbatch.Run) {
+	ctx, cancel := context.WithCancel(d.group.Context())
+	d.cancels[r] = cancel
+	e := r.Entry
+	header := make(http.Header, len(e.Item.Header))
+	for name, value := range e.Item.Header {
+		header.Set(name, value)
+	}
+	remaining := runLongest
+	if e.Job.Rules.ItemLife > 0 {
+		remaining = min(remaining, max(time.Second, e.Job.Arrived.Add(e.Job.Rules.ItemLife).Sub(d.Now())))
+	}
+	call := limpetupstream.Call{
+		Server: r.Server, ID: e.Item.ID, Method: http.MethodPost, Target: e.Item.Path, Host: e.Job.Host,
+		Header: header, Body: e.Item.Body, Account: e.Job.Account, Remaining: remaining,
+		After: r.After, Version: r.Version, Priority: -1,
+	}
+	d.Log.Emit(limpetlog.RunStarted, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID),
+		limpetlog.Server(r.Server.ID), limpetlog.Value("after", r.After))
+	d.group.Go(func(context.Context) error {
+		d.run(ctx, r, call)
+		return nil
+	})
+}
+
+// run sends one run and posts what comes of it.
+func (d *Director) run(ctx context.Context, r *limpetbatch.Run, call limpetupstream.Call) {
+	reply, err := d.Peer.Send(ctx, call)
+	if err != nil {
+		d.post(ctx, runEnded{run: r, ending: limpetbatch.Broken, cause: err})
+		return
+	}
+	defer reply.Close()
+	if ending, ok := refusal(reply); ok {
+		d.post(ctx, runEnded{run: r, ending: ending, status: reply.Status})
+		return
+	}
+	if reply.Events == nil {
+		d.post(ctx, runEnded{run: r, ending: limpetbatch.Broken, status: reply.Status})
+		return
+	}
+	version := reply.Version
+	d.post(ctx, runHead{run: r, version: version})
+	for {
+		event, err := reply.Events()
+		if errors.Is(err, io.EOF) {
+			d.post(ctx, runEnded{run: r, ending: limpetbatch.Whole})
+			return
+		}
+		if err != nil {
+			d.post(ctx, runEnded{run: r, ending: limpetbatch.Broken, cause: err})
+			return
+		}
+		if event.Version > 0 {
+			version = event.Version
+		}
+		d.post(ctx, runEvent{run: r, event: event, version: version})
+	}
+}
+
+// refusal classifies answers that are no stream.
+func refusal(reply *limpetupstream.Reply) (limpetbatch.Ending, bool) {
+	switch {
+	case reply.Misdirected:
+		return limpetbatch.Misdirected, true
+	case reply.NotRun:
+		return limpetbatch.NotRun, true
+	case reply.Status == http.StatusUnprocessableEntity:
+		return limpetbatch.Impossible, true
+	case reply.Status == http.StatusInternalServerError:
+		return limpetbatch.Failed, true
+	case reply.Status != http.StatusOK:
+		return limpetbatch.Broken, true
+	}
+	return 0, false
+}
+
+type runHead struct {
+	run     *limpetbatch.Run
+	version int
+}
+
+func (m runHead) apply(d *Director) {
+	if !d.ledger.Head(m.run, m.version, d.Now()) {
+		d.refuse(m.run, m.version)
+	}
+}
+
+type runEvent struct {
+	run     *limpetbatch.Run
+	event   limpetupstream.Event
+	version int
+}
+
+func (m runEvent) apply(d *Director) {
+	if !d.ledger.Event(m.run, m.event, m.version, d.Now()) {
+		d.refuse(m.run, m.version)
+	}
+}
+
+// refuse breaks off a run whose stream cannot be used.
+func (d *Director) refuse(r *limpetbatch.Run, version int) {
+	cancel := d.cancels[r]
+	if cancel == nil {
+		return
+	}
+	cancel()
+	delete(d.cancels, r)
+	d.Log.Emit(limpetlog.SampleRejected, limpetlog.Job(r.Entry.Job.ID), limpetlog.Value("item", r.Entry.Item.ID),
+		limpetlog.Server(r.Server.ID), limpetlog.Value("version", version), limpetlog.Value("min_version", r.Entry.Job.MinVersion))
+}
+
+type runEnded struct {
+	run    *limpetbatch.Run
+	ending limpetbatch.Ending
+	status int
+	cause  error
+}
+
+func (m runEnded) apply(d *Director) {
+	cancel := d.cancels[m.run]
+	if cancel == nil {
+		return
+	}
+	cancel()
+	delete(d.cancels, m.run)
+	e := m.run.Entry
+	settled := d.ledger.Ended(m.run, m.ending, d.Now())
+	if m.ending == limpetbatch.Whole {
+		return
+	}
+	cause := ""
+	if m.cause != nil {
+		cause = m.cause.Error()
+	}
+	d.Log.Emit(limpetlog.RunFailed, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID),
+		limpetlog.Server(m.run.Server.ID), limpetlog.Value("status", m.status), limpetlog.Value("cause", cause), limpetlog.Value("settled", settled))
+}
+
+// reward makes a reward call.
+func (d *Director) reward(r limpetbatch.Reward) {
+	d.group.Go(func(ctx context.Context) error {
+		answer, allowed := d.Forwarder.Internal(ctx, &limpetforward.Request{
+			ID: r.Scorer.ID, Method: http.MethodPost, Target: r.Scorer.Path, Path: r.Scorer.Path, Host: r.Scorer.Host,
+			Header: http.Header{}, Body: r.Scorer.Body, Arrived: d.Now(), Patience: rewardPatience,
+		})
+		m := scored{entry: r.Entry, failures: answer.Failures, allowed: allowed, reason: answer.Reason}
+		if answer.Reply != nil {
+			if answer.Reply.Status/100 == 2 {
+				m.seal = answer.Reply.Seal
+			}
+			answer.Reply.Close()
+		}
+		d.post(ctx, m)
+		return nil
+	})
+}
+
+type scored struct {
+	entry             *limpetbatch.Entry
+	seal              string
+	failures, allowed int
+	reason            limpetforward.Reason
+}
+
+func (m scored) apply(d *Director) {
+	e := m.entry
+	d.ledger.Scored(e, m.seal, m.failures, max(m.allowed, e.Job.Rules.Attempts), d.Now())
+	if m.seal == "" {
+		d.Log.Emit(limpetlog.RewardFailed, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID),
+			limpetlog.Request(e.Item.Scorer.ID), limpetlog.Value("failures", m.failures), limpetlog.Value("reason", m.reason.String()))
+	}
+}
--- a/internal/limpeterror/limpeterror.go
+++ b/internal/limpeterror/limpeterror.go
@@ -31,6 +31,8 @@
 	Denied = namespace.NewType("denied")
 	// Overloaded reports a refusal because of load; nothing was run.
 	Overloaded = namespace.NewType("overloaded")
+	// Compacted reports history that the store no longer has.
+	Compacted = namespace.NewType("compacted")
 	// Fenced reports an operation by a holder that has been superseded.
 	Fenced = namespace.NewType("fenced")
 )
--- /dev/null
+++ b/internal/limpethost/limpethost.go
@@ -0,0 +1,261 @@
+// Package limpethost owns one process of the system on a prepared platform: it
+// keeps the view of the deployment, answers callers where the VM serves them,
+// and is a candidate for the director. What the platform speaks is filled in
+// by function fields.
+package limpethost
+
+import (
+	"context"
+	"runtime/debug"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"limpetmount.org/internal/limpetbalance"
+	"limpetmount.org/internal/limpetdirector"
+	"limpetmount.org/internal/limpetfollow"
+	"limpetmount.org/internal/limpetforward"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetmetric"
+	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/internal/limpetupstream"
+	"limpetmount.org/internal/limpetwindow"
+)
+
+// A Feed is a prefix of the store that others write.
+type Feed struct {
+	Prefix string
+	// Servers is set for the prefix under which backend servers register.
+	Servers bool
+	// Decode reads a value; it never fails, but may name nothing to use.
+	Decode func(limpetstore.Value) limpetsite.Record
+}
+
+// Deps holds what the platform provides.
+type Deps struct {
+	Store limpetstore.Store
+	Peer  limpetupstream.Peer
+	Feeds []Feed
+	// Probe asks the store for a sign of life.
+	Probe func(ctx context.Context) error
+	// Report hands in a window's usage.
+	Report func(ctx context.Context, r limpetwindow.Report) error
+	// Emptied tells the operator that a VM may be removed.
+	Emptied func(ctx context.Context, vm string) error
+	// Incarnation tells this start of the process from others.
+	Incarnation string
+	Now         func() time.Time
+}
+
+// A Host is a running process.
+type Host struct {
+	Settings  Settings
+	Forwarder *limpetforward.Forwarder
+	Reader    *limpetlot.Reader
+	Log       *limpetlog.Logger
+	Metrics   *limpetmetric.Set
+
+	deps     Deps
+	group    *limpettask.Group
+	view     atomic.Pointer[limpetsite.Snapshot]
+	inbox    chan siteMessage
+	contact  atomic.Bool
+	draining atomic.Bool
+	counter  *limpetwindow.Counter
+	director *limpetdirector.Director
+	// directing ends the director before the rest.
+	directing *limpettask.Group
+	followers []*limpetfollow.Follower
+}
+
+const (
+	// watchWait is how long a watch of a feed waits at the store.
+	watchWait = 10 * time.Second
+	// probePeriod is the time between signs of life that are asked for.
+	probePeriod = time.Second
+	probeTime   = 700 * time.Millisecond
+	// memoryShare of the limit is what the runtime aims to stay below.
+	memoryShare = 0.75
+	// standby is how much longer VMs that serve callers leave the duty vacant
+	// than VMs that do not.
+	standby = 2500 * time.Millisecond
+	// keeperSpread keeps VMs from competing at the same moment.
+	keeperSpread = 120 * time.Millisecond
+)
+
+// Start starts a process. Stop ends it.
+func Start(parent context.Context, settings Settings, deps Deps, log *limpetlog.Logger, metrics *limpetmetric.Set) *Host {
+	LimitMemory(settings.MemoryLimit)
+	h := &Host{
+		Settings: settings, Log: log, Metrics: metrics, deps: deps,
+		group: limpettask.New(parent), inbox: make(chan siteMessage, siteInbox),
+		directing: limpettask.New(parent),
+	}
+	h.view.Store(limpetsite.Empty())
+	meter := limpetstore.NewMeter(metrics.Registry)
+	h.counter = limpetwindow.NewCounter(meter.Wrap(deps.Store, "usage"), settings.VM+"."+deps.Incarnation, settings.Bounds.UsageWindow, deps.Now, log)
+	h.Reader = limpetlot.NewReader(meter.Wrap(deps.Store, "read"), deps.Now)
+	h.Forwarder = &limpetforward.Forwarder{
+		Zone: settings.Zone, View: h.View, Peer: deps.Peer, Tracker: limpetbalance.New(),
+		Log: log, Metrics: metrics, Began: h.counter.Began, Now: deps.Now,
+	}
+	h.follow(meter.Wrap(deps.Store, "site"))
+	h.group.Go(h.probe)
+	if settings.Serves {
+		h.group.Go(h.counter.Run)
+	}
+	h.direct(meter.Wrap(deps.Store, "director"))
+	return h
+}
+
+// LimitMemory makes the runtime collect garbage harder as the process comes
+// near its limit, in bytes; 0 stands for none.
+func LimitMemory(limit int64) {
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(limit)))
+	}
+}
+
+// View returns the newest view of the deployment.
+func (h *Host) View() *limpetsite.Snapshot { return h.view.Load() }
+
+// Store returns the store as callers' requests use it.
+func (h *Host) Store() limpetstore.Store { return h.deps.Store }
+
+// Ready reports whether the balancer may send new callers: a configuration is
+// known, the store answers, and no shutdown has begun.
+func (h *Host) Ready() bool {
+	return !h.draining.Load() && h.contact.Load() && h.View().Ready()
+}
+
+// Draining reports whether a shutdown has begun.
+func (h *Host) Draining() bool { return h.draining.Load() }
+
+// InContact reports whether the store answered lately.
+func (h *Host) InContact() bool { return h.contact.Load() }
+
+// direct makes the VM a candidate for the director.
+func (h *Host) direct(store limpetstore.Store) {
+	reserve := limpetdirector.Spread(keeperSpread)
+	if !h.Settings.Keeps {
+		reserve += standby + limpetdirector.Spread(standby)
+	}
+	deps := limpetdirector.Deps{
+		VM: h.Settings.VM, Incarnation: h.deps.Incarnation, Store: store, Peer: h.deps.Peer, View: h.View,
+		Forwarder: h.Forwarder, Log: h.Log, Metrics: h.Metrics, Now: h.deps.Now, Reserve: reserve,
+		LeaseLeast: h.Settings.LeaseLeast, Turn: h.Settings.Bounds.LeaseTurn, StatusLife: h.Settings.Bounds.StatusLife,
+	}
+	if h.Settings.Duties.Usage {
+		deps.Duties = append(deps.Duties, h.reportUsage)
+	}
+	h.director = limpetdirector.New(deps)
+	h.directing.Go(h.director.Run)
+}
+
+func (h *Host) reportUsage(ctx context.Context, hold limpetdirector.Hold) error {
+	r := &limpetwindow.Reporter{
+		Store: h.deps.Store, Length: h.Settings.Bounds.UsageWindow, Late: h.Settings.Bounds.UsageLate,
+		Send: h.deps.Report, Fence: hold.Fence, VM: hold.VM, Now: h.deps.Now, Log: h.Log,
+	}
+	return r.Run(ctx)
+}
+
+// Drain begins a shutdown: the VM is not ready any more and gives its duty up.
+func (h *Host) Drain() {
+	if h.draining.Swap(true) {
+		return
+	}
+	h.Log.Emit(limpetlog.NodeDraining)
+	if err := h.directing.Stop(); err != nil {
+		h.Log.Emit(limpetlog.LeaseLost, limpetlog.Error(err))
+	}
+}
+
+// Stop ends the process after its last request.
+func (h *Host) Stop() error {
+	flush, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if h.Settings.Serves {
+		h.counter.Flush(flush, true)
+	}
+	h.Log.Emit(limpetlog.NodeStopped)
+	return h.group.Stop()
+}
+
+// follow keeps the view of the deployment.
+func (h *Host) follow(store limpetstore.Store) {
+	for _, feed := range h.deps.Feeds {
+		f := &limpetfollow.Follower{
+			Store: store, Prefix: feed.Prefix, Wait: watchWait,
+			Listed: func(l limpetstore.Listing) {
+				h.tell(siteMessage{records: decodeAll(feed, l.Values), listed: true, revision: l.Revision, feed: feed.Prefix})
+			},
+			Changed: func(values []limpetstore.Value) {
+				h.tell(siteMessage{records: decodeAll(feed, values), feed: feed.Prefix})
+			},
+			Lost: func(err error) {
+				h.Log.Emit(limpetlog.StoreDown, limpetlog.Value("prefix", feed.Prefix), limpetlog.Error(err))
+				h.lost()
+			},
+			Back: func() {
+				h.Log.Emit(limpetlog.StoreBack, limpetlog.Value("prefix", feed.Prefix))
+				h.tell(siteMessage{disturbed: true})
+			},
+		}
+		h.followers = append(h.followers, f)
+		h.group.Go(f.Run)
+	}
+	h.group.Go(h.keepSite)
+}
+
+func decodeAll(feed Feed, values []limpetstore.Value) []limpetsite.Record {
+	records := make([]limpetsite.Record, 0, len(values))
+	for _, v := range values {
+		records = append(records, feed.Decode(v))
+	}
+	return records
+}
+
+// lost records that the store does not answer.
+func (h *Host) lost() {
+	h.contact.Store(false)
+	h.tell(siteMessage{disturbed: true})
+}
+
+// probe asks the store for signs of life. A watch that waits at a store that
+// fell silent is begun anew once the store answers again.
+func (h *Host) probe(ctx context.Context) error {
+	failed := false
+	for {
+		call, cancel := context.WithTimeout(ctx, probeTime)
+		err := h.deps.Probe(call)
+		cancel()
+		switch {
+		case err != nil && ctx.Err() == nil:
+			failed = true
+			h.lost()
+		case err == nil:
+			if failed {
+				h.tell(siteMessage{disturbed: true})
+				for _, f := range h.followers {
+					f.Kick()
+				}
+			}
+			failed = false
+			h.contact.Store(true)
+		}
+		pause := probePeriod
+		if failed {
+			pause /= 4
+		}
+		if !limpettask.Sleep(ctx, pause) {
+			return nil
+		}
+	}
+}
+
+// isServer reports whether a record stands for a backend server.
+func isServer(r limpetsite.Record) bool { return strings.HasPrefix(r.Key, limpetsite.ServerKey) }
--- a/internal/limpethttp/limpethttp.go
+++ b/internal/limpethttp/limpethttp.go
@@ -36,6 +36,23 @@
 	}
 }
 
+const (
+	probeAfter    = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 2
+)
+
+// NewWatchfulTransport returns a transport whose connections are probed while
+// they are silent, so that one whose peer is gone fails within about two
+// seconds instead of at the end of a call's time.
+func NewWatchfulTransport(idle int) *http.Transport {
+	t := NewTransport(idle)
+	t.DialContext = (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeAfter, Interval: probeInterval, Count: probeCount,
+	}}).DialContext
+	return t
+}
+
 // unrepeatable is an empty body that the transport does not know to be empty.
 // The transport repeats a request without a body by itself when its method is
 // idempotent or when it has an Idempotency-Key header.
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -46,13 +46,15 @@
 
 // Requests.
 var (
-	RequestDone     = define(1301, logrus.InfoLevel, "request finished", "A request got its whole answer.")
-	RequestFailed   = define(1302, logrus.WarnLevel, "request failed", "A request ended without a whole answer; the outcome says whether it ran.")
-	RequestRefused  = define(1303, logrus.DebugLevel, "request refused", "A request was refused before it ran.")
-	AttemptFailed   = define(1304, logrus.WarnLevel, "attempt failed", "One attempt at a backend server failed; the request may go on elsewhere.")
-	CrashReported   = define(1305, logrus.WarnLevel, "request suspected of a crash", "A backend server died while it ran this request.")
-	Quarantined     = define(1306, logrus.ErrorLevel, "request quarantined", "The request crashed two distinct backend servers and is refused on all VMs.")
-	QuarantineEnded = define(1307, logrus.InfoLevel, "quarantine released", "An operator released the request.")
+	RequestDone            = define(1301, logrus.InfoLevel, "request finished", "A request got its whole answer.")
+	RequestFailed          = define(1302, logrus.WarnLevel, "request failed", "A request ended without a whole answer; the outcome says whether it ran.")
+	RequestRefused         = define(1303, logrus.DebugLevel, "request refused", "A request was refused before it ran.")
+	AttemptFailed          = define(1304, logrus.WarnLevel, "attempt failed", "One attempt at a backend server failed; the request may go on elsewhere.")
+	CrashReported          = define(1305, logrus.WarnLevel, "request suspected of a crash", "A backend server died while it ran this request.")
+	Quarantined            = define(1306, logrus.ErrorLevel, "request quarantined", "The request crashed two distinct backend servers and is refused on all VMs.")
+	RequestRefusedOrFailed = define(1308, logrus.InfoLevel, "request not served", "A caller's request got an answer of the system's own, or a failure of its server. The reason says whether it may have run.")
+	StreamResumed          = define(1309, logrus.InfoLevel, "stream resumed", "A broken stream goes on at another backend server after the given event.")
+	QuarantineEnded        = define(1307, logrus.InfoLevel, "quarantine released", "An operator released the request.")
 )
 
 // Jobs and weights.
@@ -66,13 +68,44 @@
 	SessionFenced  = define(1407, logrus.WarnLevel, "trainer session fenced", "An older trainer process was refused.")
 )
 
+// Batch jobs.
+var (
+	JobAccepted     = define(1701, logrus.InfoLevel, "job accepted", "A batch job stands in the store; its trainer was told so.")
+	JobRefused      = define(1702, logrus.WarnLevel, "job not accepted", "A batch job was refused, or it is not known whether it stands in the store.")
+	JobTaken        = define(1703, logrus.InfoLevel, "job taken", "The director carries out the job's items that are not listed yet.")
+	JobEnded        = define(1704, logrus.InfoLevel, "job ended", "The trainer ended the job; its runs were broken off.")
+	JobUnreadable   = define(1705, logrus.ErrorLevel, "job unreadable", "A value of the job cannot be decoded. Update this VM.")
+	JobWithoutRoute = define(1706, logrus.WarnLevel, "job without route", "No route of the configuration in force leads to the job's service; it is tried again.")
+	RunStarted      = define(1711, logrus.DebugLevel, "run started", "An item was sent to an engine, from the given event on.")
+	RunFailed       = define(1712, logrus.InfoLevel, "run failed", "An engine refused an item or broke its stream; it goes on elsewhere unless it is settled.")
+	RunCut          = define(1713, logrus.InfoLevel, "run broken off", "The director broke a run off. The cause says whether it goes on elsewhere.")
+	RewardFailed    = define(1714, logrus.InfoLevel, "reward call failed", "A reward call brought no signed answer; it is repeated while it may be.")
+	ItemErrored     = define(1715, logrus.WarnLevel, "item given up", "An item is listed as errored.")
+	ResultsListed   = define(1721, logrus.InfoLevel, "results listed", "Results stand in the store at the given position.")
+	ListingFailed   = define(1722, logrus.WarnLevel, "results not listed", "A write of results had no effect; what the store holds is read again.")
+	DutyNotTaken    = define(1731, logrus.DebugLevel, "duty not taken", "This VM tried to become the director and did not.")
+	ReadRefused     = define(1732, logrus.InfoLevel, "job not read", "A reader of a job was told to come back, or that there is none.")
+)
+
+// What a VM believes of the deployment.
+var (
+	SiteChanged  = define(1801, logrus.InfoLevel, "deployment changed", "The VM took over a change of the configuration, a backend server or a named version.")
+	SettingsRead = define(1802, logrus.InfoLevel, "settings read", "The settings file was read at the start or after a change.")
+	SettingsBad  = define(1803, logrus.ErrorLevel, "settings not taken over", "The settings file changed and cannot be used; the former settings stay in use.")
+	RetireDone   = define(1804, logrus.InfoLevel, "VM emptied", "The VM keeps nothing any more and may be removed.")
+	ValueIgnored = define(1805, logrus.WarnLevel, "value ignored", "A value of the store cannot be read and names nothing to use.")
+	LinesDropped = define(1806, logrus.WarnLevel, "log lines dropped", "The reader of the log was too slow; so many lines are missing.")
+	RequestPanic = define(1807, logrus.ErrorLevel, "request handler failed", "A fault of the program ended one request.")
+)
+
 // Fleet and usage.
 var (
-	OrderSent      = define(1501, logrus.InfoLevel, "backend servers ordered", "An order went to the platform.")
-	OrderSettled   = define(1502, logrus.InfoLevel, "order settled", "The outcome of an order is known.")
-	OrderFailed    = define(1503, logrus.WarnLevel, "order failed", "The platform refused an order or did not answer.")
-	ServerDraining = define(1504, logrus.InfoLevel, "backend server draining", "The backend server gets no new work.")
-	WindowFrozen   = define(1601, logrus.InfoLevel, "usage window frozen", "The window's figures can no longer change.")
-	WindowReported = define(1602, logrus.InfoLevel, "usage window reported", "The intake accepted the window's figures.")
-	WindowFailed   = define(1603, logrus.WarnLevel, "usage report failed", "The intake refused a report or did not answer; the same bytes are sent again.")
+	OrderSent       = define(1501, logrus.InfoLevel, "backend servers ordered", "An order went to the platform.")
+	OrderSettled    = define(1502, logrus.InfoLevel, "order settled", "The outcome of an order is known.")
+	OrderFailed     = define(1503, logrus.WarnLevel, "order failed", "The platform refused an order or did not answer.")
+	ServerDraining  = define(1504, logrus.InfoLevel, "backend server draining", "The backend server gets no new work.")
+	WindowFrozen    = define(1601, logrus.InfoLevel, "usage window frozen", "The window's figures can no longer change.")
+	WindowReported  = define(1602, logrus.InfoLevel, "usage window reported", "The intake accepted the window's figures.")
+	UsageNotWritten = define(1604, logrus.InfoLevel, "usage counts not written", "The store did not take this VM's counts; they are written again.")
+	WindowFailed    = define(1603, logrus.WarnLevel, "usage report failed", "The intake refused a report or did not answer; the same bytes are sent again.")
 )
--- /dev/null
+++ b/internal/limpetsite/snapshot.go
@@ -0,0 +1,131 @@
+package limpetsite
+
+import (
+	"crypto/sha256"
+	"slices"
+	"strings"
+)
+
+// A Snapshot is an immutable view of the deployment at a revision.
+type Snapshot struct {
+	// Revision is the store's revision of the configuration in force.
+	Revision uint64
+	// Config is nil until a configuration is known.
+	Config   *Config
+	Named    map[string]int
+	Retiring map[string]Retirement
+
+	hosts    map[string][]*Route
+	keys     map[[sha256.Size]byte]*Account
+	services map[string]*Service
+	servers  map[string][]*Server
+	byID     map[string]*Server
+}
+
+// Empty returns the snapshot of a VM that knows nothing yet.
+func Empty() *Snapshot { return index(&Snapshot{}) }
+
+// index fills the lookup tables.
+func index(s *Snapshot) *Snapshot {
+	s.hosts = map[string][]*Route{}
+	s.keys = map[[sha256.Size]byte]*Account{}
+	s.services = map[string]*Service{}
+	if s.Config == nil {
+		return s
+	}
+	for i := range s.Config.Routes {
+		r := &s.Config.Routes[i]
+		s.hosts[r.Host] = append(s.hosts[r.Host], r)
+	}
+	for _, routes := range s.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range s.Config.Accounts {
+		a := &s.Config.Accounts[i]
+		for _, k := range a.Keys {
+			s.keys[k] = a
+		}
+	}
+	for i := range s.Config.Services {
+		s.services[s.Config.Services[i].Name] = &s.Config.Services[i]
+	}
+	return s
+}
+
+// Ready reports whether a configuration is known.
+func (s *Snapshot) Ready() bool { return s.Config != nil }
+
+// Route returns the route of a host with the longest prefix of path, or nil.
+// The host may carry a port.
+func (s *Snapshot) Route(host, path string) *Route {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for _, r := range s.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// HasHost reports whether any route belongs to the host.
+func (s *Snapshot) HasHost(host string) bool {
+	name, _, _ := strings.Cut(host, ":")
+	return len(s.hosts[name]) > 0
+}
+
+// NeedsKeys reports whether the configuration has client accounts.
+func (s *Snapshot) NeedsKeys() bool { return s.Config != nil && len(s.Config.Accounts) > 0 }
+
+// Account returns the account that holds a key, or nil.
+func (s *Snapshot) Account(key string) *Account {
+	h := HashKey(key)
+	a := s.keys[h]
+	if a == nil {
+		return nil
+	}
+	for _, k := range a.Keys {
+		if sameHash(k, h) {
+			return a
+		}
+	}
+	return nil
+}
+
+// Service returns a service of the configuration, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// Servers returns the servers of a service that may get new work. The slice
+// is shared and must not be changed.
+func (s *Snapshot) Servers(service string) []*Server { return s.servers[service] }
+
+// Server returns the server of an ID, which may be draining, or nil.
+func (s *Snapshot) Server(id string) *Server { return s.byID[id] }
+
+// All returns every server, draining ones included.
+func (s *Snapshot) All() map[string]*Server { return s.byID }
+
+// Takes reports whether a server may get new work.
+func (s *Snapshot) Takes(id string) bool {
+	v := s.byID[id]
+	return v != nil && !v.Draining
+}
+
+// Pick returns the service for a draw between 0 and 1.
+func (r *Route) Pick(draw float64) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	point := draw * total
+	for _, t := range r.Targets {
+		if point -= t.Weight; point < 0 {
+			return t.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- a/internal/limpetstore/limpetstore.go
+++ b/internal/limpetstore/limpetstore.go
@@ -59,6 +59,15 @@
 	Renew func(ctx context.Context, lease uint64) error
 	// Revoke ends a lease and deletes its keys.
 	Revoke func(ctx context.Context, lease uint64) error
+	// Commit carries out a transaction and returns its revision. A Conflict
+	// means that a check did not hold, NotFound that a lease has ended.
+	Commit func(ctx context.Context, t Transaction) (uint64, error)
+	// Scan returns all values below prefix and a revision from which Follow
+	// misses no later change.
+	Scan func(ctx context.Context, prefix string) (Listing, error)
+	// Follow waits for changes below prefix after a revision, for at most the
+	// given time. Compacted means that the store no longer knows them all.
+	Follow func(ctx context.Context, prefix string, after uint64, wait time.Duration) (Listing, error)
 }
 
 const (
@@ -203,6 +212,21 @@
 			m.count(mechanism, "write", err)
 			return err
 		},
+		Commit: func(ctx context.Context, t Transaction) (uint64, error) {
+			v, err := s.Commit(ctx, t)
+			m.count(mechanism, "write", err)
+			return v, err
+		},
+		Scan: func(ctx context.Context, prefix string) (Listing, error) {
+			v, err := s.Scan(ctx, prefix)
+			m.count(mechanism, "read", err)
+			return v, err
+		},
+		Follow: func(ctx context.Context, prefix string, after uint64, wait time.Duration) (Listing, error) {
+			v, err := s.Follow(ctx, prefix, after, wait)
+			m.count(mechanism, "watch", err)
+			return v, err
+		},
 	}
 }
 
--- a/internal/limpetstub/store.go
+++ b/internal/limpetstub/store.go
@@ -96,6 +96,7 @@
 	return limpetstore.Store{
 		Get: s.get, Put: s.put, Delete: s.remove, List: s.list, Watch: s.watch,
 		Grant: s.grant, Renew: s.renew, Revoke: s.revoke,
+		Commit: s.commit, Scan: s.scan, Follow: s.follow,
 	}
 }
 
