--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -28,7 +28,7 @@
 
 const (
 	// watchWait is how long watches of the duty and of jobs wait at the store.
-	watchWait = 8 * time.Second
+	watchWait = 2 * time.Second
 	// tryPause is the time between tries to take a vacant duty.
 	tryPause = 150 * time.Millisecond
 )
@@ -36,7 +36,7 @@
 // followDuty watches who holds the duty.
 func (d *Director) followDuty() {
 	f := &limpetfollow.Follower{
-		Store: d.Store, Prefix: limpetlease.Prefix, Wait: watchWait,
+		Store: d.Store, Prefix: limpetlease.Prefix, Wait: d.DutyWait,
 		Listed: func(l limpetstore.Listing) {
 			r := dutyRecord{Vacant: true, Revision: l.Revision}
 			for _, v := range l.Values {
@@ -93,7 +93,7 @@
 
 // compete takes the duty when it is vacant and this VM's turn.
 func (d *Director) compete(ctx context.Context, now time.Time) {
-	if d.lead != nil || d.trying || d.retired || !d.record.Vacant || !d.view.Ready() && !d.View().Ready() {
+	if d.lead != nil || d.trying || d.retired || !d.record.Vacant {
 		return
 	}
 	wait := d.Reserve
@@ -169,6 +169,7 @@
 // takeOver starts what a director does.
 func (d *Director) takeOver() {
 	l := d.lead
+	d.Wake(true)
 	d.loading = map[string]bool{}
 	for id := range d.ledger.Jobs() {
 		d.resync(id)
@@ -243,6 +244,7 @@
 	d.open = map[string]limpetlot.Summary{}
 	d.loading = map[string]bool{}
 	d.whole = map[string]bool{}
+	d.Wake(false)
 }
 
 // Spread returns a random part of a period, so that VMs that notice the same
@@ -251,28 +253,44 @@
 	return time.Duration(rand.Int64N(int64(period) + 1))
 }
 
-// A retire asks the director to give the duty up for good.
-type retire struct{ done chan struct{} }
+// retirePause is the pause between tries to tell that a VM is empty.
+const retirePause = 300 * time.Millisecond
 
-func (r retire) apply(d *Director) {
+// retirements tells of VMs that are to be emptied: one that is not the
+// director keeps nothing. A director that is asked itself gives the duty up
+// for good, and its successor tells.
+func (d *Director) retirements() {
+	for vm := range d.view.Retiring {
+		if vm == d.VM {
+			d.retire()
+			return
+		}
+		if d.emptied[vm] {
+			continue
+		}
+		d.emptied[vm] = true
+		d.lead.group.Go(func(ctx context.Context) error {
+			for ctx.Err() == nil {
+				err := d.Emptied(ctx, vm)
+				if err == nil {
+					d.Log.Emit(limpetlog.RetireDone, limpetlog.Value("retired", vm))
+					return nil
+				}
+				limpettask.Sleep(ctx, limpettask.Jitter(retirePause))
+			}
+			return nil
+		})
+	}
+}
+
+func (d *Director) retire() {
 	d.retired = true
 	d.stepDown("the VM is being emptied")
 	d.abandon()
 	d.group.Go(func(ctx context.Context) error {
-		defer close(r.done)
 		if err := d.holder.Release(ctx); err != nil {
 			d.Log.Emit(limpetlog.LeaseLost, limpetlog.Error(err))
 		}
 		return nil
 	})
 }
-
-// Retire gives the duty up for good and returns when that is done.
-func (d *Director) Retire(ctx context.Context) {
-	r := retire{done: make(chan struct{})}
-	d.post(ctx, r)
-	select {
-	case <-r.done:
-	case <-ctx.Done():
-	}
-}
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -125,7 +125,7 @@
 
 // listedResults returns the results of a job that stand in the store.
 func listedResults(ctx context.Context, store limpetstore.Store, id string) ([]limpetlot.Result, error) {
-	l, err := store.Scan(ctx, limpetlot.ResultPrefix(id))
+	l, err := store.Scan(ctx, limpetlot.ResultPrefix(id), "")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -34,6 +34,12 @@
 	Log         *limpetlog.Logger
 	Metrics     *limpetmetric.Set
 	Now         func() time.Time
+	// Wake makes the VM follow the deployment, or stop.
+	Wake func(awake bool)
+	// Emptied tells the operator that a VM may be removed.
+	Emptied func(ctx context.Context, vm string) error
+	// DutyWait is how long a watch of the duty waits at the store.
+	DutyWait time.Duration
 	// Reserve is how much longer than others this VM leaves a vacant duty.
 	Reserve time.Duration
 	// LeaseLeast is the shortest lease of the store.
@@ -69,6 +75,7 @@
 	heldAt   time.Time
 	actAfter time.Time
 	retired  bool
+	emptied  map[string]bool
 	vacantAt time.Time
 	trying   bool
 
@@ -122,7 +129,7 @@
 		holder:  limpetlease.New(deps.Store, deps.VM, deps.Incarnation, ttl, deps.Now),
 		cancels: map[*limpetbatch.Run]context.CancelFunc{}, view: limpetsite.Empty(),
 		open: map[string]limpetlot.Summary{}, ended: map[string]bool{}, loading: map[string]bool{}, whole: map[string]bool{},
-		swaps: map[string]time.Time{}, held: map[string]time.Time{}, loads: map[load]int{},
+		swaps: map[string]time.Time{}, held: map[string]time.Time{}, loads: map[load]int{}, emptied: map[string]bool{},
 	}
 }
 
@@ -204,6 +211,7 @@
 	if d.lead != nil {
 		d.list(now)
 		d.swap(now)
+		d.retirements()
 	}
 }
 
--- a/internal/limpetfollow/limpetfollow.go
+++ b/internal/limpetfollow/limpetfollow.go
@@ -18,7 +18,7 @@
 	retryLast  = 500 * time.Millisecond
 	// gather is the pause after a change, so that changes in quick succession
 	// share a call.
-	gather = 40 * time.Millisecond
+	gather = 120 * time.Millisecond
 )
 
 // A Follower holds the prefix that it follows and where its changes go. The
@@ -35,6 +35,8 @@
 	// starts to answer.
 	Lost func(error)
 	Back func()
+	// Relisted is told, when it is set, that the store has forgotten changes.
+	Relisted func()
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
@@ -71,6 +73,9 @@
 			continue
 		case limpeterror.Is(err, limpeterror.Compacted):
 			listed = false
+			if f.Relisted != nil {
+				f.Relisted()
+			}
 			continue
 		case ctx.Err() != nil:
 			return nil
@@ -86,7 +91,7 @@
 }
 
 func (f *Follower) list(ctx context.Context) (uint64, error) {
-	l, err := f.Store.Scan(ctx, f.Prefix)
+	l, err := f.Store.Scan(ctx, f.Prefix, "")
 	if err != nil {
 		return 0, err
 	}
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -8,6 +8,7 @@
 	"context"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,11 +70,15 @@
 	// directing ends the director before the rest.
 	directing *limpettask.Group
 	followers []*limpetfollow.Follower
+
+	waking sync.Mutex
+	// awake runs the followers; nil while they do not run.
+	awake *limpettask.Group
 }
 
 const (
 	// watchWait is how long a watch of a feed waits at the store.
-	watchWait = 10 * time.Second
+	watchWait = 1800 * time.Millisecond
 	// probePeriod is the time between signs of life that are asked for.
 	probePeriod = time.Second
 	probeTime   = 700 * time.Millisecond
@@ -82,6 +87,9 @@
 	// standby is how much longer VMs that serve callers leave the duty vacant
 	// than VMs that do not.
 	standby = 2500 * time.Millisecond
+	// keeperWait and standbyWait are how long watches of the duty wait.
+	keeperWait  = 2 * time.Second
+	standbyWait = 8 * time.Second
 	// keeperSpread keeps VMs from competing at the same moment.
 	keeperSpread = 120 * time.Millisecond
 )
@@ -102,9 +110,10 @@
 		Zone: settings.Zone, View: h.View, Peer: deps.Peer, Tracker: limpetbalance.New(),
 		Log: log, Metrics: metrics, Began: h.counter.Began, Now: deps.Now,
 	}
-	h.follow(meter.Wrap(deps.Store, "site"))
-	h.group.Go(h.probe)
+	h.followers = h.feeds(meter.Wrap(deps.Store, "site"))
+	h.group.Go(h.keepSite)
 	if settings.Serves {
+		h.Wake(true)
 		h.group.Go(h.counter.Run)
 	}
 	h.direct(meter.Wrap(deps.Store, "director"))
@@ -139,13 +148,15 @@
 
 // direct makes the VM a candidate for the director.
 func (h *Host) direct(store limpetstore.Store) {
-	reserve := limpetdirector.Spread(keeperSpread)
+	reserve, wait := limpetdirector.Spread(keeperSpread), keeperWait
 	if !h.Settings.Keeps {
+		wait = standbyWait
 		reserve += standby + limpetdirector.Spread(standby)
 	}
 	deps := limpetdirector.Deps{
 		VM: h.Settings.VM, Incarnation: h.deps.Incarnation, Store: store, Peer: h.deps.Peer, View: h.View,
 		Forwarder: h.Forwarder, Log: h.Log, Metrics: h.Metrics, Now: h.deps.Now, Reserve: reserve,
+		Wake: h.Wake, Emptied: h.deps.Emptied, DutyWait: wait,
 		LeaseLeast: h.Settings.LeaseLeast, Turn: h.Settings.Bounds.LeaseTurn, StatusLife: h.Settings.Bounds.StatusLife,
 	}
 	if h.Settings.Duties.Usage {
@@ -185,8 +196,30 @@
 	return h.group.Stop()
 }
 
-// follow keeps the view of the deployment.
-func (h *Host) follow(store limpetstore.Store) {
+// Wake makes the VM follow the deployment, or stop. VMs that neither serve
+// callers nor direct need no view of it, and each watch has its price.
+func (h *Host) Wake(awake bool) {
+	h.waking.Lock()
+	defer h.waking.Unlock()
+	if awake == (h.awake != nil) || (!awake && h.Settings.Serves) {
+		return
+	}
+	if !awake {
+		group := h.awake
+		h.awake = nil
+		h.group.Go(func(context.Context) error { return group.Stop() })
+		return
+	}
+	h.awake = limpettask.New(h.group.Context())
+	for _, f := range h.followers {
+		h.awake.Go(f.Run)
+	}
+	h.awake.Go(h.probe)
+}
+
+// feeds returns what keeps the view of the deployment.
+func (h *Host) feeds(store limpetstore.Store) []*limpetfollow.Follower {
+	var followers []*limpetfollow.Follower
 	for _, feed := range h.deps.Feeds {
 		f := &limpetfollow.Follower{
 			Store: store, Prefix: feed.Prefix, Wait: watchWait,
@@ -200,15 +233,15 @@
 				h.Log.Emit(limpetlog.StoreDown, limpetlog.Value("prefix", feed.Prefix), limpetlog.Error(err))
 				h.lost()
 			},
+			Relisted: func() { h.Log.Emit(limpetlog.StoreForgot, limpetlog.Value("prefix", feed.Prefix)) },
 			Back: func() {
 				h.Log.Emit(limpetlog.StoreBack, limpetlog.Value("prefix", feed.Prefix))
 				h.tell(siteMessage{disturbed: true})
 			},
 		}
-		h.followers = append(h.followers, f)
-		h.group.Go(f.Run)
+		followers = append(followers, f)
 	}
-	h.group.Go(h.keepSite)
+	return followers
 }
 
 func decodeAll(feed Feed, values []limpetstore.Value) []limpetsite.Record {
@@ -235,10 +268,14 @@
 		cancel()
 		switch {
 		case err != nil && ctx.Err() == nil:
+			if !failed {
+				h.Log.Emit(limpetlog.StoreDown, limpetlog.Value("prefix", "probe"), limpetlog.Error(err))
+			}
 			failed = true
 			h.lost()
 		case err == nil:
 			if failed {
+				h.Log.Emit(limpetlog.StoreBack, limpetlog.Value("prefix", "probe"))
 				h.tell(siteMessage{disturbed: true})
 				for _, f := range h.followers {
 					f.Kick()
--- a/internal/limpethost/site.go
+++ b/internal/limpethost/site.go
@@ -6,15 +6,12 @@
 
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetsite"
-	"limpetmount.org/internal/limpettask"
 )
 
 const (
 	siteInbox = 256
 	// expireTick is how often lapsed servers are looked at.
 	expireTick = 100 * time.Millisecond
-	// retryEmptied is the pause between tries to tell that the VM is empty.
-	retryEmptied = 300 * time.Millisecond
 )
 
 // A siteMessage holds changes of a feed for the owner of the site's state.
@@ -39,7 +36,6 @@
 	state := limpetsite.NewState()
 	ticker := time.NewTicker(expireTick)
 	defer ticker.Stop()
-	retiring := false
 	for {
 		var changes []limpetsite.Change
 		select {
@@ -59,10 +55,6 @@
 			h.Log.Emit(limpetlog.SiteChanged, limpetlog.Value("what", c.What), limpetlog.Value("name", c.Name), limpetlog.Value("revision", view.Revision))
 		}
 		h.Forwarder.Tracker.Forget(func(id string) bool { return view.Server(id) != nil })
-		if _, asked := view.Retiring[h.Settings.VM]; asked && !retiring {
-			retiring = true
-			h.group.Go(h.retire)
-		}
 	}
 }
 
@@ -97,17 +89,3 @@
 	}
 	return ""
 }
-
-// retire empties the VM: it holds nothing but its duty.
-func (h *Host) retire(ctx context.Context) error {
-	h.director.Retire(ctx)
-	for ctx.Err() == nil {
-		err := h.deps.Emptied(ctx, h.Settings.VM)
-		if err == nil {
-			h.Log.Emit(limpetlog.RetireDone)
-			return nil
-		}
-		limpettask.Sleep(ctx, limpettask.Jitter(retryEmptied))
-	}
-	return nil
-}
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -36,6 +36,7 @@
 var (
 	StoreDown      = define(1201, logrus.WarnLevel, "store unavailable", "Calls to the platform's store fail; work that needs none goes on.")
 	StoreBack      = define(1202, logrus.InfoLevel, "store available", "Calls to the platform's store succeed again.")
+	StoreForgot    = define(1209, logrus.InfoLevel, "store forgot history", "Changes since the last answer are not known any more; the prefix is listed anew.")
 	LeaseAcquired  = define(1203, logrus.InfoLevel, "lease acquired", "The node took over a duty.")
 	LeaseLost      = define(1204, logrus.WarnLevel, "lease lost", "The node stopped a duty because it cannot prove that it still holds it.")
 	LeaseReleased  = define(1205, logrus.InfoLevel, "lease released", "The node handed a duty over in a graceful shutdown.")
--- a/internal/limpetlot/reader.go
+++ b/internal/limpetlot/reader.go
@@ -14,6 +14,9 @@
 	cacheBytes = 24 << 20
 	// pageBytes bounds the texts of one page of results.
 	pageBytes = 900 << 10
+	// freshFor is how long after a listing a reader may wait for changes by a
+	// watch, before it lists again.
+	freshFor = 2500 * time.Millisecond
 	// specsKept bounds the jobs whose items are kept for reading bodies.
 	specsKept = 8
 )
@@ -45,8 +48,11 @@
 	used    time.Time
 	// Guarded by the reader's lock.
 	results  []Result
+	// last is the key of the last chunk that is known, revision the one up to
+	// which changes are known, and listed when they were last listed.
+	last     string
 	revision uint64
-	scanned  bool
+	listed   time.Time
 	bytes    int
 }
 
@@ -133,37 +139,38 @@
 	}
 	defer func() { <-j.turn }()
 	r.mu.Lock()
-	known, scanned, revision := len(j.results), j.scanned, j.revision
+	known, last, revision := len(j.results), j.last, j.revision
+	fresh := r.now().Sub(j.listed) < freshFor
 	r.mu.Unlock()
 	if known > after {
 		return false, nil
 	}
 	prefix := ResultPrefix(j.summary.ID)
-	if scanned {
+	if fresh && wait > 0 {
 		l, err := r.store.Follow(ctx, prefix, revision, wait)
 		if err == nil {
-			return true, r.add(j, l)
+			return true, r.add(j, l, false)
 		}
 		if !limpeterror.Is(err, limpeterror.Compacted) {
 			return true, err
 		}
 	}
-	l, err := r.store.Scan(ctx, prefix)
+	// What a watch does not tell is no proof: a listing is.
+	l, err := r.store.Scan(ctx, prefix, last)
 	if err != nil {
 		return true, err
 	}
-	if err := r.add(j, l); err != nil {
-		return true, err
-	}
-	return !(len(l.Values) == 0 && wait > 0), nil
+	return wait <= 0, r.add(j, l, true)
 }
 
 // add takes chunks in the order of their positions. One that does not follow
-// on what is known makes the next refresh list them all.
-func (r *Reader) add(j *readJob, l limpetstore.Listing) error {
+// on what is known makes the next refresh list what is missing.
+func (r *Reader) add(j *readJob, l limpetstore.Listing, listed bool) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	j.scanned = true
+	if listed {
+		j.listed = r.now()
+	}
 	j.revision = max(j.revision, l.Revision)
 	for _, v := range l.Values {
 		if v.Deleted {
@@ -173,15 +180,16 @@
 		if err != nil {
 			return err
 		}
+		if c.First < len(j.results) {
+			continue
+		}
 		if c.First > len(j.results) {
-			j.scanned = false
-			return nil
+			j.listed = time.Time{}
+			break
 		}
-		for n, result := range c.Results {
-			if c.First+n < len(j.results) {
-				continue
-			}
-			j.results = append(j.results, result)
+		j.last = v.Key
+		j.results = append(j.results, c.Results...)
+		for _, result := range c.Results {
 			j.bytes += len(result.Text)
 			r.bytes += len(result.Text)
 		}
--- a/internal/limpetstore/limpetstore.go
+++ b/internal/limpetstore/limpetstore.go
@@ -62,9 +62,9 @@
 	// Commit carries out a transaction and returns its revision. A Conflict
 	// means that a check did not hold, NotFound that a lease has ended.
 	Commit func(ctx context.Context, t Transaction) (uint64, error)
-	// Scan returns all values below prefix and a revision from which Follow
-	// misses no later change.
-	Scan func(ctx context.Context, prefix string) (Listing, error)
+	// Scan returns all values below prefix whose keys follow on after, and a
+	// revision from which Follow misses no later change.
+	Scan func(ctx context.Context, prefix, after string) (Listing, error)
 	// Follow waits for changes below prefix after a revision, for at most the
 	// given time. Compacted means that the store no longer knows them all.
 	Follow func(ctx context.Context, prefix string, after uint64, wait time.Duration) (Listing, error)
@@ -217,8 +217,8 @@
 			m.count(mechanism, "write", err)
 			return v, err
 		},
-		Scan: func(ctx context.Context, prefix string) (Listing, error) {
-			v, err := s.Scan(ctx, prefix)
+		Scan: func(ctx context.Context, prefix, after string) (Listing, error) {
+			v, err := s.Scan(ctx, prefix, after)
 			m.count(mechanism, "read", err)
 			return v, err
 		},
--- a/internal/limpetstub/transaction.go
+++ b/internal/limpetstub/transaction.go
@@ -59,11 +59,11 @@
 	return nil
 }
 
-func (s *Store) scan(ctx context.Context, prefix string) (l limpetstore.Listing, err error) {
+func (s *Store) scan(ctx context.Context, prefix, after string) (l limpetstore.Listing, err error) {
 	err = s.call(ctx, "list", prefix, func() error {
 		l.Revision = s.revision
 		for key, v := range s.values {
-			if strings.HasPrefix(key, prefix) {
+			if strings.HasPrefix(key, prefix) && key > after {
 				l.Values = append(l.Values, v)
 			}
 		}
--- a/internal/limpetwindow/limpetwindow.go
+++ b/internal/limpetwindow/limpetwindow.go
@@ -251,7 +251,7 @@
 }
 
 func (r *Reporter) add(ctx context.Context, window int64) (Counts, []string, error) {
-	l, err := r.Store.Scan(ctx, fmt.Sprintf("%s%d/", countPrefix, window))
+	l, err := r.Store.Scan(ctx, fmt.Sprintf("%s%d/", countPrefix, window), "")
 	if err != nil {
 		return nil, nil, err
 	}
