Drafts of unfinished texts, a shorter lease, and half of the engines changed early

Change: texts of 14 events and more are kept each 0.9 s and taken up by a successor; the lease lasts 1.5 s; a director that lost the store asks other VMs and abandons its runs when they reach it; half of the engines change as soon as a version is named, after their runs moved to other engines. Ruled out: longer waits for the engines' pace (a text of 205 events takes 7.1 to 7.7 s alone).

--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -86,6 +86,42 @@
 	g.loading, g.loadingFrom = model, now
 }
 
+// Evacuate takes the runs of a model off an engine whose weights are about to
+// change, when other engines have places for all of them: a text goes on
+// there at once, and here only after the change. It returns the runs that are
+// to be broken off.
+func (l *Ledger) Evacuate(id, model string, view *limpetsite.Snapshot, now time.Time) []*Run {
+	g := l.engines[id]
+	if g == nil {
+		return nil
+	}
+	var runs []*Run
+	for r := range g.runs {
+		if r.Entry.Job.Model == model && !r.Entry.Job.Rules.OnPolicy {
+			runs = append(runs, r)
+		}
+	}
+	places := 0
+	for other, o := range l.engines {
+		if other == id {
+			continue
+		}
+		for _, r := range runs {
+			if o.usable(r.Entry, view, now) && !o.slow(l.typicalPace(now), now) {
+				places += max(o.server.Slots, 1) - len(o.runs)
+				break
+			}
+		}
+	}
+	if places < len(runs)+l.Waiting(model) {
+		return nil
+	}
+	for _, r := range runs {
+		l.detach(r)
+	}
+	return runs
+}
+
 // usable reports whether an engine may get an item, apart from its load.
 func (g *engine) usable(e *Entry, view *limpetsite.Snapshot, now time.Time) bool {
 	j := e.Job
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -93,6 +93,8 @@
 	committing int
 	ended      bool
 	begun      bool
+	// undrafted is set while texts have grown since they were kept.
+	undrafted bool
 }
 
 // Due returns when all results are due.
--- a/internal/limpetbatch/run.go
+++ b/internal/limpetbatch/run.go
@@ -68,6 +68,7 @@
 	r.last = now
 	e.broken = 0
 	e.text.add(event, version)
+	e.Job.undrafted = true
 	return true
 }
 
--- a/internal/limpetbatch/text.go
+++ b/internal/limpetbatch/text.go
@@ -137,3 +137,12 @@
 	}
 	e.Job.unlisted = append(e.Job.unlisted, e)
 }
+
+// Events returns the number of events that the entry's text has.
+func (e *Entry) Events() int { return len(e.text.pieces) }
+
+// Moves returns how often the entry was given up for another engine.
+func (e *Entry) Moves() int { return e.moves }
+
+// Must reports whether the trainer is expected to wait for the entry.
+func (e *Entry) Must() bool { return e.group.must }
--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -294,3 +294,34 @@
 		return nil
 	})
 }
+
+const (
+	// askAfter is how long the lease is lost before other VMs are asked for the
+	// store, and askPeriod how often they are.
+	askAfter  = 300 * time.Millisecond
+	askPeriod = 700 * time.Millisecond
+)
+
+// askElsewhere finds out whether this VM alone lost the store. Its runs would
+// then only take places from those of its successor.
+func (d *Director) askElsewhere(now time.Time) {
+	if d.asking || now.Sub(d.vacantAt) < askAfter || now.Sub(d.askedAt) < askPeriod {
+		return
+	}
+	d.asking, d.askedAt = true, now
+	d.group.Go(func(ctx context.Context) error {
+		d.post(ctx, elsewhere{up: d.StoreElsewhere(ctx)})
+		return nil
+	})
+}
+
+// elsewhere tells whether other VMs reach the store.
+type elsewhere struct{ up bool }
+
+func (m elsewhere) apply(d *Director) {
+	d.asking = false
+	if m.up && d.lead == nil && len(d.ledger.Jobs()) > 0 {
+		d.Log.Emit(limpetlog.LeaseLost, limpetlog.Value("cause", "other VMs reach the store"))
+		d.abandon()
+	}
+}
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -110,11 +110,15 @@
 		for ctx.Err() == nil {
 			job, err := limpetlot.Load(ctx, d.Store, s)
 			var done []limpetlot.Result
+			var drafts []limpetlot.Draft
 			if err == nil {
 				done, err = listedResults(ctx, d.Store, s.ID)
 			}
+			if err == nil && d.Now().Sub(s.Arrived) > draftPeriod {
+				drafts, err = limpetlot.LoadDrafts(ctx, d.Store, s.ID)
+			}
 			if err == nil || limpeterror.Is(err, limpeterror.Invalid) {
-				d.post(ctx, loaded{lead: l, id: s.ID, job: job, done: done, err: err})
+				d.post(ctx, loaded{lead: l, id: s.ID, job: job, done: done, drafts: drafts, err: err})
 				return nil
 			}
 			limpettask.Sleep(ctx, limpettask.Jitter(loadPause))
@@ -149,7 +153,9 @@
 	id   string
 	job  *limpetlot.Job
 	done []limpetlot.Result
-	err  error
+	// drafts are texts that a former director kept.
+	drafts []limpetlot.Draft
+	err    error
 }
 
 func (m loaded) apply(d *Director) {
@@ -183,8 +189,9 @@
 	}
 	now := d.Now()
 	j := d.ledger.Add(m.job, rules, m.done, now)
+	d.ledger.Resume(j, m.drafts, now)
 	d.Log.Emit(limpetlog.JobTaken, limpetlog.Job(m.id), limpetlog.Account(j.Account), limpetlog.Value("items", len(j.Items)),
-		limpetlog.Value("listed", len(m.done)), limpetlog.Value("step", j.Step), limpetlog.Value("min_version", j.MinVersion),
+		limpetlog.Value("listed", len(m.done)), limpetlog.Value("drafts", len(m.drafts)), limpetlog.Value("step", j.Step), limpetlog.Value("min_version", j.MinVersion),
 		limpetlog.Value("age_ms", now.Sub(j.Arrived).Milliseconds()))
 }
 
@@ -269,6 +276,41 @@
 	})
 }
 
+// keepDrafts writes unfinished texts, so that a successor goes on where they
+// end. A write that fails is not repeated: the next one says more.
+func (d *Director) keepDrafts(now time.Time) {
+	l := d.lead
+	if l.drafting || now.Sub(l.drafted) < draftPeriod {
+		return
+	}
+	sets := d.ledger.Drafts(limpetstore.MaxEntries - 1)
+	if len(sets) == 0 {
+		return
+	}
+	t := limpetstore.Transaction{Checks: []limpetstore.Check{{Key: limpetlease.Prefix + Duty, Revision: l.fence}}}
+	for _, s := range sets {
+		t.Writes = append(t.Writes, limpetstore.Write{Key: limpetlot.DraftKey(s.Job.ID), Data: limpetlot.EncodeDrafts(s.Drafts)})
+	}
+	l.drafting = true
+	l.group.Go(func(ctx context.Context) error {
+		_, err := d.Store.Commit(ctx, t)
+		d.post(ctx, drafted{lead: l, err: err})
+		return nil
+	})
+}
+
+type drafted struct {
+	lead *lead
+	err  error
+}
+
+func (m drafted) apply(d *Director) {
+	m.lead.drafting, m.lead.drafted = false, d.Now()
+	if m.err != nil {
+		d.Log.Emit(limpetlog.DraftsNotKept, limpetlog.Error(m.err))
+	}
+}
+
 // commit repeats a write until it is known whether it had its effect.
 func (d *Director) commit(ctx context.Context, t limpetstore.Transaction) error {
 	for {
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -36,6 +36,9 @@
 	Now         func() time.Time
 	// Wake makes the VM follow the deployment, or stop.
 	Wake func(awake bool)
+	// StoreElsewhere reports whether other VMs reach the store, so that one of
+	// them may take the duty over.
+	StoreElsewhere func(ctx context.Context) bool
 	// Emptied tells the operator that a VM may be removed.
 	Emptied func(ctx context.Context, vm string) error
 	// DutyWait is how long a watch of the duty waits at the store.
@@ -78,6 +81,8 @@
 	emptied  map[string]bool
 	vacantAt time.Time
 	trying   bool
+	asking   bool
+	askedAt  time.Time
 
 	open    map[string]limpetlot.Summary
 	ended   map[string]bool
@@ -102,6 +107,8 @@
 	group      *limpettask.Group
 	committing bool
 	committed  time.Time
+	drafting   bool
+	drafted    time.Time
 	renewing   bool
 	renewed    time.Time
 }
@@ -110,12 +117,14 @@
 type message interface{ apply(d *Director) }
 
 const (
-	leaseTime   = 2 * time.Second
-	renewPeriod = 450 * time.Millisecond
+	leaseTime   = 1500 * time.Millisecond
+	renewPeriod = 350 * time.Millisecond
 	tick        = 25 * time.Millisecond
 	inboxSize   = 2048
 	// listPeriod is the time between writes of results.
 	listPeriod = 90 * time.Millisecond
+	// draftPeriod is the time between writes of unfinished texts.
+	draftPeriod = 900 * time.Millisecond
 	// keepWorking is how long a director whose lease lapsed goes on with its
 	// runs while no other one is known.
 	keepWorking = 20 * time.Second
@@ -193,8 +202,11 @@
 	if d.lead != nil {
 		d.keepLease(now)
 	}
-	if d.lead == nil && !d.mayWork(now) {
-		return
+	if d.lead == nil {
+		if !d.mayWork(now) {
+			return
+		}
+		d.askElsewhere(now)
 	}
 	if view := d.View(); view != d.view {
 		d.view = view
@@ -210,6 +222,7 @@
 	}
 	if d.lead != nil {
 		d.list(now)
+		d.keepDrafts(now)
 		d.swap(now)
 		d.retirements()
 	}
--- a/internal/limpetdirector/orders.go
+++ b/internal/limpetdirector/orders.go
@@ -15,8 +15,13 @@
 const (
 	planPeriod = 50 * time.Millisecond
 	// orderTime bounds one call to an engine.
-	orderTime  = 800 * time.Millisecond
-	reportPoll = 120 * time.Millisecond
+	orderTime = 800 * time.Millisecond
+	// sureFor is how long the lease must last at least when an order is sent.
+	sureFor = 400 * time.Millisecond
+	// reportFirst is when a change of weights is looked for first, and
+	// reportPoll how often after that.
+	reportFirst = 600 * time.Millisecond
+	reportPoll  = 100 * time.Millisecond
 	// swapLongest is when an order that is not seen to be carried out is given
 	// again.
 	swapLongest = 4 * time.Second
@@ -62,6 +67,7 @@
 	d.swaps[c.Engine] = now
 	d.loads[load{c.Model, c.Version}]++
 	d.ledger.Loading(c.Engine, c.Model, now)
+	d.cut(d.ledger.Evacuate(c.Engine, c.Model, d.view, now), "weights change")
 	l := d.lead
 	pause := !d.ledger.OnPolicy(c.Model)
 	l.group.Go(func(ctx context.Context) error {
@@ -92,9 +98,9 @@
 		s.versions = report.Versions
 		return s
 	}
-	fence, ok := d.fence(orderTime)
+	fence, ok := d.fence(sureFor)
 	if !ok {
-		s.err = limpeterror.Fenced.New("the lease is not sure any more")
+		s.err = limpeterror.Unavailable.New("the lease is not sure any more")
 		return s
 	}
 	accepted := report.Accepted
@@ -133,7 +139,7 @@
 // await polls an engine until an order is carried out.
 func (d *Director) await(ctx context.Context, server *limpetsite.Server, c limpetswap.Choice, accepted int) (map[string]int, error) {
 	began := d.Now()
-	for limpettask.Sleep(ctx, reportPoll) {
+	for pause := reportFirst; limpettask.Sleep(ctx, pause); pause = reportPoll {
 		r, err := d.report(ctx, server)
 		if err != nil {
 			continue
--- a/internal/limpetdirector/runs.go
+++ b/internal/limpetdirector/runs.go
@@ -150,6 +150,9 @@
 	e := m.run.Entry
 	settled := d.ledger.Ended(m.run, m.ending, d.Now())
 	if m.ending == limpetbatch.Whole {
+		d.Log.Emit(limpetlog.TextWhole, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Server(m.run.Server.ID),
+			limpetlog.Value("events", e.Events()), limpetlog.Value("expected_tokens", e.Item.Expected), limpetlog.Value("moves", e.Moves()),
+			limpetlog.Value("must", e.Must()), limpetlog.Value("age_ms", d.Now().Sub(e.Job.Arrived).Milliseconds()))
 		return
 	}
 	cause := ""
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -44,6 +44,8 @@
 	Probe func(ctx context.Context) error
 	// Report hands in a window's usage.
 	Report func(ctx context.Context, r limpetwindow.Report) error
+	// AskReady asks another VM whether it is ready.
+	AskReady func(ctx context.Context, address string) (bool, error)
 	// Emptied tells the operator that a VM may be removed.
 	Emptied func(ctx context.Context, vm string) error
 	// Incarnation tells this start of the process from others.
@@ -71,6 +73,9 @@
 	directing *limpettask.Group
 	followers []*limpetfollow.Follower
 
+	// peers holds the addresses of VMs that can be asked for the store.
+	peers atomic.Pointer[[]string]
+
 	waking sync.Mutex
 	// awake runs the followers; nil while they do not run.
 	awake *limpettask.Group
@@ -115,6 +120,7 @@
 	if settings.Serves {
 		h.Wake(true)
 		h.group.Go(h.counter.Run)
+		h.group.Go(h.register)
 	}
 	h.direct(meter.Wrap(deps.Store, "director"))
 	return h
@@ -156,7 +162,7 @@
 	deps := limpetdirector.Deps{
 		VM: h.Settings.VM, Incarnation: h.deps.Incarnation, Store: store, Peer: h.deps.Peer, View: h.View,
 		Forwarder: h.Forwarder, Log: h.Log, Metrics: h.Metrics, Now: h.deps.Now, Reserve: reserve,
-		Wake: h.Wake, Emptied: h.deps.Emptied, DutyWait: wait,
+		Wake: h.Wake, StoreElsewhere: h.storeElsewhere, Emptied: h.deps.Emptied, DutyWait: wait,
 		LeaseLeast: h.Settings.LeaseLeast, Turn: h.Settings.Bounds.LeaseTurn, StatusLife: h.Settings.Bounds.StatusLife,
 	}
 	if h.Settings.Duties.Usage {
@@ -215,6 +221,9 @@
 		h.awake.Go(f.Run)
 	}
 	h.awake.Go(h.probe)
+	if h.Settings.Keeps {
+		h.awake.Go(h.learnPeers)
+	}
 }
 
 // feeds returns what keeps the view of the deployment.
--- a/internal/limpethost/settings.go
+++ b/internal/limpethost/settings.go
@@ -7,6 +7,8 @@
 	VM     string
 	Zone   string
 	Region string
+	// ReadyAddress is where this VM tells whether it is ready.
+	ReadyAddress string
 	// Serves is set on VMs that callers reach, Keeps on VMs with a disk.
 	Serves, Keeps bool
 	// MemoryLimit is the largest memory of the process, in bytes.
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -80,10 +80,12 @@
 	RunStarted      = define(1711, logrus.DebugLevel, "run started", "An item was sent to an engine, from the given event on.")
 	RunFailed       = define(1712, logrus.InfoLevel, "run failed", "An engine refused an item or broke its stream; it goes on elsewhere unless it is settled.")
 	RunCut          = define(1713, logrus.InfoLevel, "run broken off", "The director broke a run off. The cause says whether it goes on elsewhere.")
+	TextWhole       = define(1716, logrus.DebugLevel, "text whole", "An engine delivered an item's text to its end.")
 	RewardFailed    = define(1714, logrus.InfoLevel, "reward call failed", "A reward call brought no signed answer; it is repeated while it may be.")
 	ItemErrored     = define(1715, logrus.WarnLevel, "item given up", "An item is listed as errored.")
 	ResultsListed   = define(1721, logrus.InfoLevel, "results listed", "Results stand in the store at the given position.")
 	ListingFailed   = define(1722, logrus.WarnLevel, "results not listed", "A write of results had no effect; what the store holds is read again.")
+	DraftsNotKept   = define(1723, logrus.InfoLevel, "unfinished texts not kept", "A write of unfinished texts failed; the next one follows.")
 	DutyNotTaken    = define(1731, logrus.DebugLevel, "duty not taken", "This VM tried to become the director and did not.")
 	ReadRefused     = define(1732, logrus.InfoLevel, "job not read", "A reader of a job was told to come back, or that there is none.")
 )
@@ -97,6 +99,7 @@
 	ValueIgnored = define(1805, logrus.WarnLevel, "value ignored", "A value of the store cannot be read and names nothing to use.")
 	LinesDropped = define(1806, logrus.WarnLevel, "log lines dropped", "The reader of the log was too slow; so many lines are missing.")
 	RequestPanic = define(1807, logrus.ErrorLevel, "request handler failed", "A fault of the program ended one request.")
+	PeersAsked   = define(1809, logrus.InfoLevel, "VMs asked for the store", "The director lost the store and asked other VMs; none reaches it.")
 )
 
 // Fleet and usage.
--- a/internal/limpetlot/accept.go
+++ b/internal/limpetlot/accept.go
@@ -101,7 +101,7 @@
 
 // Clear returns the transactions that delete a job whose time is over.
 func Clear(s Summary, chunks []string) []limpetstore.Transaction {
-	keys := append([]string{openKey(s.ID), EndKey(s.ID)}, chunks...)
+	keys := append([]string{openKey(s.ID), EndKey(s.ID), DraftKey(s.ID)}, chunks...)
 	for n := range s.Parts {
 		keys = append(keys, partKey(s.ID, n))
 	}
--- /dev/null
+++ b/internal/limpetlot/draft.go
@@ -0,0 +1,49 @@
+package limpetlot
+
+import (
+	"context"
+	"encoding/json"
+
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetstore"
+)
+
+const draftPrefix = "draft/"
+
+// DraftKey returns the key of a job's unfinished texts.
+func DraftKey(id string) string { return draftPrefix + id }
+
+// A Draft is the text of an item that is not listed yet. Another VM can go on
+// where it ends.
+type Draft struct {
+	Item     string   `json:"item"`
+	Pieces   []string `json:"pieces"`
+	Last     int      `json:"last"`
+	Versions []int    `json:"versions"`
+	Version  int      `json:"version"`
+	Whole    bool     `json:"whole,omitempty"`
+}
+
+// EncodeDrafts returns the value that is stored of a job's drafts.
+func EncodeDrafts(drafts []Draft) []byte {
+	// Strings and integers always encode.
+	data, _ := json.Marshal(drafts)
+	return data
+}
+
+// LoadDrafts returns what is stored of a job's unfinished texts; none is no
+// error.
+func LoadDrafts(ctx context.Context, store limpetstore.Store, id string) ([]Draft, error) {
+	v, err := store.Get(ctx, DraftKey(id))
+	if limpeterror.Is(err, limpeterror.NotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var drafts []Draft
+	if err := json.Unmarshal(v.Data, &drafts); err != nil {
+		return nil, limpeterror.Invalid.Wrap(err, "drafts of job %s", id)
+	}
+	return drafts, nil
+}
--- a/internal/limpetlot/reader.go
+++ b/internal/limpetlot/reader.go
@@ -47,7 +47,7 @@
 	summary Summary
 	used    time.Time
 	// Guarded by the reader's lock.
-	results  []Result
+	results []Result
 	// last is the key of the last chunk that is known, revision the one up to
 	// which changes are known, and listed when they were last listed.
 	last     string
--- a/internal/limpetswap/limpetswap.go
+++ b/internal/limpetswap/limpetswap.go
@@ -28,8 +28,8 @@
 	Need int
 	// Waiting is the number of items that wait for an engine.
 	Waiting int
-	// Loads counts the orders that were given for the named version, and Free
-	// how many of them cost nothing beyond the engines themselves.
+	// Loads counts the orders for the named version that were given and did
+	// not fail, and Free how many of them cost nothing.
 	Loads, Free int
 }
 
@@ -44,38 +44,22 @@
 // load more slowly for all when there are more.
 func Parallel(engines int) int { return max(2, engines/parallelShare) }
 
-const (
-	parallelShare = 5
-	// idleRuns is the number of runs up to which an engine that is still of
-	// use changes early.
-	idleRuns = 1
-)
+const parallelShare = 5
+
+// ahead returns how many of so many engines should have the named version, so
+// that at most the others are of no use when the next one is named.
+func ahead(engines int) int { return (engines + 1) / 2 }
 
-// Plan returns the orders to give now. Engines too old for the open jobs, or
-// for those that the named version brings, change first. Engines that are one
-// version behind are still of use: they change while they are idle.
+// Plan returns the orders to give now. Engines that are too old for the open
+// jobs, or for those that the named version brings, change first. Of the
+// engines that are one version behind, half change early: if none did, all
+// would be of no use at once two versions later. Further ones change while
+// they are idle and no item waits.
 func Plan(engines []Engine, models []Model) []Choice {
-	changing := 0
+	p := &plan{places: Parallel(len(engines)), taken: map[string]bool{}}
 	for _, e := range engines {
 		if e.Changing {
-			changing++
-		}
-	}
-	places := Parallel(len(engines)) - changing
-	taken := map[string]bool{}
-	var choices []Choice
-	pick := func(m Model, candidates []Engine, most int) {
-		for _, e := range candidates {
-			if places <= 0 || most <= 0 {
-				return
-			}
-			if taken[e.ID] {
-				continue
-			}
-			taken[e.ID] = true
-			choices = append(choices, Choice{Engine: e.ID, Model: m.Name, Version: m.Named})
-			places--
-			most--
+			p.places--
 		}
 	}
 	models = slices.Clone(models)
@@ -84,21 +68,64 @@
 	})
 	for _, m := range models {
 		urgent, _ := behind(engines, m)
-		pick(m, urgent, len(urgent))
+		p.pick(m, urgent, len(urgent))
 	}
 	for _, m := range models {
+		_, early := behind(engines, m)
+		most := ahead(serving(engines, m)) - m.Loads
 		if m.Waiting > 0 {
+			// What waits needs the engines more; the change must not stop though.
+			most = min(most, 1)
+		}
+		p.pick(m, early, most)
+		if m.Waiting == 0 {
+			idle := slices.DeleteFunc(early, func(e Engine) bool { return e.Running > 0 })
+			p.pick(m, idle, m.Free-m.Loads-p.picked[m.Name])
+		}
+	}
+	return p.choices
+}
+
+type plan struct {
+	places  int
+	taken   map[string]bool
+	picked  map[string]int
+	choices []Choice
+}
+
+// pick takes so many of the candidates, as far as there are places.
+func (p *plan) pick(m Model, candidates []Engine, most int) {
+	if p.picked == nil {
+		p.picked = map[string]int{}
+	}
+	for _, e := range candidates {
+		if p.places <= 0 || most <= 0 {
+			return
+		}
+		if p.taken[e.ID] {
 			continue
 		}
-		_, early := behind(engines, m)
-		pick(m, early, m.Free-m.Loads)
+		p.taken[e.ID] = true
+		p.picked[m.Name]++
+		p.choices = append(p.choices, Choice{Engine: e.ID, Model: m.Name, Version: m.Named})
+		p.places--
+		most--
+	}
+}
+
+// serving counts the engines that have a model.
+func serving(engines []Engine, m Model) int {
+	n := 0
+	for _, e := range engines {
+		if _, ok := e.Versions[m.Name]; ok {
+			n++
+		}
 	}
-	return choices
+	return n
 }
 
 // behind returns the engines that are of no use any more for a model, and
-// those that are idle and one version behind; the ones with the fewest runs
-// first.
+// those that are one version behind; the ones with the fewest runs first.
 func behind(engines []Engine, m Model) (urgent, early []Engine) {
 	least := max(m.Need, m.Named-1)
 	for _, e := range engines {
@@ -106,10 +133,9 @@
 		if !serves || e.Changing || e.Held || version >= m.Named {
 			continue
 		}
-		switch {
-		case version < least:
+		if version < least {
 			urgent = append(urgent, e)
-		case e.Running <= idleRuns:
+		} else {
 			early = append(early, e)
 		}
 	}
--- a/internal/limpettask/limpettask.go
+++ b/internal/limpettask/limpettask.go
@@ -81,3 +81,6 @@
 		return true
 	}
 }
+
+// Draw returns a random number from 0 to below n, which must be positive.
+func Draw(n int) int { return rand.IntN(n) }
--- a/internal/limpetwindow/limpetwindow.go
+++ b/internal/limpetwindow/limpetwindow.go
@@ -169,6 +169,8 @@
 	collectShare = 0.45
 	reportTick   = 250 * time.Millisecond
 	sendTime     = 1500 * time.Millisecond
+	// sureFor is how long the lease must last at least when a report is sent.
+	sureFor = 300 * time.Millisecond
 	// reportPast is how many windows back a new director looks.
 	reportPast = 3
 )
@@ -203,7 +205,7 @@
 	if err != nil {
 		return err
 	}
-	fence, ok := r.Fence(sendTime)
+	fence, ok := r.Fence(sureFor)
 	if !ok {
 		return limpeterror.Unavailable.New("the lease is not sure")
 	}
