Deployment, results and usage counts go through the director

Change: package limpetrelay (connect): VMs that serve callers long-poll the director for the two feeds, ask it for listed results, and hand it their usage counts; they follow the store themselves while its word is older than 1.2 s or it does not answer. Ruled out: fewer or longer watches alone (a watch of 10 s broke CONFIG), a watcher per zone (needs its own election, and still grows with zones).

--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -15,9 +15,30 @@
 	"limpetmount.org/internal/limpettask"
 )
 
-// termKey holds the VM that was the director last. Unlike the lease's key it
+// TermKey holds the VM that was the director last. Unlike the lease's key it
 // stays when the lease ends.
-const termKey = "term/" + Duty
+const TermKey = "term/" + Duty
+
+// A Term names the VM that was the director last, and where others reach it.
+type Term struct {
+	VM      string `json:"vm"`
+	Address string `json:"address"`
+}
+
+func (t Term) encode() []byte {
+	// Strings always encode.
+	data, _ := json.Marshal(t)
+	return data
+}
+
+// DecodeTerm reads the value of TermKey; one that cannot be read names nobody.
+func DecodeTerm(v limpetstore.Value) Term {
+	var t Term
+	if json.Unmarshal(v.Data, &t) != nil {
+		return Term{}
+	}
+	return t
+}
 
 // A dutyRecord says who holds the duty, as far as this VM knows.
 type dutyRecord struct {
@@ -125,19 +146,19 @@
 		return acquired{err: err}
 	}
 	a := acquired{fence: fence}
-	v, err := d.Store.Get(ctx, termKey)
+	v, err := d.Store.Get(ctx, TermKey)
 	switch {
 	case err == nil:
-		a.previous = string(v.Data)
+		a.previous = DecodeTerm(v).VM
 	case !limpeterror.Is(err, limpeterror.NotFound):
 		return acquired{err: err}
 	}
-	if a.previous == d.VM {
+	if a.previous == d.VM && DecodeTerm(v).Address == d.RelayAddress {
 		return a
 	}
 	_, err = d.Store.Commit(ctx, limpetstore.Transaction{
 		Checks: []limpetstore.Check{{Key: limpetlease.Prefix + Duty, Revision: fence}},
-		Writes: []limpetstore.Write{{Key: termKey, Data: []byte(d.VM)}},
+		Writes: []limpetstore.Write{{Key: TermKey, Data: Term{VM: d.VM, Address: d.RelayAddress}.encode()}},
 	})
 	if err != nil && !limpeterror.Is(err, limpeterror.Unknown) {
 		return acquired{err: err}
@@ -244,6 +265,7 @@
 	d.open = map[string]limpetlot.Summary{}
 	d.loading = map[string]bool{}
 	d.whole = map[string]bool{}
+	d.shelf.clear()
 	d.Wake(false)
 }
 
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -190,6 +190,7 @@
 	now := d.Now()
 	j := d.ledger.Add(m.job, rules, m.done, now)
 	d.ledger.Resume(j, m.drafts, now)
+	d.shelf.set(m.id, j.Account, len(j.Items), 0, m.done)
 	d.Log.Emit(limpetlog.JobTaken, limpetlog.Job(m.id), limpetlog.Account(j.Account), limpetlog.Value("items", len(j.Items)),
 		limpetlog.Value("listed", len(m.done)), limpetlog.Value("drafts", len(m.drafts)), limpetlog.Value("step", j.Step), limpetlog.Value("min_version", j.MinVersion),
 		limpetlog.Value("age_ms", now.Sub(j.Arrived).Milliseconds()))
@@ -250,6 +251,7 @@
 		return
 	}
 	d.cut(d.ledger.Adopt(j, m.done), "listed already")
+	d.shelf.set(m.id, j.Account, len(j.Items), 0, m.done)
 }
 
 // list writes settled results. One write is under way at a time; it has its
@@ -347,6 +349,7 @@
 			continue
 		}
 		d.ledger.Committed(c.Job)
+		d.shelf.set(c.Job.ID, c.Job.Account, len(c.Job.Items), c.Chunk.First, c.Chunk.Results)
 		d.Log.Emit(limpetlog.ResultsListed, limpetlog.Job(c.Job.ID), limpetlog.Value("first", c.Chunk.First),
 			limpetlog.Value("count", len(c.Chunk.Results)), limpetlog.Value("age_ms", d.Now().Sub(c.Job.Arrived).Milliseconds()))
 	}
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -34,6 +34,8 @@
 	Log         *limpetlog.Logger
 	Metrics     *limpetmetric.Set
 	Now         func() time.Time
+	// RelayAddress is where other VMs reach this one.
+	RelayAddress string
 	// Wake makes the VM follow the deployment, or stop.
 	Wake func(awake bool)
 	// StoreElsewhere reports whether other VMs reach the store, so that one of
@@ -68,6 +70,7 @@
 	holder *limpetlease.Holder
 	ledger *limpetbatch.Ledger
 	inbox  chan message
+	shelf  *shelf
 
 	// Owned by the loop.
 	group    *limpettask.Group
@@ -134,7 +137,7 @@
 func New(deps Deps) *Director {
 	ttl := max(leaseTime, deps.LeaseLeast)
 	return &Director{
-		Deps: deps, ledger: limpetbatch.New(), inbox: make(chan message, inboxSize),
+		Deps: deps, ledger: limpetbatch.New(), inbox: make(chan message, inboxSize), shelf: newShelf(),
 		holder:  limpetlease.New(deps.Store, deps.VM, deps.Incarnation, ttl, deps.Now),
 		cancels: map[*limpetbatch.Run]context.CancelFunc{}, view: limpetsite.Empty(),
 		open: map[string]limpetlot.Summary{}, ended: map[string]bool{}, loading: map[string]bool{}, whole: map[string]bool{},
--- /dev/null
+++ b/internal/limpetdirector/results.go
@@ -0,0 +1,140 @@
+package limpetdirector
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"limpetmount.org/internal/limpetlot"
+)
+
+// shelfBytes bounds the texts that are kept for readers.
+const shelfBytes = 40 << 20
+
+// pageBytes bounds the texts of one page of results.
+const pageBytes = 900 << 10
+
+// A shelf holds the listed results of the jobs that this VM carries out, for
+// readers on other VMs. It is safe for use by several goroutines.
+type shelf struct {
+	mu    sync.Mutex
+	jobs  map[string]*shelved
+	order []string
+	bytes int
+}
+
+type shelved struct {
+	account string
+	total   int
+	results []limpetlot.Result
+	bytes   int
+	changed chan struct{}
+}
+
+func newShelf() *shelf { return &shelf{jobs: map[string]*shelved{}} }
+
+// set takes the results of a job from position first on. A gap makes the job
+// unknown.
+func (s *shelf) set(job, account string, total, first int, results []limpetlot.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[job]
+	if j == nil {
+		j = &shelved{account: account, total: total, changed: make(chan struct{})}
+		s.jobs[job] = j
+		s.order = append(s.order, job)
+	}
+	if first > len(j.results) {
+		s.remove(job)
+		return
+	}
+	for _, r := range results[min(len(results), len(j.results)-first):] {
+		j.results = append(j.results, r)
+		j.bytes += len(r.Text)
+		s.bytes += len(r.Text)
+	}
+	close(j.changed)
+	j.changed = make(chan struct{})
+	for s.bytes > shelfBytes && len(s.order) > 1 {
+		s.remove(s.order[0])
+	}
+}
+
+func (s *shelf) remove(job string) {
+	j := s.jobs[job]
+	if j == nil {
+		return
+	}
+	s.bytes -= j.bytes
+	delete(s.jobs, job)
+	for n, id := range s.order {
+		if id == job {
+			s.order = append(s.order[:n:n], s.order[n+1:]...)
+			break
+		}
+	}
+	close(j.changed)
+}
+
+// clear forgets all jobs.
+func (s *shelf) clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.order) > 0 {
+		s.remove(s.order[0])
+	}
+}
+
+// page returns the results of a job from a position on, and a channel that
+// is closed when there are more.
+func (s *shelf) page(job string, after int) (limpetlot.Page, string, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[job]
+	if j == nil {
+		return limpetlot.Page{}, "", nil
+	}
+	p := limpetlot.Page{Total: j.total, Next: after}
+	size := 0
+	for n := after; n < len(j.results); n++ {
+		if size += len(j.results[n].Text); size > pageBytes && len(p.Results) > 0 {
+			break
+		}
+		p.Results = append(p.Results, j.results[n])
+	}
+	p.Next += len(p.Results)
+	return p, j.account, j.changed
+}
+
+// Results returns the listed results of a job from a position on, and waits
+// for some up to the given time. Known is false when this VM may not speak for
+// the job: it does not carry it out, or may have been superseded.
+func (d *Director) Results(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetlot.Page, denied, known bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, owner, changed := d.shelf.page(job, after)
+		if changed == nil || !d.Directing() {
+			return limpetlot.Page{}, false, false
+		}
+		if owner != account {
+			return limpetlot.Page{}, true, true
+		}
+		if len(page.Results) > 0 || after >= page.Total {
+			return page, false, true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, false, d.Directing()
+		case <-ctx.Done():
+			return limpetlot.Page{}, false, false
+		}
+	}
+}
+
+// Directing reports whether the VM is sure to be the director.
+func (d *Director) Directing() bool {
+	_, ok := d.holder.Holds(Duty, 0)
+	return ok
+}
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -19,6 +19,7 @@
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetmetric"
+	"limpetmount.org/internal/limpetrelay"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpettask"
@@ -73,6 +74,10 @@
 	directing *limpettask.Group
 	followers []*limpetfollow.Follower
 
+	board *limpetrelay.Board
+	held  *limpetwindow.Held
+	// relay is the director that this VM follows; nil when there is none.
+	relay atomic.Pointer[limpetrelay.Client]
 	// peers holds the addresses of VMs that can be asked for the store.
 	peers atomic.Pointer[[]string]
 
@@ -85,7 +90,7 @@
 	// watchWait is how long a watch of a feed waits at the store.
 	watchWait = 1800 * time.Millisecond
 	// probePeriod is the time between signs of life that are asked for.
-	probePeriod = time.Second
+	probePeriod = 400 * time.Millisecond
 	probeTime   = 700 * time.Millisecond
 	// memoryShare of the limit is what the runtime aims to stay below.
 	memoryShare = 0.75
@@ -106,6 +111,7 @@
 		Settings: settings, Log: log, Metrics: metrics, deps: deps,
 		group: limpettask.New(parent), inbox: make(chan siteMessage, siteInbox),
 		directing: limpettask.New(parent),
+		board:     limpetrelay.NewBoard(deps.Incarnation, deps.Now), held: limpetwindow.NewHeld(),
 	}
 	h.view.Store(limpetsite.Empty())
 	meter := limpetstore.NewMeter(metrics.Registry)
@@ -117,12 +123,13 @@
 	}
 	h.followers = h.feeds(meter.Wrap(deps.Store, "site"))
 	h.group.Go(h.keepSite)
+	h.direct(meter.Wrap(deps.Store, "director"))
 	if settings.Serves {
-		h.Wake(true)
+		h.counter.Hand = h.handCounts
+		h.group.Go(h.source)
 		h.group.Go(h.counter.Run)
 		h.group.Go(h.register)
 	}
-	h.direct(meter.Wrap(deps.Store, "director"))
 	return h
 }
 
@@ -162,7 +169,7 @@
 	deps := limpetdirector.Deps{
 		VM: h.Settings.VM, Incarnation: h.deps.Incarnation, Store: store, Peer: h.deps.Peer, View: h.View,
 		Forwarder: h.Forwarder, Log: h.Log, Metrics: h.Metrics, Now: h.deps.Now, Reserve: reserve,
-		Wake: h.Wake, StoreElsewhere: h.storeElsewhere, Emptied: h.deps.Emptied, DutyWait: wait,
+		RelayAddress: h.Settings.RelayAddress, Wake: h.Wake, StoreElsewhere: h.storeElsewhere, Emptied: h.deps.Emptied, DutyWait: wait,
 		LeaseLeast: h.Settings.LeaseLeast, Turn: h.Settings.Bounds.LeaseTurn, StatusLife: h.Settings.Bounds.StatusLife,
 	}
 	if h.Settings.Duties.Usage {
@@ -175,7 +182,7 @@
 func (h *Host) reportUsage(ctx context.Context, hold limpetdirector.Hold) error {
 	r := &limpetwindow.Reporter{
 		Store: h.deps.Store, Length: h.Settings.Bounds.UsageWindow, Late: h.Settings.Bounds.UsageLate,
-		Send: h.deps.Report, Fence: hold.Fence, VM: hold.VM, Now: h.deps.Now, Log: h.Log,
+		Held: h.held, Send: h.deps.Report, Fence: hold.Fence, VM: hold.VM, Now: h.deps.Now, Log: h.Log,
 	}
 	return r.Run(ctx)
 }
@@ -207,7 +214,7 @@
 func (h *Host) Wake(awake bool) {
 	h.waking.Lock()
 	defer h.waking.Unlock()
-	if awake == (h.awake != nil) || (!awake && h.Settings.Serves) {
+	if awake == (h.awake != nil) {
 		return
 	}
 	if !awake {
@@ -233,9 +240,11 @@
 		f := &limpetfollow.Follower{
 			Store: store, Prefix: feed.Prefix, Wait: watchWait,
 			Listed: func(l limpetstore.Listing) {
+				h.board.Listed(feed.Prefix, l)
 				h.tell(siteMessage{records: decodeAll(feed, l.Values), listed: true, revision: l.Revision, feed: feed.Prefix})
 			},
 			Changed: func(values []limpetstore.Value) {
+				h.board.Changed(feed.Prefix, values)
 				h.tell(siteMessage{records: decodeAll(feed, values), feed: feed.Prefix})
 			},
 			Lost: func(err error) {
@@ -272,6 +281,7 @@
 func (h *Host) probe(ctx context.Context) error {
 	failed := false
 	for {
+		sent := h.deps.Now()
 		call, cancel := context.WithTimeout(ctx, probeTime)
 		err := h.deps.Probe(call)
 		cancel()
@@ -291,13 +301,10 @@
 				}
 			}
 			failed = false
+			h.board.Confirmed(sent)
 			h.contact.Store(true)
 		}
-		pause := probePeriod
-		if failed {
-			pause /= 4
-		}
-		if !limpettask.Sleep(ctx, pause) {
+		if !limpettask.Sleep(ctx, probePeriod) {
 			return nil
 		}
 	}
--- a/internal/limpethost/settings.go
+++ b/internal/limpethost/settings.go
@@ -9,6 +9,8 @@
 	Region string
 	// ReadyAddress is where this VM tells whether it is ready.
 	ReadyAddress string
+	// RelayAddress is where other VMs of the system reach this one.
+	RelayAddress string
 	// Serves is set on VMs that callers reach, Keeps on VMs with a disk.
 	Serves, Keeps bool
 	// MemoryLimit is the largest memory of the process, in bytes.
--- /dev/null
+++ b/internal/limpethost/source.go
@@ -0,0 +1,193 @@
+package limpethost
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"limpetmount.org/internal/limpetdirector"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetrelay"
+	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/internal/limpetwindow"
+)
+
+const (
+	// relayWait is how long the director may keep a question waiting.
+	relayWait = 700 * time.Millisecond
+	// relayStale is the age of the store's last sign of life from which on the
+	// director's word is not enough.
+	relayStale = 1200 * time.Millisecond
+	// alonePause is the pause between looks for a director.
+	alonePause = 400 * time.Millisecond
+	// termPeriod is the time between questions who the director is.
+	termPeriod = time.Second
+)
+
+// A relayed is the director that a VM follows the deployment through.
+type relayed struct {
+	address  string
+	client   *limpetrelay.Client
+	epoch    string
+	position uint64
+}
+
+// source keeps the view of the deployment on a VM that serves callers: from
+// the director while its word is fresh, and from the store otherwise.
+func (h *Host) source(ctx context.Context) error {
+	shared := limpetrelay.NewHTTP()
+	var from relayed
+	var asked time.Time
+	for ctx.Err() == nil {
+		if h.director.Directing() {
+			h.relay.Store(nil)
+			limpettask.Sleep(ctx, alonePause)
+			continue
+		}
+		if from.client != nil && h.listen(ctx, &from) {
+			continue
+		}
+		h.alone(ctx)
+		if now := h.deps.Now(); now.Sub(asked) >= termPeriod && h.contact.Load() {
+			asked = now
+			h.findDirector(ctx, shared, &from)
+		}
+		limpettask.Sleep(ctx, limpettask.Jitter(alonePause))
+	}
+	return nil
+}
+
+// listen asks the director for changes. It reports whether its word is good.
+func (h *Host) listen(ctx context.Context, from *relayed) bool {
+	u, directing, err := from.client.Follow(ctx, from.epoch, from.position, relayWait)
+	if err != nil || !directing || u.Age > relayStale {
+		if h.relay.Swap(nil) != nil && ctx.Err() == nil {
+			cause := "it is not the director any more"
+			switch {
+			case err != nil:
+				cause = err.Error()
+			case directing:
+				cause = "it lost the store"
+			}
+			h.Log.Emit(limpetlog.RelayLost, limpetlog.Value("address", from.address), limpetlog.Value("cause", cause), limpetlog.Value("age_ms", u.Age.Milliseconds()))
+		}
+		return false
+	}
+	from.epoch, from.position = u.Epoch, u.Position
+	h.takeUpdate(u)
+	h.contact.Store(true)
+	if h.relay.Swap(from.client) != from.client {
+		h.Log.Emit(limpetlog.RelayFound, limpetlog.Value("address", from.address))
+		h.counter.Again()
+		h.Wake(false)
+	}
+	return true
+}
+
+// takeUpdate hands what the director told to the owner of the site's state.
+func (h *Host) takeUpdate(u limpetrelay.Update) {
+	for _, feed := range h.deps.Feeds {
+		m := siteMessage{feed: feed.Prefix, listed: u.Full, revision: u.Feeds[feed.Prefix]}
+		for _, c := range u.Changes {
+			if c.Feed == feed.Prefix {
+				m.records = append(m.records, feed.Decode(c.Value))
+			}
+		}
+		if m.listed || len(m.records) > 0 {
+			h.tell(m)
+		}
+	}
+}
+
+// alone follows the store itself, once it gives a sign of life: while it is
+// down for all, its watches would only cost.
+func (h *Host) alone(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, probeTime)
+	defer cancel()
+	if err := h.deps.Probe(call); err != nil {
+		h.lost()
+		return
+	}
+	h.contact.Store(true)
+	h.Wake(true)
+}
+
+// findDirector reads who the director is.
+func (h *Host) findDirector(ctx context.Context, shared *http.Client, from *relayed) {
+	v, err := h.deps.Store.Get(ctx, limpetdirector.TermKey)
+	if err != nil {
+		return
+	}
+	term := limpetdirector.DecodeTerm(v)
+	if term.Address == "" || term.VM == h.Settings.VM || term.Address == from.address {
+		return
+	}
+	*from = relayed{address: term.Address, client: limpetrelay.NewClient(shared, term.Address)}
+}
+
+// Read returns the listed results of an account's job: from the director while
+// it speaks for the job, and from the store otherwise.
+func (h *Host) Read(ctx context.Context, job, account string, after int, wait time.Duration) (limpetlot.Page, error) {
+	began := h.deps.Now()
+	page, denied, known := h.ask(ctx, job, account, after, wait)
+	if known && denied {
+		return limpetlot.Page{}, limpetlot.NoJob(job)
+	}
+	if known {
+		return page, nil
+	}
+	return h.Reader.Read(ctx, job, account, after, max(0, wait-h.deps.Now().Sub(began)))
+}
+
+func (h *Host) ask(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetlot.Page, denied, known bool) {
+	if h.director.Directing() {
+		return h.director.Results(ctx, job, account, after, wait)
+	}
+	client := h.relay.Load()
+	if client == nil {
+		return limpetlot.Page{}, false, false
+	}
+	page, denied, known, err := client.Results(ctx, job, account, after, wait)
+	return page, denied, known && err == nil
+}
+
+// Owned returns nil when the account has a job of this ID, NotFound when not,
+// and another error when it cannot be told now.
+func (h *Host) Owned(ctx context.Context, job, account string) error {
+	if _, denied, known := h.ask(ctx, job, account, 0, 0); known && !denied {
+		return nil
+	}
+	return h.Reader.Owned(ctx, job, account)
+}
+
+// handCounts gives usage counts to the director.
+func (h *Host) handCounts(ctx context.Context, counter string, windows map[int64]limpetwindow.Counts) bool {
+	if h.director.Directing() {
+		h.held.Take(counter, windows)
+		return true
+	}
+	client := h.relay.Load()
+	if client == nil {
+		return false
+	}
+	taken, err := client.Count(ctx, counter, windows)
+	return taken && err == nil
+}
+
+// office returns what this VM answers others while it is the director.
+func (h *Host) office() *limpetrelay.Office {
+	return &limpetrelay.Office{
+		Board: h.board, Directing: h.director.Directing, Results: h.director.Results,
+		Count: func(counter string, windows map[int64]limpetwindow.Counts) bool {
+			if !h.director.Directing() {
+				return false
+			}
+			h.held.Take(counter, windows)
+			return true
+		},
+	}
+}
+
+// RelayHandler serves other VMs.
+func (h *Host) RelayHandler() http.Handler { return h.office().Handler() }
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -100,6 +100,8 @@
 	LinesDropped = define(1806, logrus.WarnLevel, "log lines dropped", "The reader of the log was too slow; so many lines are missing.")
 	RequestPanic = define(1807, logrus.ErrorLevel, "request handler failed", "A fault of the program ended one request.")
 	PeersAsked   = define(1809, logrus.InfoLevel, "VMs asked for the store", "The director lost the store and asked other VMs; none reaches it.")
+	RelayLost    = define(1810, logrus.InfoLevel, "director not heard", "The director gave no fresh word of the deployment; this VM follows the store itself.")
+	RelayFound   = define(1811, logrus.InfoLevel, "director heard", "This VM follows the deployment through the director.")
 )
 
 // Fleet and usage.
--- a/internal/limpetlot/reader.go
+++ b/internal/limpetlot/reader.go
@@ -21,6 +21,9 @@
 	specsKept = 8
 )
 
+// NoJob returns the error for a job that the caller does not have.
+func NoJob(id string) error { return limpeterror.NotFound.New("no job %q", id) }
+
 // A Page holds the results of a job from a position on.
 type Page struct {
 	Total   int
@@ -70,7 +73,7 @@
 		return Page{}, err
 	}
 	if j.summary.Account != account {
-		return Page{}, limpeterror.NotFound.New("no job %q", id)
+		return Page{}, NoJob(id)
 	}
 	ends := r.now().Add(wait)
 	for {
@@ -233,7 +236,7 @@
 		return err
 	}
 	if j.summary.Account != account {
-		return limpeterror.NotFound.New("no job %q", id)
+		return NoJob(id)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/limpetrelay/serve.go
@@ -0,0 +1,87 @@
+package limpetrelay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetwindow"
+	"limpetmount.org/internal/limpetwire"
+)
+
+// longestWait bounds the time that a caller is kept waiting.
+const longestWait = 2 * time.Second
+
+// An Office holds what the director answers other VMs.
+type Office struct {
+	Board *Board
+	// Directing reports whether the VM is the director at this moment.
+	Directing func() bool
+	// Results returns the listed results of a job. Known is false when the VM
+	// may not speak for the job.
+	Results func(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetlot.Page, denied, known bool)
+	// Count takes another VM's usage counts.
+	Count func(counter string, windows map[int64]limpetwindow.Counts) bool
+}
+
+// Handler serves the office to other VMs.
+func (o *Office) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(limpetwire.NewRelayHandler(server{o}))
+	return mux
+}
+
+type server struct{ office *Office }
+
+func waitOf(millis int64) time.Duration {
+	return min(longestWait, max(0, time.Duration(millis)*time.Millisecond))
+}
+
+// Follow implements limpetwire.RelayHandler.
+func (s server) Follow(ctx context.Context, r *connect.Request[limpetwire.FollowRequest]) (*connect.Response[limpetwire.FollowReply], error) {
+	u := s.office.Board.Since(ctx, r.Msg.Epoch, r.Msg.Position, waitOf(r.Msg.WaitMs))
+	reply := &limpetwire.FollowReply{
+		Epoch: u.Epoch, Position: u.Position, Full: u.Full, AgeMs: u.Age.Milliseconds(), Directing: s.office.Directing(),
+	}
+	for _, c := range u.Changes {
+		reply.Values = append(reply.Values, &limpetwire.RelayedValue{
+			Feed: c.Feed, Key: c.Value.Key, Data: c.Value.Data, Revision: c.Value.Revision, Deleted: c.Value.Deleted,
+		})
+	}
+	for feed, revision := range u.Feeds {
+		reply.Feeds = append(reply.Feeds, &limpetwire.RelayedFeed{Feed: feed, Revision: revision})
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// Results implements limpetwire.RelayHandler.
+func (s server) Results(ctx context.Context, r *connect.Request[limpetwire.ResultsRequest]) (*connect.Response[limpetwire.ResultsReply], error) {
+	page, denied, known := s.office.Results(ctx, r.Msg.Job, r.Msg.Account, int(r.Msg.After), waitOf(r.Msg.WaitMs))
+	reply := &limpetwire.ResultsReply{Known: known, Denied: denied, Total: int64(page.Total)}
+	for _, x := range page.Results {
+		versions := make([]int64, 0, len(x.Versions))
+		for _, v := range x.Versions {
+			versions = append(versions, int64(v))
+		}
+		reply.Results = append(reply.Results, &limpetwire.RelayedResult{
+			Id: x.ID, State: string(x.State), Text: x.Text, Versions: versions, Score: x.Score,
+		})
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// Count implements limpetwire.RelayHandler.
+func (s server) Count(_ context.Context, r *connect.Request[limpetwire.CountRequest]) (*connect.Response[limpetwire.CountReply], error) {
+	windows := map[int64]limpetwindow.Counts{}
+	for _, w := range r.Msg.Windows {
+		counts := limpetwindow.Counts{}
+		for account, n := range w.Counts {
+			counts[account] = int(n)
+		}
+		windows[w.Window] = counts
+	}
+	return connect.NewResponse(&limpetwire.CountReply{Taken: s.office.Count(r.Msg.Counter, windows)}), nil
+}
--- a/internal/limpetwindow/limpetwindow.go
+++ b/internal/limpetwindow/limpetwindow.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -56,6 +57,10 @@
 	now    func() time.Time
 	log    *limpetlog.Logger
 
+	// Hand gives counts to the director, when it is set. It reports whether
+	// they were taken; otherwise they go to the store.
+	Hand func(ctx context.Context, counter string, windows map[int64]Counts) bool
+
 	mu      sync.Mutex
 	windows map[int64]*counted
 }
@@ -96,6 +101,9 @@
 
 // Flush writes the counts that are due, or all that changed.
 func (c *Counter) Flush(ctx context.Context, all bool) {
+	if c.hand(ctx) {
+		return
+	}
 	t, windows := c.due(all)
 	if len(t.Writes) == 0 {
 		return
@@ -112,6 +120,43 @@
 	}
 }
 
+// hand gives the counts that changed to the director. It reports whether
+// nothing is left to write.
+func (c *Counter) hand(ctx context.Context) bool {
+	if c.Hand == nil {
+		return false
+	}
+	windows := map[int64]Counts{}
+	var changed []*counted
+	c.mu.Lock()
+	for number, w := range c.windows {
+		if w.changed {
+			windows[number] = maps.Clone(w.counts)
+			changed = append(changed, w)
+			w.changed = false
+		}
+	}
+	c.mu.Unlock()
+	if len(windows) == 0 || c.Hand(ctx, c.name, windows) {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range changed {
+		w.changed = true
+	}
+	return false
+}
+
+// Again makes all counts be handed over again, to a new director.
+func (c *Counter) Again() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.windows {
+		w.changed = true
+	}
+}
+
 func (c *Counter) due(all bool) (limpetstore.Transaction, []*counted) {
 	now := c.now()
 	current := WindowOf(now, c.length)
@@ -147,6 +192,56 @@
 	Fence  uint64
 }
 
+// Held holds the counts that other VMs handed to a director. It is safe for
+// use by several goroutines.
+type Held struct {
+	mu      sync.Mutex
+	windows map[int64]map[string]Counts
+}
+
+// NewHeld returns an empty set of counts.
+func NewHeld() *Held { return &Held{windows: map[int64]map[string]Counts{}} }
+
+// Take records the counts of a counter, which only grow.
+func (h *Held) Take(counter string, windows map[int64]Counts) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	newest := int64(0)
+	for number, counts := range windows {
+		w := h.windows[number]
+		if w == nil {
+			w = map[string]Counts{}
+			h.windows[number] = w
+		}
+		w[counter] = merge(w[counter], counts)
+		newest = max(newest, number)
+	}
+	for number := range h.windows {
+		if number < newest-2*forgetAfter {
+			delete(h.windows, number)
+		}
+	}
+}
+
+// of returns a copy of the counts of a window by counter.
+func (h *Held) of(window int64) map[string]Counts {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return maps.Clone(h.windows[window])
+}
+
+// merge returns the larger count of each account: a counter's own figures
+// only grow.
+func merge(a, b Counts) Counts {
+	sum := Counts{}
+	for _, c := range []Counts{a, b} {
+		for account, n := range c {
+			sum[account] = max(sum[account], n)
+		}
+	}
+	return sum
+}
+
 // A Reporter adds up, freezes and reports windows. It is used by one
 // goroutine of the director.
 type Reporter struct {
@@ -158,9 +253,11 @@
 	// has reported.
 	Send  func(ctx context.Context, r Report) error
 	Fence func(ahead time.Duration) (uint64, bool)
-	VM    string
-	Now   func() time.Time
-	Log   *limpetlog.Logger
+	// Held holds the counts that were handed over past the store.
+	Held *Held
+	VM   string
+	Now  func() time.Time
+	Log  *limpetlog.Logger
 }
 
 const (
@@ -257,7 +354,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	sum := Counts{}
+	counters := r.Held.of(window)
+	if counters == nil {
+		counters = map[string]Counts{}
+	}
 	var keys []string
 	for _, v := range l.Values {
 		c, err := decode(v)
@@ -265,10 +365,15 @@
 			r.Log.Emit(limpetlog.ValueIgnored, limpetlog.Value("key", v.Key), limpetlog.Error(err))
 			continue
 		}
+		_, name, _ := strings.Cut(strings.TrimPrefix(v.Key, countPrefix), "/")
+		counters[name] = merge(counters[name], c)
+		keys = append(keys, v.Key)
+	}
+	sum := Counts{}
+	for _, c := range counters {
 		for account, n := range c {
 			sum[account] += n
 		}
-		keys = append(keys, v.Key)
 	}
 	return sum, keys, nil
 }
--- a/internal/limpetwire/limpetwire.connect.go
+++ b/internal/limpetwire/limpetwire.connect.go
@@ -26,6 +26,8 @@
 	PeerServiceName = "limpetmount.v1.PeerService"
 	// OperatorServiceName is the fully-qualified name of the OperatorService service.
 	OperatorServiceName = "limpetmount.v1.OperatorService"
+	// RelayName is the fully-qualified name of the Relay service.
+	RelayName = "limpetmount.v1.Relay"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -54,6 +56,12 @@
 	PeerServiceHoldUsageProcedure = "/limpetmount.v1.PeerService/HoldUsage"
 	// OperatorServiceRunProcedure is the fully-qualified name of the OperatorService's Run RPC.
 	OperatorServiceRunProcedure = "/limpetmount.v1.OperatorService/Run"
+	// RelayFollowProcedure is the fully-qualified name of the Relay's Follow RPC.
+	RelayFollowProcedure = "/limpetmount.v1.Relay/Follow"
+	// RelayResultsProcedure is the fully-qualified name of the Relay's Results RPC.
+	RelayResultsProcedure = "/limpetmount.v1.Relay/Results"
+	// RelayCountProcedure is the fully-qualified name of the Relay's Count RPC.
+	RelayCountProcedure = "/limpetmount.v1.Relay/Count"
 )
 
 // PeerServiceClient is a client for the limpetmount.v1.PeerService service.
@@ -397,3 +405,133 @@
 func (UnimplementedOperatorServiceHandler) Run(context.Context, *connect.Request[RunRequest]) (*connect.Response[RunResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.OperatorService.Run is not implemented"))
 }
+
+// RelayClient is a client for the limpetmount.v1.Relay service.
+type RelayClient interface {
+	// Follow returns what changed of the deployment since a position, and waits
+	// for changes when there are none.
+	Follow(context.Context, *connect.Request[FollowRequest]) (*connect.Response[FollowReply], error)
+	// Results returns the listed results of a job that the VM carries out.
+	Results(context.Context, *connect.Request[ResultsRequest]) (*connect.Response[ResultsReply], error)
+	// Count adds the requests of client accounts that began on a VM.
+	Count(context.Context, *connect.Request[CountRequest]) (*connect.Response[CountReply], error)
+}
+
+// NewRelayClient constructs a client for the limpetmount.v1.Relay service. By default, it uses the
+// Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewRelayClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) RelayClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	relayMethods := File_limpetwire_proto.Services().ByName("Relay").Methods()
+	return &relayClient{
+		follow: connect.NewClient[FollowRequest, FollowReply](
+			httpClient,
+			baseURL+RelayFollowProcedure,
+			connect.WithSchema(relayMethods.ByName("Follow")),
+			connect.WithClientOptions(opts...),
+		),
+		results: connect.NewClient[ResultsRequest, ResultsReply](
+			httpClient,
+			baseURL+RelayResultsProcedure,
+			connect.WithSchema(relayMethods.ByName("Results")),
+			connect.WithClientOptions(opts...),
+		),
+		count: connect.NewClient[CountRequest, CountReply](
+			httpClient,
+			baseURL+RelayCountProcedure,
+			connect.WithSchema(relayMethods.ByName("Count")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// relayClient implements RelayClient.
+type relayClient struct {
+	follow  *connect.Client[FollowRequest, FollowReply]
+	results *connect.Client[ResultsRequest, ResultsReply]
+	count   *connect.Client[CountRequest, CountReply]
+}
+
+// Follow calls limpetmount.v1.Relay.Follow.
+func (c *relayClient) Follow(ctx context.Context, req *connect.Request[FollowRequest]) (*connect.Response[FollowReply], error) {
+	return c.follow.CallUnary(ctx, req)
+}
+
+// Results calls limpetmount.v1.Relay.Results.
+func (c *relayClient) Results(ctx context.Context, req *connect.Request[ResultsRequest]) (*connect.Response[ResultsReply], error) {
+	return c.results.CallUnary(ctx, req)
+}
+
+// Count calls limpetmount.v1.Relay.Count.
+func (c *relayClient) Count(ctx context.Context, req *connect.Request[CountRequest]) (*connect.Response[CountReply], error) {
+	return c.count.CallUnary(ctx, req)
+}
+
+// RelayHandler is an implementation of the limpetmount.v1.Relay service.
+type RelayHandler interface {
+	// Follow returns what changed of the deployment since a position, and waits
+	// for changes when there are none.
+	Follow(context.Context, *connect.Request[FollowRequest]) (*connect.Response[FollowReply], error)
+	// Results returns the listed results of a job that the VM carries out.
+	Results(context.Context, *connect.Request[ResultsRequest]) (*connect.Response[ResultsReply], error)
+	// Count adds the requests of client accounts that began on a VM.
+	Count(context.Context, *connect.Request[CountRequest]) (*connect.Response[CountReply], error)
+}
+
+// NewRelayHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewRelayHandler(svc RelayHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	relayMethods := File_limpetwire_proto.Services().ByName("Relay").Methods()
+	relayFollowHandler := connect.NewUnaryHandler(
+		RelayFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(relayMethods.ByName("Follow")),
+		connect.WithHandlerOptions(opts...),
+	)
+	relayResultsHandler := connect.NewUnaryHandler(
+		RelayResultsProcedure,
+		svc.Results,
+		connect.WithSchema(relayMethods.ByName("Results")),
+		connect.WithHandlerOptions(opts...),
+	)
+	relayCountHandler := connect.NewUnaryHandler(
+		RelayCountProcedure,
+		svc.Count,
+		connect.WithSchema(relayMethods.ByName("Count")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/limpetmount.v1.Relay/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case RelayFollowProcedure:
+			relayFollowHandler.ServeHTTP(w, r)
+		case RelayResultsProcedure:
+			relayResultsHandler.ServeHTTP(w, r)
+		case RelayCountProcedure:
+			relayCountHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedRelayHandler returns CodeUnimplemented from all methods.
+type UnimplementedRelayHandler struct{}
+
+func (UnimplementedRelayHandler) Follow(context.Context, *connect.Request[FollowRequest]) (*connect.Response[FollowReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Follow is not implemented"))
+}
+
+func (UnimplementedRelayHandler) Results(context.Context, *connect.Request[ResultsRequest]) (*connect.Response[ResultsReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Results is not implemented"))
+}
+
+func (UnimplementedRelayHandler) Count(context.Context, *connect.Request[CountRequest]) (*connect.Response[CountReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Count is not implemented"))
+}
