--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -54,8 +54,32 @@
 	tryPause = 150 * time.Millisecond
 )
 
+// competing starts or ends the VM's candidacy.
+type competing struct{ on bool }
+
+func (m competing) apply(d *Director) {
+	switch {
+	case m.on && d.watching == nil:
+		d.watching = limpettask.New(d.group.Context())
+		d.vacantAt = d.Now()
+		d.followDuty(d.watching)
+	case !m.on && d.watching != nil && d.lead == nil:
+		watching := d.watching
+		d.watching = nil
+		d.record.Vacant = false
+		d.group.Go(func(context.Context) error { return watching.Stop() })
+	}
+}
+
+// Compete makes the VM a candidate for the duty, or not. A director stays one.
+func (d *Director) Compete(ctx context.Context, on bool) {
+	if d.candidate.Swap(on) != on {
+		d.post(ctx, competing{on: on})
+	}
+}
+
 // followDuty watches who holds the duty.
-func (d *Director) followDuty() {
+func (d *Director) followDuty(group *limpettask.Group) {
 	f := &limpetfollow.Follower{
 		Store: d.Store, Prefix: limpetlease.Prefix, Wait: d.DutyWait,
 		Listed: func(l limpetstore.Listing) {
@@ -65,18 +89,18 @@
 					r = dutyOf(v)
 				}
 			}
-			d.post(d.group.Context(), r)
+			d.post(group.Context(), r)
 		},
 		Changed: func(values []limpetstore.Value) {
 			for _, v := range values {
 				if v.Key == limpetlease.Prefix+Duty {
-					d.post(d.group.Context(), dutyOf(v))
+					d.post(group.Context(), dutyOf(v))
 				}
 			}
 		},
 		Lost: func(error) {}, Back: func() {},
 	}
-	d.group.Go(f.Run)
+	group.Go(f.Run)
 }
 
 func dutyOf(v limpetstore.Value) dutyRecord {
@@ -114,7 +138,7 @@
 
 // compete takes the duty when it is vacant and this VM's turn.
 func (d *Director) compete(ctx context.Context, now time.Time) {
-	if d.lead != nil || d.trying || d.retired || !d.record.Vacant {
+	if d.lead != nil || d.watching == nil || d.trying || d.retired || !d.record.Vacant {
 		return
 	}
 	wait := d.Reserve
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"limpetmount.org/internal/limpetbatch"
@@ -71,9 +72,13 @@
 	ledger *limpetbatch.Ledger
 	inbox  chan message
 	shelf  *shelf
+	// candidate is what Compete was told last.
+	candidate atomic.Bool
 
 	// Owned by the loop.
-	group    *limpettask.Group
+	group *limpettask.Group
+	// watching follows the duty; nil while the VM is no candidate.
+	watching *limpettask.Group
 	lead     *lead
 	cancels  map[*limpetbatch.Run]context.CancelFunc
 	view     *limpetsite.Snapshot
@@ -125,7 +130,7 @@
 	tick        = 25 * time.Millisecond
 	inboxSize   = 2048
 	// listPeriod is the time between writes of results.
-	listPeriod = 90 * time.Millisecond
+	listPeriod = 130 * time.Millisecond
 	// draftPeriod is the time between writes of unfinished texts.
 	draftPeriod = 900 * time.Millisecond
 	// keepWorking is how long a director whose lease lapsed goes on with its
@@ -158,7 +163,6 @@
 func (d *Director) Run(ctx context.Context) error {
 	d.group = limpettask.New(ctx)
 	d.vacantAt = d.Now()
-	d.followDuty()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -77,9 +77,10 @@
 	board *limpetrelay.Board
 	held  *limpetwindow.Held
 	// relay is the director that this VM follows; nil when there is none.
-	relay atomic.Pointer[limpetrelay.Client]
-	// peers holds the addresses of VMs that can be asked for the store.
-	peers atomic.Pointer[[]string]
+	relay   atomic.Pointer[limpetrelay.Client]
+	peersMu sync.Mutex
+	// peers holds when VMs that can be asked for the store were met last.
+	peers map[string]time.Time
 
 	waking sync.Mutex
 	// awake runs the followers; nil while they do not run.
@@ -96,10 +97,10 @@
 	memoryShare = 0.75
 	// standby is how much longer VMs that serve callers leave the duty vacant
 	// than VMs that do not.
-	standby = 2500 * time.Millisecond
+	standby = 500 * time.Millisecond
 	// keeperWait and standbyWait are how long watches of the duty wait.
-	keeperWait  = 2 * time.Second
-	standbyWait = 8 * time.Second
+	keeperWait  = 4 * time.Second
+	standbyWait = 4 * time.Second
 	// keeperSpread keeps VMs from competing at the same moment.
 	keeperSpread = 120 * time.Millisecond
 )
@@ -111,7 +112,7 @@
 		Settings: settings, Log: log, Metrics: metrics, deps: deps,
 		group: limpettask.New(parent), inbox: make(chan siteMessage, siteInbox),
 		directing: limpettask.New(parent),
-		board:     limpetrelay.NewBoard(deps.Incarnation, deps.Now), held: limpetwindow.NewHeld(),
+		board:     limpetrelay.NewBoard(deps.Incarnation, deps.Now), held: limpetwindow.NewHeld(), peers: map[string]time.Time{},
 	}
 	h.view.Store(limpetsite.Empty())
 	meter := limpetstore.NewMeter(metrics.Registry)
@@ -128,7 +129,6 @@
 		h.counter.Hand = h.handCounts
 		h.group.Go(h.source)
 		h.group.Go(h.counter.Run)
-		h.group.Go(h.register)
 	}
 	return h
 }
@@ -177,6 +177,9 @@
 	}
 	h.director = limpetdirector.New(deps)
 	h.directing.Go(h.director.Run)
+	if h.Settings.Keeps {
+		h.director.Compete(h.directing.Context(), true)
+	}
 }
 
 func (h *Host) reportUsage(ctx context.Context, hold limpetdirector.Hold) error {
@@ -228,9 +231,6 @@
 		h.awake.Go(f.Run)
 	}
 	h.awake.Go(h.probe)
-	if h.Settings.Keeps {
-		h.awake.Go(h.learnPeers)
-	}
 }
 
 // feeds returns what keeps the view of the deployment.
--- a/internal/limpethost/source.go
+++ b/internal/limpethost/source.go
@@ -21,6 +21,12 @@
 	relayStale = 1200 * time.Millisecond
 	// alonePause is the pause between looks for a director.
 	alonePause = 400 * time.Millisecond
+	// startAlone is how long a VM that knows nothing yet looks for a director
+	// before it follows the store itself.
+	startAlone = 1200 * time.Millisecond
+	// standbyAfter is how long no director is heard before a VM that serves
+	// callers competes for the duty.
+	standbyAfter = 3 * time.Second
 	// termPeriod is the time between questions who the director is.
 	termPeriod = time.Second
 )
@@ -39,6 +45,10 @@
 	shared := limpetrelay.NewHTTP()
 	var from relayed
 	var asked time.Time
+	heard := h.deps.Now()
+	// At the start the director is looked for first, since most often there is
+	// one.
+	h.findDirector(ctx, shared, &from)
 	for ctx.Err() == nil {
 		if h.director.Directing() {
 			h.relay.Store(nil)
@@ -46,13 +56,21 @@
 			continue
 		}
 		if from.client != nil && h.listen(ctx, &from) {
+			heard = h.deps.Now()
+			h.director.Compete(ctx, false)
 			continue
 		}
-		h.alone(ctx)
-		if now := h.deps.Now(); now.Sub(asked) >= termPeriod && h.contact.Load() {
+		now := h.deps.Now()
+		if h.View().Ready() || now.Sub(heard) > startAlone {
+			h.alone(ctx)
+		}
+		if now.Sub(asked) >= termPeriod {
 			asked = now
 			h.findDirector(ctx, shared, &from)
 		}
+		if now.Sub(heard) > standbyAfter {
+			h.director.Compete(ctx, true)
+		}
 		limpettask.Sleep(ctx, limpettask.Jitter(alonePause))
 	}
 	return nil
@@ -123,7 +141,7 @@
 	if term.Address == "" || term.VM == h.Settings.VM || term.Address == from.address {
 		return
 	}
-	*from = relayed{address: term.Address, client: limpetrelay.NewClient(shared, term.Address)}
+	*from = relayed{address: term.Address, client: limpetrelay.NewClient(shared, term.Address, h.Settings.ReadyAddress)}
 }
 
 // Read returns the listed results of an account's job: from the director while
@@ -178,7 +196,7 @@
 // office returns what this VM answers others while it is the director.
 func (h *Host) office() *limpetrelay.Office {
 	return &limpetrelay.Office{
-		Board: h.board, Directing: h.director.Directing, Results: h.director.Results,
+		Board: h.board, Met: h.met, Directing: h.director.Directing, Results: h.director.Results,
 		Count: func(counter string, windows map[int64]limpetwindow.Counts) bool {
 			if !h.director.Directing() {
 				return false
--- a/internal/limpetrelay/client.go
+++ b/internal/limpetrelay/client.go
@@ -23,6 +23,8 @@
 // A Client calls the office of another VM.
 type Client struct {
 	relay limpetwire.RelayClient
+	// ready is where this VM says whether it is ready.
+	ready string
 }
 
 // NewHTTP returns the HTTP client that relays share.
@@ -30,9 +32,10 @@
 	return &http.Client{Transport: limpethttp.NewWatchfulTransport(relayIdle)}
 }
 
-// NewClient returns a client of the VM at an address, IP:PORT.
-func NewClient(client *http.Client, address string) *Client {
-	return &Client{relay: limpetwire.NewRelayClient(client, "http://"+address)}
+// NewClient returns a client of the VM at an address, IP:PORT. Ready is where
+// the calling VM says whether it is ready.
+func NewClient(client *http.Client, address, ready string) *Client {
+	return &Client{ready: ready, relay: limpetwire.NewRelayClient(client, "http://"+address)}
 }
 
 // Follow returns what changed since a position, and whether the VM is the
@@ -40,7 +43,7 @@
 func (c *Client) Follow(ctx context.Context, epoch string, position uint64, wait time.Duration) (Update, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
-	r, err := c.relay.Follow(ctx, connect.NewRequest(&limpetwire.FollowRequest{Epoch: epoch, Position: position, WaitMs: wait.Milliseconds()}))
+	r, err := c.relay.Follow(ctx, connect.NewRequest(&limpetwire.FollowRequest{Epoch: epoch, Position: position, WaitMs: wait.Milliseconds(), Ready: c.ready}))
 	if err != nil {
 		return Update{}, false, err
 	}
--- a/internal/limpetrelay/serve.go
+++ b/internal/limpetrelay/serve.go
@@ -18,6 +18,8 @@
 // An Office holds what the director answers other VMs.
 type Office struct {
 	Board *Board
+	// Met is told the address at which an asking VM says whether it is ready.
+	Met func(address string)
 	// Directing reports whether the VM is the director at this moment.
 	Directing func() bool
 	// Results returns the listed results of a job. Known is false when the VM
@@ -42,6 +44,9 @@
 
 // Follow implements limpetwire.RelayHandler.
 func (s server) Follow(ctx context.Context, r *connect.Request[limpetwire.FollowRequest]) (*connect.Response[limpetwire.FollowReply], error) {
+	if r.Msg.Ready != "" {
+		s.office.Met(r.Msg.Ready)
+	}
 	u := s.office.Board.Since(ctx, r.Msg.Epoch, r.Msg.Position, waitOf(r.Msg.WaitMs))
 	reply := &limpetwire.FollowReply{
 		Epoch: u.Epoch, Position: u.Position, Full: u.Full, AgeMs: u.Age.Milliseconds(), Directing: s.office.Directing(),
