--- /dev/null
+++ b/internal/limpetbatch/helpers_test.go
@@ -0,0 +1,93 @@
+package limpetbatch_test
+
+import (
+	"fmt"
+	"time"
+
+	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpetupstream"
+)
+
+// epoch is when the jobs of the tests arrive.
+var epoch = time.Unix(1_700_000_000, 0)
+
+func at(offset time.Duration) time.Time { return epoch.Add(offset) }
+
+var rules = limpetbatch.Rules{
+	Service: "llm", RunTarget: 7500 * time.Millisecond, ItemLife: 40 * time.Second, Attempts: 3,
+}
+
+// view returns a snapshot with engines of one model, by ID and version.
+func view(slots int, versions map[string]int) *limpetsite.Snapshot {
+	state := limpetsite.NewState()
+	revision := uint64(1)
+	for id, v := range versions {
+		revision++
+		state.Apply(limpetsite.Record{Key: limpetsite.ServerKey + id, Revision: revision, Server: &limpetsite.Server{
+			ID: id, Service: "llm", Address: id, Zone: "a", Slots: slots, Models: map[string]int{"m": v},
+		}}, epoch)
+	}
+	return state.Snapshot()
+}
+
+// job returns a job whose groups have items of the given expected tokens.
+func job(id string, desired int, groups ...[]int) *limpetlot.Job {
+	j := &limpetlot.Job{ID: id, Account: "acme", Host: "h", Path: "/p/", Model: "m", MinVersion: 1, Desired: desired, Arrived: epoch}
+	for g, sizes := range groups {
+		for n, size := range sizes {
+			j.Items = append(j.Items, limpetlot.Item{
+				ID: fmt.Sprintf("%s-g%d-%d", id, g, n), Path: "/p/1", Group: fmt.Sprintf("g%d", g), Expected: size,
+			})
+		}
+	}
+	return j
+}
+
+// ledger returns a ledger with a view's engines.
+func ledger(v *limpetsite.Snapshot) *limpetbatch.Ledger {
+	l := limpetbatch.New()
+	l.Engines(v)
+	return l
+}
+
+// feed gives a run events from one number to another under a version.
+func feed(l *limpetbatch.Ledger, r *limpetbatch.Run, from, to, version int, now time.Time) bool {
+	for n := from; n <= to; n++ {
+		if !l.Event(r, limpetupstream.Event{ID: n, Data: fmt.Sprintf("piece %d", n)}, version, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// finish carries a run to the end of a text of so many events.
+func finish(l *limpetbatch.Ledger, r *limpetbatch.Run, events, version int, now time.Time) {
+	l.Head(r, version, now)
+	feed(l, r, r.After+1, events, version, now)
+	l.Ended(r, limpetbatch.Whole, now)
+}
+
+func itemIDs(runs []*limpetbatch.Run) []string {
+	ids := []string{}
+	for _, r := range runs {
+		ids = append(ids, r.Entry.Item.ID)
+	}
+	return ids
+}
+
+// listed commits all chunks and returns the results in their order.
+func listed(l *limpetbatch.Ledger) []limpetlot.Result {
+	var all []limpetlot.Result
+	for {
+		chunks := l.Listings(8)
+		if len(chunks) == 0 {
+			return all
+		}
+		for _, c := range chunks {
+			all = append(all, c.Chunk.Results...)
+			l.Committed(c.Job)
+		}
+	}
+}
--- /dev/null
+++ b/internal/limpetbatch/overdue_test.go
@@ -0,0 +1,196 @@
+package limpetbatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpetsite"
+)
+
+const pace = 35 * time.Millisecond
+
+func TestOverdue(t *testing.T) {
+	Convey("a silent run moves to another engine and goes on where its text ends", t, func() {
+		v := view(2, map[string]int{"e1": 1, "e2": 1})
+		l := ledger(v)
+		l.Add(job("j", 1, []int{100}), rules, nil, epoch)
+		run := l.Dispatch(v, epoch)[0]
+		l.Head(run, 1, epoch)
+		feed(l, run, 1, 5, 1, at(pace))
+		So(l.Overdue(v, at(300*time.Millisecond)), ShouldBeEmpty)
+		So(l.Overdue(v, at(time.Second)), ShouldResemble, []*limpetbatch.Run{run})
+		again := l.Dispatch(v, at(time.Second))[0]
+		So(again.After, ShouldEqual, 5)
+		So(again.Server.ID, ShouldNotEqual, run.Server.ID)
+		So(feed(l, run, 6, 6, 1, at(time.Second)), ShouldBeFalse)
+	})
+	Convey("a run waits longer while its engine's weights change", t, func() {
+		v := view(2, map[string]int{"e1": 1})
+		l := ledger(v)
+		l.Add(job("j", 1, []int{100}), rules, nil, epoch)
+		run := l.Dispatch(v, epoch)[0]
+		l.Head(run, 1, epoch)
+		feed(l, run, 1, 5, 1, epoch)
+		l.Loading("e1", "m", epoch)
+		So(l.Overdue(v, at(1500*time.Millisecond)), ShouldBeEmpty)
+		So(len(l.Overdue(v, at(5*time.Second))), ShouldEqual, 1)
+	})
+	Convey("runs at an engine much slower than the others move while others have places", t, func() {
+		v := view(4, map[string]int{"e1": 1, "e2": 1, "e3": 1})
+		l := ledger(v)
+		l.Add(job("j", 3, []int{1}, []int{1}, []int{1}), rules, nil, epoch)
+		starts := l.Dispatch(v, epoch)
+		slow := starts[0].Server.ID
+		for n := 1; n <= 10; n++ {
+			for _, r := range starts {
+				if r.Server.ID == slow {
+					feed(l, r, n, n, 1, at(time.Duration(n)*4*pace))
+				} else if n <= 40 {
+					feed(l, r, 4*n-3, 4*n, 1, at(time.Duration(n)*4*pace))
+				}
+			}
+		}
+		So(len(starts), ShouldEqual, 3)
+		cut := l.Overdue(v, at(41*pace))
+		for _, r := range cut {
+			So(r.Server.ID, ShouldEqual, slow)
+		}
+	})
+}
+
+func TestEvacuate(t *testing.T) {
+	Convey("runs leave an engine before its weights change only when others have places for all", t, func() {
+		for slots, moves := range map[int]int{4: 2, 2: 0} {
+			v := view(slots, map[string]int{"e1": 1, "e2": 1})
+			l := ledger(v)
+			l.Add(job("j", 4, []int{1}, []int{1}, []int{1}, []int{1}), rules, nil, epoch)
+			l.Dispatch(v, epoch)
+			l.Loading("e1", "m", epoch)
+			So(len(l.Evacuate("e1", "m", v, epoch)), ShouldEqual, moves)
+		}
+	})
+}
+
+// A fleet plays engines that produce events at their own pace.
+type fleet struct {
+	ledger *limpetbatch.Ledger
+	view   *limpetsite.Snapshot
+	// paces holds the time between events by engine.
+	paces map[string]time.Duration
+	// lengths holds the true number of events by item.
+	lengths map[string]int
+	next    map[*limpetbatch.Run]time.Time
+	// down engines are silent in a span of time.
+	down map[string][2]time.Duration
+}
+
+const step = 5 * time.Millisecond
+
+// play runs until all groups but a tenth are whole, and returns when.
+func (f *fleet) play(j *limpetbatch.Job, limit time.Duration) time.Duration {
+	for passed := time.Duration(0); passed < limit; passed += step {
+		now := at(passed)
+		for _, r := range f.ledger.Overdue(f.view, now) {
+			delete(f.next, r)
+		}
+		for _, r := range f.ledger.Dispatch(f.view, now) {
+			f.ledger.Head(r, 1, now)
+			f.next[r] = now.Add(f.paces[r.Server.ID])
+		}
+		for r, due := range f.next {
+			f.advance(r, due, passed)
+		}
+		listed(f.ledger)
+		if f.whole(j) {
+			return passed
+		}
+	}
+	return limit
+}
+
+func (f *fleet) advance(r *limpetbatch.Run, due time.Time, passed time.Duration) {
+	now := at(passed)
+	if span, ok := f.down[r.Server.ID]; ok && passed >= span[0] && passed < span[1] {
+		return
+	}
+	if now.Before(due) {
+		return
+	}
+	n := r.Entry.Events() + 1
+	if !feed(f.ledger, r, n, n, 1, now) {
+		delete(f.next, r)
+		return
+	}
+	f.next[r] = now.Add(f.paces[r.Server.ID])
+	if n >= f.lengths[r.Entry.Item.ID] {
+		delete(f.next, r)
+		f.ledger.Ended(r, limpetbatch.Whole, now)
+	}
+}
+
+func (f *fleet) whole(j *limpetbatch.Job) bool {
+	return j.Listed() >= len(j.Items)-groupSize
+}
+
+const (
+	groups    = 10
+	groupSize = 4
+	// due is the time in which the users want a step's results.
+	due = 7500 * time.Millisecond
+)
+
+// newFleet returns five engines of eight places and a step whose texts are
+// short but for one in twelve, which is as long as texts get.
+func newFleet() (*fleet, *limpetbatch.Job) {
+	versions := map[string]int{}
+	f := &fleet{paces: map[string]time.Duration{}, lengths: map[string]int{}, next: map[*limpetbatch.Run]time.Time{}, down: map[string][2]time.Duration{}}
+	for n := range 5 {
+		id := fmt.Sprintf("e%d", n)
+		versions[id] = 1
+		f.paces[id] = pace
+	}
+	var sizes [][]int
+	for g := range groups {
+		group := []int{}
+		for n := range groupSize {
+			events := 18 + 3*((g+n)%5)
+			if (g*groupSize+n)%12 == 5 {
+				events = 150
+			}
+			f.lengths[fmt.Sprintf("j-g%d-%d", g, n)] = events
+			group = append(group, events*64)
+		}
+		sizes = append(sizes, group)
+	}
+	f.view = view(8, versions)
+	f.ledger = ledger(f.view)
+	j := f.ledger.Add(job("j", groups-1, sizes...), rules, nil, epoch)
+	return f, j
+}
+
+func TestLoadOfAStep(t *testing.T) {
+	Convey("pattern: a step with a heavy tail, calm engines", t, func() {
+		f, j := newFleet()
+		So(f.play(j, 20*time.Second), ShouldBeLessThan, due)
+	})
+	Convey("pattern: one engine of five four times slower from the start", t, func() {
+		f, j := newFleet()
+		f.paces["e2"] = 4 * pace
+		So(f.play(j, 20*time.Second), ShouldBeLessThan, due)
+	})
+	Convey("pattern: an engine falls silent in the middle of long texts", t, func() {
+		f, j := newFleet()
+		f.down["e1"] = [2]time.Duration{2 * time.Second, 12 * time.Second}
+		So(f.play(j, 20*time.Second), ShouldBeLessThan, due)
+	})
+	Convey("pattern: two engines silent by turns", t, func() {
+		f, j := newFleet()
+		f.down["e1"] = [2]time.Duration{500 * time.Millisecond, 2500 * time.Millisecond}
+		f.down["e3"] = [2]time.Duration{3 * time.Second, 6 * time.Second}
+		So(f.play(j, 20*time.Second), ShouldBeLessThan, due)
+	})
+}
--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -331,6 +331,9 @@
 
 func (d *Director) retire() {
 	d.retired = true
+	if d.lead != nil {
+		d.handOver(d.lead)
+	}
 	d.stepDown("the VM is being emptied")
 	d.abandon()
 	d.group.Go(func(ctx context.Context) error {
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -285,14 +285,11 @@
 	if l.drafting || now.Sub(l.drafted) < draftPeriod {
 		return
 	}
-	sets := d.ledger.Drafts(limpetstore.MaxEntries - 1)
-	if len(sets) == 0 {
+	t, found := d.draftWrite(l)
+	if !found {
+		l.drafted = now
 		return
 	}
-	t := limpetstore.Transaction{Checks: []limpetstore.Check{{Key: limpetlease.Prefix + Duty, Revision: l.fence}}}
-	for _, s := range sets {
-		t.Writes = append(t.Writes, limpetstore.Write{Key: limpetlot.DraftKey(s.Job.ID), Data: limpetlot.EncodeDrafts(s.Drafts)})
-	}
 	l.drafting = true
 	l.group.Go(func(ctx context.Context) error {
 		_, err := d.Store.Commit(ctx, t)
@@ -301,6 +298,32 @@
 	})
 }
 
+// draftWrite returns the write of unfinished texts, and whether there are any.
+func (d *Director) draftWrite(l *lead) (limpetstore.Transaction, bool) {
+	sets := d.ledger.Drafts(limpetstore.MaxEntries - 1)
+	t := limpetstore.Transaction{Checks: []limpetstore.Check{{Key: limpetlease.Prefix + Duty, Revision: l.fence}}}
+	for _, s := range sets {
+		t.Writes = append(t.Writes, limpetstore.Write{Key: limpetlot.DraftKey(s.Job.ID), Data: limpetlot.EncodeDrafts(s.Drafts)})
+	}
+	return t, len(sets) > 0
+}
+
+// handOver keeps all unfinished texts before the duty is given up.
+func (d *Director) handOver(l *lead) {
+	t, found := d.draftWrite(l)
+	if !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
+	defer cancel()
+	if _, err := d.Store.Commit(ctx, t); err != nil {
+		d.Log.Emit(limpetlog.DraftsNotKept, limpetlog.Error(err))
+	}
+}
+
+// handOverTime bounds the last write of unfinished texts.
+const handOverTime = 500 * time.Millisecond
+
 type drafted struct {
 	lead *lead
 	err  error
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -192,6 +192,9 @@
 }
 
 func (d *Director) stop() error {
+	if d.lead != nil {
+		d.handOver(d.lead)
+	}
 	d.stepDown("stopped")
 	release, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- /dev/null
+++ b/internal/limpetfollow/limpetfollow_test.go
@@ -0,0 +1,143 @@
+package limpetfollow_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpetfollow"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpetstub"
+	"limpetmount.org/internal/limpettask"
+)
+
+// A replica keeps what a follower tells.
+type replica struct {
+	mu         sync.Mutex
+	values     map[string]string
+	lost, back int
+}
+
+func (r *replica) get(key string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.values[key]
+}
+
+func follow(store limpetstore.Store, wait time.Duration) (*replica, *limpetfollow.Follower, *limpettask.Group) {
+	r := &replica{values: map[string]string{}}
+	f := &limpetfollow.Follower{
+		Store: store, Prefix: "a/", Wait: wait,
+		Listed: func(l limpetstore.Listing) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.values = map[string]string{}
+			for _, v := range l.Values {
+				r.values[v.Key] = string(v.Data)
+			}
+		},
+		Changed: func(values []limpetstore.Value) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			for _, v := range values {
+				if v.Deleted {
+					delete(r.values, v.Key)
+				} else {
+					r.values[v.Key] = string(v.Data)
+				}
+			}
+		},
+		Lost: func(error) { r.mu.Lock(); r.lost++; r.mu.Unlock() },
+		Back: func() { r.mu.Lock(); r.back++; r.mu.Unlock() },
+	}
+	g := limpettask.New(context.Background())
+	g.Go(f.Run)
+	return r, f, g
+}
+
+func TestFollow(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// disturb acts between the listing and the change.
+		disturb func(stub *limpetstub.Store)
+		within  time.Duration
+	}{
+		{"calm", func(*limpetstub.Store) {}, 500 * time.Millisecond},
+		{"history dropped", func(s *limpetstub.Store) { s.Compact() }, 500 * time.Millisecond},
+		{"an outage of four seconds", func(s *limpetstub.Store) {
+			s.SetDown(true)
+			time.Sleep(4 * time.Second)
+			s.SetDown(false)
+		}, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stub := limpetstub.NewStore()
+				stub.Set("a/1", []byte("old"))
+				r, _, g := follow(stub.Client(), 1800*time.Millisecond)
+				time.Sleep(time.Second)
+				c.disturb(stub)
+				stub.Set("a/1", []byte("new"))
+				stub.Set("b/1", []byte("other"))
+				time.Sleep(c.within)
+				Convey("a change arrives after: "+c.name, t, func() {
+					So(r.get("a/1"), ShouldEqual, "new")
+					So(r.get("b/1"), ShouldEqual, "")
+					So(r.lost, ShouldEqual, r.back)
+				})
+				if err := g.Stop(); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+func TestWatchThatGetsNoAnswer(t *testing.T) {
+	// pattern: the store cuts a waiting watch without a word, as after a
+	// compaction; the watch's own time bounds how long a change stays unseen.
+	synctest.Test(t, func(t *testing.T) {
+		stub := limpetstub.NewStore()
+		store := stub.Client()
+		inner := store.Follow
+		hang := true
+		store.Follow = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (limpetstore.Listing, error) {
+			if hang {
+				hang = false
+				ctx, cancel := context.WithTimeout(ctx, wait+800*time.Millisecond)
+				defer cancel()
+				<-ctx.Done()
+				return limpetstore.Listing{}, limpetstub.ErrSilent
+			}
+			return inner(ctx, prefix, after, wait)
+		}
+		r, _, g := follow(store, 1800*time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		stub.Set("a/1", []byte("new"))
+		time.Sleep(3 * time.Second)
+		Convey("the change is seen within the time that makes a VM count as in touch", t, func() {
+			So(r.get("a/1"), ShouldEqual, "new")
+		})
+		if err := g.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestKick(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub := limpetstub.NewStore()
+		r, f, g := follow(stub.Client(), time.Hour)
+		time.Sleep(time.Second)
+		f.Kick()
+		time.Sleep(time.Second)
+		Convey("a watch that is begun anew is no outage", t, func() { So(r.lost, ShouldEqual, 0) })
+		if err := g.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/limpetlot/limpetlot_test.go
@@ -0,0 +1,202 @@
+package limpetlot_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpetstub"
+)
+
+func job(id, account string) *limpetlot.Job {
+	return &limpetlot.Job{ID: id, Account: account, Model: "m", Arrived: time.Now(), Items: []limpetlot.Item{
+		{ID: "i1", Path: "/p/1", Body: []byte("one")}, {ID: "i2", Path: "/p/2", Body: []byte("two")},
+	}}
+}
+
+func chunk(store limpetstore.Store, id string, first int, items ...string) error {
+	c := limpetlot.Chunk{First: first}
+	for _, i := range items {
+		c.Results = append(c.Results, limpetlot.Result{ID: i, State: limpetlot.Completed, Text: "text of " + i})
+	}
+	_, err := store.Commit(context.Background(), limpetstore.Transaction{Writes: []limpetstore.Write{{Key: limpetlot.ChunkKey(id, first), Data: c.Encode()}}})
+	return err
+}
+
+func TestAccept(t *testing.T) {
+	ctx := context.Background()
+	for _, c := range []struct {
+		name   string
+		faults []limpetstub.Fault
+		stored bool
+		check  func(err error) bool
+	}{
+		{"calm", nil, true, func(err error) bool { return err == nil }},
+		{"the answer is lost after the effect", []limpetstub.Fault{limpetstub.LostAfter}, true, func(err error) bool { return err == nil }},
+		{"the call is lost before the effect", []limpetstub.Fault{limpetstub.LostBefore}, true, func(err error) bool { return err == nil }},
+		{"refused before anything may have been done", []limpetstub.Fault{limpetstub.Refused}, false, func(err error) bool { return limpeterror.Is(err, limpeterror.Unavailable) }},
+		{"refused after a lost call", []limpetstub.Fault{limpetstub.LostAfter, limpetstub.Refused}, true, func(err error) bool { return err == nil }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stub := limpetstub.NewStore()
+				calls := 0
+				stub.Fault = func(kind, _ string) limpetstub.Fault {
+					if kind != "commit" || calls >= len(c.faults) {
+						return limpetstub.None
+					}
+					calls++
+					return c.faults[calls-1]
+				}
+				within, cancel := context.WithTimeout(ctx, time.Second)
+				defer cancel()
+				err := limpetlot.Accept(within, stub.Client(), job("j", "acme"))
+				_, stored := limpetlot.Stored(ctx, stub.Client(), "j")
+				Convey(c.name, t, func() {
+					So(c.check(err), ShouldBeTrue)
+					So(stored == nil, ShouldEqual, c.stored)
+				})
+			})
+		})
+	}
+	Convey("an outcome that stays unknown is told as such", t, func() {
+		stub := limpetstub.NewStore()
+		stub.Fault = func(string, string) limpetstub.Fault { return limpetstub.LostBefore }
+		within, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		So(limpeterror.Is(limpetlot.Accept(within, stub.Client(), job("j", "acme")), limpeterror.Unknown), ShouldBeTrue)
+	})
+	Convey("a job is accepted once, again for its account and for no other", t, func() {
+		stub := limpetstub.NewStore()
+		So(limpetlot.Accept(ctx, stub.Client(), job("j", "acme")), ShouldBeNil)
+		So(limpetlot.Accept(ctx, stub.Client(), job("j", "acme")), ShouldBeNil)
+		So(limpeterror.Is(limpetlot.Accept(ctx, stub.Client(), job("j", "other")), limpeterror.Denied), ShouldBeTrue)
+	})
+	Convey("a job larger than one value is stored whole", t, func() {
+		stub := limpetstub.NewStore()
+		j := job("j", "acme")
+		j.Items[0].Body = bytes.Repeat([]byte("x"), 3<<20)
+		So(limpetlot.Accept(ctx, stub.Client(), j), ShouldBeNil)
+		s, err := limpetlot.Stored(ctx, stub.Client(), "j")
+		So(err, ShouldBeNil)
+		read, err := limpetlot.Load(ctx, stub.Client(), s)
+		So(err, ShouldBeNil)
+		So(len(read.Items[0].Body), ShouldEqual, 3<<20)
+	})
+	Convey("a job that cannot be run is refused with all findings", t, func() {
+		j := job("a/b", "acme")
+		j.Items[1].ID, j.Items[1].Path = "i1", "p"
+		So(j.Check().Error(), ShouldContainSubstring, "id: ")
+		So(j.Check().Error(), ShouldContainSubstring, "items[1]: id")
+		So(j.Check().Error(), ShouldContainSubstring, "items[1]: path")
+	})
+}
+
+func TestRead(t *testing.T) {
+	ctx := context.Background()
+	open := func() (*limpetstub.Store, *limpetlot.Reader) {
+		stub := limpetstub.NewStore()
+		if err := limpetlot.Accept(ctx, stub.Client(), job("j", "acme")); err != nil {
+			panic(fmt.Sprintf("a calm store refuses a job: %v", err))
+		}
+		return stub, limpetlot.NewReader(stub.Client(), time.Now)
+	}
+	Convey("a reader is given what stands from its position on", t, func() {
+		stub, r := open()
+		So(chunk(stub.Client(), "j", 0, "i1"), ShouldBeNil)
+		page, err := r.Read(ctx, "j", "acme", 0, 0)
+		So(err, ShouldBeNil)
+		So(page.Total, ShouldEqual, 2)
+		So(page.Next, ShouldEqual, 1)
+		So(chunk(stub.Client(), "j", 1, "i2"), ShouldBeNil)
+		page, err = r.Read(ctx, "j", "acme", 1, 0)
+		So(err, ShouldBeNil)
+		So(page.Results[0].ID, ShouldEqual, "i2")
+	})
+	Convey("what was read once is told again, also while the store is away", t, func() {
+		stub, r := open()
+		So(chunk(stub.Client(), "j", 0, "i1"), ShouldBeNil)
+		_, err := r.Read(ctx, "j", "acme", 0, 0)
+		So(err, ShouldBeNil)
+		stub.SetDown(true)
+		page, err := r.Read(ctx, "j", "acme", 0, 0)
+		So(err, ShouldBeNil)
+		So(len(page.Results), ShouldEqual, 1)
+		_, err = r.Read(ctx, "j", "acme", 1, 0)
+		So(limpeterror.Is(err, limpeterror.Unavailable), ShouldBeTrue)
+	})
+	Convey("another account's job, or none, is not found", t, func() {
+		_, r := open()
+		_, err := r.Read(ctx, "j", "other", 0, 0)
+		So(limpeterror.Is(err, limpeterror.NotFound), ShouldBeTrue)
+		_, err = r.Read(ctx, "none", "acme", 0, 0)
+		So(limpeterror.Is(err, limpeterror.NotFound), ShouldBeTrue)
+	})
+	Convey("a position that another VM showed is found without a watch's word", t, func() {
+		stub, r := open()
+		store := stub.Client()
+		silent := store
+		silent.Follow = func(ctx context.Context, _ string, after uint64, wait time.Duration) (limpetstore.Listing, error) {
+			<-time.After(wait)
+			return limpetstore.Listing{Revision: after + 1000}, nil
+		}
+		r = limpetlot.NewReader(silent, time.Now)
+		So(chunk(store, "j", 0, "i1"), ShouldBeNil)
+		_, err := r.Read(ctx, "j", "acme", 0, 10*time.Millisecond)
+		So(err, ShouldBeNil)
+		_, err = r.Read(ctx, "j", "acme", 1, 10*time.Millisecond)
+		So(err, ShouldBeNil)
+		So(chunk(store, "j", 1, "i2"), ShouldBeNil)
+		page, err := r.Read(ctx, "j", "acme", 1, 0)
+		So(err, ShouldBeNil)
+		So(len(page.Results), ShouldEqual, 1)
+	})
+	Convey("bodies are told byte for byte, and unknown items not found", t, func() {
+		_, r := open()
+		body, err := r.Body(ctx, "j", "acme", "i2")
+		So(err, ShouldBeNil)
+		So(string(body), ShouldEqual, "two")
+		_, err = r.Body(ctx, "j", "acme", "i9")
+		So(limpeterror.Is(err, limpeterror.NotFound), ShouldBeTrue)
+	})
+	Convey("an end may be repeated", t, func() {
+		stub, _ := open()
+		So(limpetlot.End(ctx, stub.Client(), "j"), ShouldBeNil)
+		So(limpetlot.End(ctx, stub.Client(), "j"), ShouldBeNil)
+	})
+}
+
+func TestWaitingReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		stub := limpetstub.NewStore()
+		if err := limpetlot.Accept(ctx, stub.Client(), job("j", "acme")); err != nil {
+			t.Fatal(err)
+		}
+		r := limpetlot.NewReader(stub.Client(), time.Now)
+		time.AfterFunc(300*time.Millisecond, func() {
+			if err := chunk(stub.Client(), "j", 0, "i1"); err != nil {
+				t.Error(err)
+			}
+		})
+		began := time.Now()
+		page, err := r.Read(ctx, "j", "acme", 0, time.Second)
+		took := time.Since(began)
+		empty, emptyErr := r.Read(ctx, "j", "acme", 1, time.Second)
+		Convey("a reader is woken by a result, and answered without one when its time is over", t, func() {
+			So(err, ShouldBeNil)
+			So(len(page.Results), ShouldEqual, 1)
+			So(took, ShouldBeLessThan, 600*time.Millisecond)
+			So(emptyErr, ShouldBeNil)
+			So(empty.Next, ShouldEqual, 1)
+		})
+	})
+}
--- /dev/null
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -0,0 +1,146 @@
+package limpetrelay_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetrelay"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpetwindow"
+)
+
+func value(key string, revision uint64) limpetstore.Value {
+	return limpetstore.Value{Key: key, Data: []byte(key), Revision: revision}
+}
+
+// A mirror applies updates as another VM does.
+type mirror struct {
+	epoch    string
+	position uint64
+	values   map[string]uint64
+}
+
+func (m *mirror) take(u limpetrelay.Update) {
+	if u.Full {
+		m.values = map[string]uint64{}
+	}
+	for _, c := range u.Changes {
+		if c.Value.Deleted {
+			delete(m.values, c.Value.Key)
+		} else {
+			m.values[c.Value.Key] = c.Value.Revision
+		}
+	}
+	m.epoch, m.position = u.Epoch, u.Position
+}
+
+func TestBoard(t *testing.T) {
+	ctx := context.Background()
+	Convey("a mirror follows listings, changes and deletions of several feeds", t, func() {
+		b := limpetrelay.NewBoard("e1", time.Now)
+		m := &mirror{}
+		b.Listed("x/", limpetstore.Listing{Values: []limpetstore.Value{value("x/1", 1), value("x/2", 2)}, Revision: 3})
+		m.take(b.Since(ctx, m.epoch, m.position, 0))
+		So(m.values, ShouldResemble, map[string]uint64{"x/1": 1, "x/2": 2})
+		b.Changed("y/", []limpetstore.Value{value("y/1", 9)})
+		b.Changed("x/", []limpetstore.Value{value("x/1", 5), {Key: "x/2", Revision: 6, Deleted: true}})
+		m.take(b.Since(ctx, m.epoch, m.position, 0))
+		So(m.values, ShouldResemble, map[string]uint64{"x/1": 5, "y/1": 9})
+		b.Listed("x/", limpetstore.Listing{Values: []limpetstore.Value{value("x/3", 11)}, Revision: 12})
+		m.take(b.Since(ctx, m.epoch, m.position, 0))
+		So(m.values, ShouldResemble, map[string]uint64{"x/3": 11, "y/1": 9})
+	})
+	Convey("a late change does not go back", t, func() {
+		b := limpetrelay.NewBoard("e1", time.Now)
+		m := &mirror{}
+		b.Changed("x/", []limpetstore.Value{value("x/1", 5)})
+		b.Changed("x/", []limpetstore.Value{value("x/1", 4)})
+		m.take(b.Since(ctx, "", 0, 0))
+		So(m.values["x/1"], ShouldEqual, 5)
+	})
+	Convey("a mirror of another board is told all", t, func() {
+		b := limpetrelay.NewBoard("e2", time.Now)
+		b.Changed("x/", []limpetstore.Value{value("x/1", 5)})
+		So(b.Since(ctx, "e1", 1, 0).Full, ShouldBeTrue)
+	})
+}
+
+func TestBoardWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := limpetrelay.NewBoard("e1", time.Now)
+		b.Changed("x/", []limpetstore.Value{value("x/1", 1)})
+		b.Confirmed(time.Now())
+		position := b.Since(context.Background(), "", 0, 0).Position
+		began := time.Now()
+		time.AfterFunc(200*time.Millisecond, func() { b.Changed("x/", []limpetstore.Value{value("x/1", 2)}) })
+		u := b.Since(context.Background(), "e1", position, time.Second)
+		woken := time.Since(began)
+		u2 := b.Since(context.Background(), "e1", u.Position, time.Second)
+		Convey("a question waits for a change, and learns how old the store's word is", t, func() {
+			So(woken, ShouldEqual, 200*time.Millisecond)
+			So(len(u.Changes), ShouldEqual, 1)
+			So(u2.Changes, ShouldBeEmpty)
+			So(u2.Age, ShouldEqual, 1200*time.Millisecond)
+		})
+	})
+}
+
+func TestOffice(t *testing.T) {
+	ctx := context.Background()
+	held := map[int64]limpetwindow.Counts{}
+	met := ""
+	office := &limpetrelay.Office{
+		Board: limpetrelay.NewBoard("e1", time.Now), Directing: func() bool { return true }, Met: func(a string) { met = a },
+		Results: func(_ context.Context, job, account string, after int, _ time.Duration) (limpetlot.Page, bool, bool) {
+			if job != "j" {
+				return limpetlot.Page{}, false, false
+			}
+			if account != "acme" {
+				return limpetlot.Page{}, true, true
+			}
+			return limpetlot.Page{Total: 3, Next: after + 1, Results: []limpetlot.Result{
+				{ID: "i", State: limpetlot.Completed, Text: "a\nb", Versions: []int{2, 3}, Score: "s"},
+			}}, false, true
+		},
+		Count: func(_ string, windows map[int64]limpetwindow.Counts) bool {
+			for n, c := range windows {
+				held[n] = c
+			}
+			return true
+		},
+	}
+	server := httptest.NewServer(office.Handler())
+	t.Cleanup(server.Close)
+	c := limpetrelay.NewClient(limpetrelay.NewHTTP(), server.Listener.Addr().String(), "10.0.0.9:1")
+	Convey("what the director says arrives as it was said", t, func() {
+		office.Board.Changed("x/", []limpetstore.Value{value("x/1", 7)})
+		u, directing, err := c.Follow(ctx, "", 0, 0)
+		So(err, ShouldBeNil)
+		So(directing, ShouldBeTrue)
+		So(u.Changes[0].Value, ShouldResemble, value("x/1", 7))
+		So(u.Feeds["x/"], ShouldEqual, 7)
+		So(met, ShouldEqual, "10.0.0.9:1")
+		page, denied, known, err := c.Results(ctx, "j", "acme", 1, 0)
+		So(err, ShouldBeNil)
+		So(known && !denied, ShouldBeTrue)
+		So(page, ShouldResemble, limpetlot.Page{Total: 3, Next: 2, Results: []limpetlot.Result{
+			{ID: "i", State: limpetlot.Completed, Text: "a\nb", Versions: []int{2, 3}, Score: "s"},
+		}})
+		_, denied, _, err = c.Results(ctx, "j", "other", 1, 0)
+		So(err, ShouldBeNil)
+		So(denied, ShouldBeTrue)
+		_, _, known, err = c.Results(ctx, "none", "acme", 1, 0)
+		So(err, ShouldBeNil)
+		So(known, ShouldBeFalse)
+		taken, err := c.Count(ctx, "vm.1", map[int64]limpetwindow.Counts{4: {"acme": 2}})
+		So(err, ShouldBeNil)
+		So(taken, ShouldBeTrue)
+		So(held[4]["acme"], ShouldEqual, 2)
+	})
+}
--- a/internal/limpetstub/transaction.go
+++ b/internal/limpetstub/transaction.go
@@ -112,3 +112,6 @@
 	s.record(limpetstore.Value{Key: key, Deleted: true})
 	return nil
 }
+
+// ErrSilent is what a call to a store that does not answer ends with.
+var ErrSilent = limpeterror.Unavailable.New("store: no answer")
