--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -270,6 +270,7 @@
 		key := limpetlot.ChunkKey(c.Job.ID, c.Chunk.First)
 		t.Checks = append(t.Checks, limpetstore.Check{Key: key})
 		t.Writes = append(t.Writes, limpetstore.Write{Key: key, Data: c.Chunk.Encode()})
+		d.shelf.write(c.Job.ID, now)
 	}
 	l.committing = true
 	l.group.Go(func(ctx context.Context) error {
--- a/internal/limpetdirector/limpetdirector_test.go
+++ b/internal/limpetdirector/limpetdirector_test.go
@@ -157,6 +157,8 @@
 	group *limpettask.Group
 	mu    sync.Mutex
 	cut   bool
+	// hung is how long a write of the store keeps its caller waiting.
+	hung time.Duration
 	// elsewhere is what other VMs say of the store.
 	elsewhere bool
 }
@@ -176,6 +178,21 @@
 	return nil
 }
 
+// silence makes writes keep their callers waiting for their answers.
+func (c *candidate) silence(d time.Duration) (end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hung = d
+	return func() { c.mu.Lock(); c.hung = 0; c.mu.Unlock() }
+}
+
+func (c *candidate) wait(ctx context.Context) {
+	c.mu.Lock()
+	d := c.hung
+	c.mu.Unlock()
+	limpettask.Sleep(ctx, d)
+}
+
 // store returns the world's store as the candidate reaches it.
 func (c *candidate) store(w *world) limpetstore.Store {
 	s := w.store.Client()
@@ -196,6 +213,7 @@
 		if err := c.reach(); err != nil {
 			return 0, err
 		}
+		defer c.wait(ctx)
 		return inner.Commit(ctx, t)
 	}
 	s.Renew = func(ctx context.Context, lease uint64) error {
@@ -359,6 +377,35 @@
 	}
 }
 
+func TestDirectorDoesNotDenyWhatTheStoreMayHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4)
+		a := w.candidate("a", 0)
+		time.Sleep(time.Second)
+		w.submit(t, "j", 4, 1)
+		time.Sleep(time.Second)
+		// Writes have their effect from now on, and no answer comes.
+		w.store.Lock()
+		w.store.Fault = func(kind, _ string) limpetstub.Fault {
+			if kind == "commit" {
+				return limpetstub.LostAfter
+			}
+			return limpetstub.None
+		}
+		w.store.Unlock()
+		client := a.silence(2 * time.Second)
+		defer client()
+		time.Sleep(1500 * time.Millisecond)
+		stored := len(w.results(t, "j"))
+		page, _, known := a.Results(context.Background(), "j", "acme", 0, 0)
+		Convey("a result that stands in the store is told, or the reader is sent there", t, func() {
+			So(stored, ShouldBeGreaterThan, 0)
+			So(known && len(page.Results) == 0, ShouldBeFalse)
+		})
+		a.stop(t)
+	})
+}
+
 func TestEndedJobStops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(2)
--- a/internal/limpetdirector/results.go
+++ b/internal/limpetdirector/results.go
@@ -29,6 +29,31 @@
 	results []limpetlot.Result
 	bytes   int
 	changed chan struct{}
+	// writing is when a write of results began whose outcome is not known yet;
+	// zero when there is none.
+	writing time.Time
+}
+
+// doubtAfter is how long a write of results may take before the store may
+// show readers more than this VM knows of.
+const doubtAfter = 250 * time.Millisecond
+
+// write records that a write of a job's results began.
+func (s *shelf) write(job string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j := s.jobs[job]; j != nil {
+		j.writing = now
+	}
+}
+
+// doubtful reports whether the store may hold more results of a job than are
+// known here.
+func (s *shelf) doubtful(job string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[job]
+	return j == nil || (!j.writing.IsZero() && now.Sub(j.writing) > doubtAfter)
 }
 
 func newShelf() *shelf { return &shelf{jobs: map[string]*shelved{}} }
@@ -53,6 +78,7 @@
 		j.bytes += len(r.Text)
 		s.bytes += len(r.Text)
 	}
+	j.writing = time.Time{}
 	close(j.changed)
 	j.changed = make(chan struct{})
 	for s.bytes > shelfBytes && len(s.order) > 1 {
@@ -126,7 +152,8 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return page, false, d.Directing()
+			// Nothing is said only when it is sure that there is nothing.
+			return page, false, d.Directing() && !d.shelf.doubtful(job, d.Now())
 		case <-ctx.Done():
 			return limpetlot.Page{}, false, false
 		}
--- a/internal/limpetforward/limpetforward_test.go
+++ b/internal/limpetforward/limpetforward_test.go
@@ -197,7 +197,7 @@
 
 // stream returns events from one number to another and then ends with err.
 func stream(from, to int, err error) reaction {
-	return func(_ context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
+	return func(_ context.Context, _ limpetupstream.Call) (*limpetupstream.Reply, error) {
 		n := from - 1
 		return &limpetupstream.Reply{Status: 200, Seal: "seal", Close: func() {}, Events: func() (limpetupstream.Event, error) {
 			if n == to {
--- a/internal/limpetlot/limpetlot_test.go
+++ b/internal/limpetlot/limpetlot_test.go
@@ -141,14 +141,14 @@
 		So(limpeterror.Is(err, limpeterror.NotFound), ShouldBeTrue)
 	})
 	Convey("a position that another VM showed is found without a watch's word", t, func() {
-		stub, r := open()
+		stub, _ := open()
 		store := stub.Client()
 		silent := store
-		silent.Follow = func(ctx context.Context, _ string, after uint64, wait time.Duration) (limpetstore.Listing, error) {
+		silent.Follow = func(_ context.Context, _ string, after uint64, wait time.Duration) (limpetstore.Listing, error) {
 			<-time.After(wait)
 			return limpetstore.Listing{Revision: after + 1000}, nil
 		}
-		r = limpetlot.NewReader(silent, time.Now)
+		r := limpetlot.NewReader(silent, time.Now)
 		So(chunk(store, "j", 0, "i1"), ShouldBeNil)
 		_, err := r.Read(ctx, "j", "acme", 0, 10*time.Millisecond)
 		So(err, ShouldBeNil)
