Results of a job that ends during their write are told

The job ended while its last results were being written; the director dropped the outcome with the job, and told readers of an empty last position though the store held it.

--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -275,6 +275,8 @@
 	d.Log.Emit(limpetlog.LeaseLost, limpetlog.Value("fence", d.lead.fence), limpetlog.Value("cause", cause))
 	l := d.lead
 	d.lead = nil
+	// A write that is under way may still add to what the store holds.
+	d.shelf.clear()
 	d.swaps = map[string]time.Time{}
 	d.vacantAt = d.Now()
 	d.group.Go(func(context.Context) error { return l.group.Stop() })
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -364,7 +364,14 @@
 	}
 	m.lead.committing, m.lead.committed = false, d.Now()
 	for _, c := range m.chunks {
+		if m.err == nil {
+			// Also for a job that ended meanwhile: the store holds its results.
+			d.shelf.set(c.Job.ID, c.Job.Account, len(c.Job.Items), c.Chunk.First, c.Chunk.Results)
+		}
 		if !d.ledger.Has(c.Job.ID) {
+			if m.err != nil {
+				d.shelf.drop(c.Job.ID)
+			}
 			continue
 		}
 		if m.err != nil {
@@ -373,7 +380,6 @@
 			continue
 		}
 		d.ledger.Committed(c.Job)
-		d.shelf.set(c.Job.ID, c.Job.Account, len(c.Job.Items), c.Chunk.First, c.Chunk.Results)
 		d.Log.Emit(limpetlog.ResultsListed, limpetlog.Job(c.Job.ID), limpetlog.Value("first", c.Chunk.First),
 			limpetlog.Value("count", len(c.Chunk.Results)), limpetlog.Value("age_ms", d.Now().Sub(c.Job.Arrived).Milliseconds()))
 	}
--- a/internal/limpetdirector/limpetdirector_test.go
+++ b/internal/limpetdirector/limpetdirector_test.go
@@ -406,6 +406,30 @@
 	})
 }
 
+func TestResultsOfAJobThatEndsDuringTheirWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4)
+		a := w.candidate("a", 0)
+		time.Sleep(time.Second)
+		w.submit(t, "j", 4, 1)
+		time.Sleep(time.Second)
+		defer a.silence(300 * time.Millisecond)()
+		// The texts are whole after 1.4 s; the write is under way at the end.
+		time.Sleep(550 * time.Millisecond)
+		if err := limpetlot.End(context.Background(), w.store.Client(), "j"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		stored := len(w.results(t, "j"))
+		page, _, known := a.Results(context.Background(), "j", "acme", 0, 0)
+		Convey("the director tells all that stands in the store, or nothing", t, func() {
+			So(stored, ShouldBeGreaterThan, 0)
+			So(!known || len(page.Results) == stored, ShouldBeTrue)
+		})
+		a.stop(t)
+	})
+}
+
 func TestEndedJobStops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(2)
--- a/internal/limpetdirector/results.go
+++ b/internal/limpetdirector/results.go
@@ -86,6 +86,13 @@
 	}
 }
 
+// drop forgets a job.
+func (s *shelf) drop(job string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(job)
+}
+
 func (s *shelf) remove(job string) {
 	j := s.jobs[job]
 	if j == nil {
