--- a/internal/limpetbatch/fleet.go
+++ b/internal/limpetbatch/fleet.go
@@ -36,3 +36,15 @@
 	}
 	return false
 }
+
+// Usable returns the number of engines whose weights fit a job.
+func (l *Ledger) Usable(j *Job) int {
+	n := 0
+	for _, g := range l.engines {
+		version, serves := g.versions[j.Model]
+		if serves && version >= j.MinVersion && g.loading != j.Model {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -193,7 +193,8 @@
 	d.shelf.set(m.id, j.Account, len(j.Items), 0, m.done)
 	d.Log.Emit(limpetlog.JobTaken, limpetlog.Job(m.id), limpetlog.Account(j.Account), limpetlog.Value("items", len(j.Items)),
 		limpetlog.Value("listed", len(m.done)), limpetlog.Value("drafts", len(m.drafts)), limpetlog.Value("step", j.Step), limpetlog.Value("min_version", j.MinVersion),
-		limpetlog.Value("age_ms", now.Sub(j.Arrived).Milliseconds()))
+		limpetlog.Value("engines", d.ledger.Usable(j)), limpetlog.Value("named", d.view.Named[j.Model]),
+		limpetlog.Value("waiting", d.ledger.Waiting(j.Model)), limpetlog.Value("age_ms", now.Sub(j.Arrived).Milliseconds()))
 }
 
 // reload asks for a job again.
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -101,6 +101,7 @@
 	held    map[string]time.Time
 	loads   map[load]int
 	planned time.Time
+	rhythm  rhythm
 }
 
 // A load identifies the orders for one version of a model.
--- a/internal/limpetdirector/orders.go
+++ b/internal/limpetdirector/orders.go
@@ -49,11 +49,13 @@
 // models returns what is known of the trained models.
 func (d *Director) models(engines int) []limpetswap.Model {
 	need := d.ledger.Need()
+	interval := d.rhythm.interval(d.view.Named, d.Now())
+	share := limpetswap.Share(engines, len(d.view.Named), interval, d.rhythm.change())
 	var models []limpetswap.Model
 	for name, version := range d.view.Named {
 		models = append(models, limpetswap.Model{
 			Name: name, Named: version, Need: need[name], Waiting: d.ledger.Waiting(name),
-			Loads: d.loads[load{name, version}], Free: engines / max(len(d.view.Named), 1),
+			Loads: d.loads[load{name, version}], Free: engines / max(len(d.view.Named), 1), Share: share,
 		})
 	}
 	return models
@@ -80,13 +82,14 @@
 type swapped struct {
 	lead     *lead
 	choice   limpetswap.Choice
+	began    time.Time
 	versions map[string]int
 	err      error
 }
 
 // carryOut gives an order and waits until the engine's report shows it.
 func (d *Director) carryOut(ctx context.Context, l *lead, server *limpetsite.Server, c limpetswap.Choice, pause bool) swapped {
-	s := swapped{lead: l, choice: c}
+	s := swapped{lead: l, choice: c, began: d.Now()}
 	ctx, cancel := context.WithTimeout(ctx, swapLongest)
 	defer cancel()
 	report, err := d.report(ctx, server)
@@ -166,6 +169,7 @@
 	}
 	delete(d.swaps, id)
 	if m.err == nil && m.versions[m.choice.Model] >= m.choice.Version {
+		d.rhythm.changed(now.Sub(m.began))
 		d.Log.Emit(limpetlog.WeightsActive, limpetlog.Server(id), limpetlog.Value("model", m.choice.Model), limpetlog.Value("version", m.choice.Version))
 		return
 	}
--- a/internal/limpetswap/limpetswap.go
+++ b/internal/limpetswap/limpetswap.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // An Engine is what is known of one engine.
@@ -28,6 +29,9 @@
 	Need int
 	// Waiting is the number of items that wait for an engine.
 	Waiting int
+	// Share is the number of engines that keep up with the model; the others
+	// keep old weights of it. 0 stands for all.
+	Share int
 	// Loads counts the orders for the named version that were given and did
 	// not fail, and Free how many of them cost nothing.
 	Loads, Free int
@@ -46,6 +50,49 @@
 
 const parallelShare = 5
 
+// Share returns how many of so many engines can keep up with one of so many
+// models, when versions are named at an interval and a change takes a time.
+// Half of them change for each version, and some of the changes that there is
+// time for are left to spare.
+func Share(engines, models int, interval, change time.Duration) int {
+	if models == 0 || change <= 0 {
+		return engines
+	}
+	perVersion := spareChanges * float64(Parallel(engines)) * interval.Seconds() / change.Seconds() / float64(models)
+	return max(min(engines, 2*int(perVersion)), min(engines, leastShare))
+}
+
+const (
+	spareChanges = 0.85
+	leastShare   = 2
+)
+
+// homes returns the engines that keep up with each model: those that are
+// furthest, and of equal ones those that keep up with fewer other models.
+func homes(engines []Engine, models []Model) map[string][]Engine {
+	chosen := map[string][]Engine{}
+	others := map[string]int{}
+	for _, m := range models {
+		var all []Engine
+		for _, e := range engines {
+			if _, serves := e.Versions[m.Name]; serves {
+				all = append(all, e)
+			}
+		}
+		slices.SortStableFunc(all, func(a, b Engine) int {
+			return cmp.Or(cmp.Compare(b.Versions[m.Name], a.Versions[m.Name]), cmp.Compare(others[a.ID], others[b.ID]), cmp.Compare(a.ID, b.ID))
+		})
+		if m.Share > 0 && m.Share < len(all) {
+			all = all[:m.Share]
+		}
+		for _, e := range all {
+			others[e.ID]++
+		}
+		chosen[m.Name] = all
+	}
+	return chosen
+}
+
 // ahead returns how many of so many engines should have the named version, so
 // that at most the others are of no use when the next one is named.
 func ahead(engines int) int { return (engines + 1) / 2 }
@@ -63,16 +110,18 @@
 		}
 	}
 	models = slices.Clone(models)
+	slices.SortFunc(models, func(a, b Model) int { return cmp.Compare(a.Name, b.Name) })
+	home := homes(engines, models)
 	slices.SortFunc(models, func(a, b Model) int {
 		return cmp.Or(cmp.Compare(b.Waiting, a.Waiting), cmp.Compare(a.Name, b.Name))
 	})
 	for _, m := range models {
-		urgent, _ := behind(engines, m)
+		urgent, _ := behind(home[m.Name], m)
 		p.pick(m, urgent, len(urgent))
 	}
 	for _, m := range models {
-		_, early := behind(engines, m)
-		most := ahead(serving(engines, m)) - m.Loads
+		_, early := behind(home[m.Name], m)
+		most := ahead(len(home[m.Name])) - current(home[m.Name], m)
 		if m.Waiting > 0 {
 			// What waits needs the engines more; the change must not stop though.
 			most = min(most, 1)
@@ -113,11 +162,11 @@
 	}
 }
 
-// serving counts the engines that have a model.
-func serving(engines []Engine, m Model) int {
+// current counts the engines that have the named version or change to it.
+func current(engines []Engine, m Model) int {
 	n := 0
 	for _, e := range engines {
-		if _, ok := e.Versions[m.Name]; ok {
+		if e.Versions[m.Name] >= m.Named || e.Changing {
 			n++
 		}
 	}
--- a/internal/limpetswap/limpetswap_test.go
+++ b/internal/limpetswap/limpetswap_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -74,6 +75,93 @@
 	})
 }
 
+func TestShares(t *testing.T) {
+	for _, c := range []struct{ engines, models, want int }{{9, 1, 9}, {8, 2, 6}, {36, 3, 14}, {38, 3, 14}, {2, 5, 2}} {
+		Convey(fmt.Sprintf("%d engines and %d models", c.engines, c.models), t, func() {
+			So(limpetswap.Share(c.engines, c.models, 4*time.Second, time.Second), ShouldEqual, c.want)
+		})
+	}
+}
+
+// A schedule plays versions of several models that are named in turn.
+type schedule struct {
+	engines []limpetswap.Engine
+	until   []time.Duration
+	target  []limpetswap.Choice
+	named   map[string]int
+	loads   map[string]int
+}
+
+const (
+	namedEvery = 4 * time.Second
+	changeTime = 900 * time.Millisecond
+	tick       = 50 * time.Millisecond
+)
+
+func newSchedule(engines int, models ...string) *schedule {
+	s := &schedule{until: make([]time.Duration, engines), target: make([]limpetswap.Choice, engines), named: map[string]int{}, loads: map[string]int{}}
+	for n := range engines {
+		e := limpetswap.Engine{ID: fmt.Sprintf("e%02d", n), Versions: map[string]int{}, Running: 3}
+		for _, m := range models {
+			e.Versions[m], s.named[m] = 1, 1
+		}
+		s.engines = append(s.engines, e)
+	}
+	return s
+}
+
+// step plays one tick at a time.
+func (s *schedule) step(now time.Duration, share int) {
+	var models []limpetswap.Model
+	for m, v := range s.named {
+		models = append(models, limpetswap.Model{Name: m, Named: v, Need: v - 1, Waiting: 20, Share: share, Loads: s.loads[m], Free: len(s.engines) / len(s.named)})
+	}
+	for n := range s.engines {
+		if s.engines[n].Changing && now >= s.until[n] {
+			s.engines[n].Changing = false
+			s.engines[n].Versions[s.target[n].Model] = s.target[n].Version
+		}
+	}
+	for _, c := range limpetswap.Plan(s.engines, models) {
+		for n := range s.engines {
+			if s.engines[n].ID == c.Engine {
+				s.engines[n].Changing, s.until[n], s.target[n] = true, now+changeTime, c
+				s.loads[c.Model]++
+			}
+		}
+	}
+}
+
+// fit counts the engines that fit a model's next step.
+func (s *schedule) fit(model string, least int) int {
+	n := 0
+	for _, e := range s.engines {
+		if e.Versions[model] >= least {
+			n++
+		}
+	}
+	return n
+}
+
+func TestLoadOfSeveralModels(t *testing.T) {
+	Convey("pattern: three models on 36 engines, each named a version every 4 s, shifted", t, func() {
+		models := []string{"a", "b", "c"}
+		s := newSchedule(36, models...)
+		share := limpetswap.Share(36, 3, namedEvery, changeTime)
+		for now := time.Duration(0); now < time.Minute; now += tick {
+			for n, m := range models {
+				if (now+time.Duration(n)*1300*time.Millisecond)%namedEvery == 0 && now > 0 {
+					s.named[m]++
+					s.loads[m] = 0
+					// The step that asks for the version before begins now.
+					So(s.fit(m, s.named[m]-1), ShouldBeGreaterThanOrEqualTo, share/2)
+				}
+			}
+			s.step(now, share)
+		}
+	})
+}
+
 func TestLoadStepsNeverMeetAFleetThatIsOfNoUse(t *testing.T) {
 	Convey("pattern: a version each step; at least a third of the engines can serve each step at once", t, func() {
 		for engines := 3; engines <= 38; engines++ {
