--- a/internal/limpetbatch/overdue_test.go
+++ b/internal/limpetbatch/overdue_test.go
@@ -87,18 +87,26 @@
 	next    map[*limpetbatch.Run]time.Time
 	// strike is told after a second of each engine that makes a long text.
 	strike func(id string)
+	// later holds jobs that arrive during the play.
+	later []*limpetlot.Job
+	// crowding is what each neighbour adds to the time between events.
+	crowding time.Duration
 	// done holds the items that are listed.
 	done map[string]bool
 	// down engines are silent in a span of time.
 	down map[string][2]time.Duration
 }
 
-const step = 5 * time.Millisecond
+const step = time.Millisecond
 
 // play runs until all groups but one are whole, and returns when.
 func (f *fleet) play(limit time.Duration) time.Duration {
 	for passed := time.Duration(0); passed < limit; passed += step {
 		now := at(passed)
+		for len(f.later) > 0 && !f.later[0].Arrived.After(now) {
+			f.ledger.Add(f.later[0], rules, nil, now)
+			f.later = f.later[1:]
+		}
 		if passed == time.Second && f.strike != nil {
 			f.strikeLong()
 		}
@@ -135,13 +143,25 @@
 		delete(f.next, r)
 		return
 	}
-	f.next[r] = now.Add(f.paces[r.Server.ID])
+	f.next[r] = now.Add(f.paceOf(r.Server.ID))
 	if n >= f.lengths[r.Entry.Item.ID] {
 		delete(f.next, r)
 		f.ledger.Ended(r, limpetbatch.Whole, now)
 	}
 }
 
+// paceOf returns the time between events at an engine, which each neighbour
+// makes longer.
+func (f *fleet) paceOf(id string) time.Duration {
+	neighbours := -1
+	for r := range f.next {
+		if r.Server.ID == id {
+			neighbours++
+		}
+	}
+	return f.paces[id] + time.Duration(neighbours)*f.crowding
+}
+
 func (f *fleet) strikeLong() {
 	for r := range f.next {
 		if f.lengths[r.Entry.Item.ID] >= longText {
@@ -240,6 +260,26 @@
 		t.Log(took)
 		So(took, ShouldBeLessThan, due)
 	})
+	Convey("pattern: short work of the next steps arrives all the time beside long texts", t, func() {
+		f := newFleet()
+		f.crowding = 1200 * time.Microsecond
+		for id := range f.paces {
+			f.paces[id] = 44 * time.Millisecond
+		}
+		for wave := range 7 {
+			other := job(fmt.Sprintf("k%d", wave), 1)
+			other.Arrived = at(time.Duration(wave+1) * time.Second)
+			for n := range 18 {
+				id := fmt.Sprintf("k%d-%d", wave, n)
+				f.lengths[id] = 20
+				other.Items = append(other.Items, limpetlot.Item{ID: id, Path: "/p/1", Group: id, Expected: 20 * 64})
+			}
+			f.later = append(f.later, other)
+		}
+		took := f.play(20 * time.Second)
+		t.Log(took)
+		So(took, ShouldBeLessThan, due)
+	})
 	Convey("pattern: two engines silent by turns", t, func() {
 		f := newFleet()
 		f.down["e1"] = [2]time.Duration{500 * time.Millisecond, 2500 * time.Millisecond}
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -132,8 +132,8 @@
 type message interface{ apply(d *Director) }
 
 const (
-	leaseTime   = 1500 * time.Millisecond
-	renewPeriod = 350 * time.Millisecond
+	leaseTime   = 1200 * time.Millisecond
+	renewPeriod = 280 * time.Millisecond
 	tick        = 25 * time.Millisecond
 	inboxSize   = 2048
 	// listPeriod is the time between writes of results.
