--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-MODULES := internal limpetd limpetctl limpetbench platform
+MODULES := internal limpetd limpetctl limpetbench platform limpetsoak
 TOOLS := honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
 GENERATORS := github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
 
-.PHONY: build demo test lint docs generate bench tools
+.PHONY: build demo test lint docs generate bench soak tools
 
 build:
 	@mkdir -p bin
@@ -22,6 +22,16 @@
 test: lint
 	@for m in $(MODULES); do echo "== $$m"; go -C $$m test -race -count=1 ./... || exit 1; done
 
+# The real processes under seeded faults; make soak SEED=7 RUNS=50 TIME=15s.
+SEED ?= 1
+RUNS ?= 2
+TIME ?= 8s
+soak:
+	@mkdir -p bin target
+	@go build -ldflags=-linkmode=external -o target/limpetplatform ./platform
+	@go build -o bin/limpetsoak ./limpetsoak
+	./bin/limpetsoak --seed $(SEED) --runs $(RUNS) --time $(TIME)
+
 bench:
 	go -C internal test -run '^$$' -bench . -benchmem ./limpetroute ./limpetshare ./limpetlang ./limpetserve
 
--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -201,36 +201,16 @@
 
 // An acquired is the outcome of a try to take the duty.
 type acquired struct {
-	fence    uint64
-	previous string
-	err      error
+	fence uint64
+	err   error
 }
 
 func (d *Director) acquire(ctx context.Context) acquired {
 	fence, err := d.holder.Acquire(ctx, Duty)
 	if err != nil {
 		limpettask.Sleep(ctx, limpettask.Jitter(tryPause))
-		return acquired{err: err}
-	}
-	a := acquired{fence: fence}
-	v, err := d.Store.Get(ctx, TermKey)
-	switch {
-	case err == nil:
-		a.previous = DecodeTerm(v).VM
-	case !limpeterror.Is(err, limpeterror.NotFound):
-		return acquired{err: err}
-	}
-	if a.previous == d.VM && DecodeTerm(v).Address == d.RelayAddress {
-		return a
 	}
-	_, err = d.Store.Commit(ctx, limpetstore.Transaction{
-		Checks: []limpetstore.Check{{Key: limpetlease.Prefix + Duty, Revision: fence}},
-		Writes: []limpetstore.Write{{Key: TermKey, Data: Term{VM: d.VM, Address: d.RelayAddress}.encode()}},
-	})
-	if err != nil && !limpeterror.Is(err, limpeterror.Unknown) {
-		return acquired{err: err}
-	}
-	return a
+	return acquired{fence: fence, err: err}
 }
 
 func (a acquired) apply(d *Director) {
@@ -241,15 +221,74 @@
 		return
 	}
 	d.record = dutyRecord{VM: d.VM, Revision: a.fence}
-	d.lead = &lead{fence: a.fence, group: limpettask.New(d.group.Context()), renewed: now, since: now}
-	d.actAfter = now
-	if a.previous != d.VM && !d.heldAt.IsZero() {
+	// The lease is renewed at once: with a slow store much of it is over.
+	d.lead = &lead{fence: a.fence, group: limpettask.New(d.group.Context()), since: now}
+	d.Log.Emit(limpetlog.LeaseAcquired, limpetlog.Value("fence", a.fence))
+	l := d.lead
+	l.group.Go(func(ctx context.Context) error {
+		d.enterTerm(ctx, l)
+		return nil
+	})
+	d.takeOver()
+}
+
+// enterTerm records this VM as the director, and learns who was before. Until
+// then it gives no orders and makes no reports.
+func (d *Director) enterTerm(ctx context.Context, l *lead) {
+	first := ""
+	for ctx.Err() == nil {
+		previous, err := d.writeTerm(ctx, l.fence)
+		if first == "" {
+			// A write whose answer was lost shows this VM the next time.
+			first = previous
+		}
+		if err == nil {
+			d.post(ctx, entered{lead: l, previous: first})
+			return
+		}
+		d.Log.Emit(limpetlog.DutyNotTaken, limpetlog.Error(err))
+		limpettask.Sleep(ctx, limpettask.Jitter(tryPause))
+	}
+}
+
+func (d *Director) writeTerm(ctx context.Context, fence uint64) (previous string, err error) {
+	v, err := d.Store.Get(ctx, TermKey)
+	if err != nil && !limpeterror.Is(err, limpeterror.NotFound) {
+		return "", err
+	}
+	before := DecodeTerm(v)
+	own := Term{VM: d.VM, Address: d.RelayAddress}
+	if before == own {
+		return before.VM, nil
+	}
+	_, err = d.Store.Commit(ctx, limpetstore.Transaction{
+		Checks: []limpetstore.Check{{Key: limpetlease.Prefix + Duty, Revision: fence}},
+		Writes: []limpetstore.Write{{Key: TermKey, Data: own.encode()}},
+	})
+	return before.VM, err
+}
+
+// entered tells who was the director before.
+type entered struct {
+	lead     *lead
+	previous string
+}
+
+func (m entered) apply(d *Director) {
+	if d.lead != m.lead {
+		return
+	}
+	now := d.Now()
+	m.lead.actAfter = now
+	if m.previous != d.VM && !d.heldAt.IsZero() {
 		// Another VM acted since this one did: a turn back must not be quick.
-		d.actAfter = d.heldAt.Add(d.Turn + turnSlack)
+		m.lead.actAfter = d.heldAt.Add(d.Turn + turnSlack)
 	}
 	d.heldAt = now
-	d.Log.Emit(limpetlog.LeaseAcquired, limpetlog.Value("fence", a.fence), limpetlog.Value("previous", a.previous))
-	d.takeOver()
+	m.lead.entered = true
+	d.Log.Emit(limpetlog.TermEntered, limpetlog.Value("fence", m.lead.fence), limpetlog.Value("previous", m.previous),
+		limpetlog.Value("wait_ms", m.lead.actAfter.Sub(now).Milliseconds()))
+	d.startDuties()
 }
 
 const turnSlack = 500 * time.Millisecond
@@ -263,9 +302,17 @@
 		d.resync(id)
 	}
 	d.followJobs(l)
+}
+
+// startDuties starts what this VM does towards the platform.
+func (d *Director) startDuties() {
+	l := d.lead
 	hold := Hold{VM: d.VM, Fence: d.fence}
 	for _, duty := range d.Duties {
-		l.group.Go(func(ctx context.Context) error { return duty(ctx, hold) })
+		l.group.Go(func(ctx context.Context) error {
+			limpettask.Sleep(ctx, l.actAfter.Sub(d.Now()))
+			return duty(ctx, hold)
+		})
 	}
 }
 
@@ -282,7 +329,9 @@
 		d.stepDown("the lease is not sure any more")
 		return
 	}
-	d.heldAt = now
+	if l.entered && !now.Before(l.actAfter) {
+		d.heldAt = now
+	}
 	if l.renewing || now.Sub(l.renewed) < renewPeriod {
 		return
 	}
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -84,7 +84,6 @@
 	view     *limpetsite.Snapshot
 	record   dutyRecord
 	heldAt   time.Time
-	actAfter time.Time
 	retired  bool
 	emptied  map[string]bool
 	vacantAt time.Time
@@ -117,8 +116,12 @@
 
 // A lead is one time of being the director.
 type lead struct {
-	fence      uint64
-	since      time.Time
+	fence uint64
+	since time.Time
+	// entered is set once it is known who was the director before, and
+	// actAfter when orders and reports may begin.
+	entered    bool
+	actAfter   time.Time
 	group      *limpettask.Group
 	committing bool
 	committed  time.Time
@@ -132,7 +135,7 @@
 type message interface{ apply(d *Director) }
 
 const (
-	leaseTime   = 1200 * time.Millisecond
+	leaseTime   = 1400 * time.Millisecond
 	renewPeriod = 280 * time.Millisecond
 	tick        = 25 * time.Millisecond
 	inboxSize   = 2048
--- a/internal/limpetdirector/limpetdirector_test.go
+++ b/internal/limpetdirector/limpetdirector_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -144,6 +146,20 @@
 	return nil
 }
 
+// counts returns the runs and events so far.
+func (w *world) counts() (runs, events int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs, w.events
+}
+
+// given returns the orders so far, and the engines' versions.
+func (w *world) given() ([]order, map[string]int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.orders), maps.Clone(w.version)
+}
+
 func (w *world) report(_ context.Context, s *limpetsite.Server) (limpetupstream.Report, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -366,7 +382,7 @@
 				c.disturb(t, w, a)
 				time.Sleep(12 * time.Second)
 				wantWhole(t, w.results(t, "j"), 8)
-				made := w.events
+				_, made := w.counts()
 				Convey("what was generated is not generated all over again", t, func() {
 					So(made, ShouldBeLessThanOrEqualTo, c.most)
 				})
@@ -441,11 +457,12 @@
 			t.Fatal(err)
 		}
 		time.Sleep(500 * time.Millisecond)
-		runs, made := w.runs, w.events
+		runs, made := w.counts()
 		time.Sleep(10 * time.Second)
+		runsLater, madeLater := w.counts()
 		Convey("no item runs on", t, func() {
-			So(w.runs, ShouldEqual, runs)
-			So(w.events, ShouldEqual, made)
+			So(runsLater, ShouldEqual, runs)
+			So(madeLater, ShouldEqual, made)
 		})
 		a.stop(t)
 	})
@@ -472,10 +489,11 @@
 			}
 			time.Sleep(3 * time.Second)
 		}
+		orders, versions := w.given()
 		Convey("fencing numbers belong to one holder, go up at each engine, and turns back are slow", t, func() {
 			holder, last, acted := map[uint64]string{}, map[string]uint64{}, map[string]time.Time{}
 			previous := ""
-			for _, o := range w.orders {
+			for _, o := range orders {
 				if h, ok := holder[o.fence]; ok {
 					So(o.holder, ShouldEqual, h)
 				}
@@ -488,7 +506,7 @@
 				acted[o.holder], previous = o.at, o.holder
 			}
 			So(len(holder), ShouldBeGreaterThan, 1)
-			for _, v := range w.version {
+			for _, v := range versions {
 				So(v, ShouldBeGreaterThanOrEqualTo, 8)
 			}
 		})
--- a/internal/limpetdirector/orders.go
+++ b/internal/limpetdirector/orders.go
@@ -33,7 +33,7 @@
 
 // swap orders engines to newer weights.
 func (d *Director) swap(now time.Time) {
-	if now.Sub(d.planned) < planPeriod || now.Before(d.actAfter) {
+	if now.Sub(d.planned) < planPeriod || !d.lead.entered || now.Before(d.lead.actAfter) {
 		return
 	}
 	d.planned = now
--- a/internal/limpetforward/limpetforward_test.go
+++ b/internal/limpetforward/limpetforward_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -96,6 +97,14 @@
 	return s
 }
 
+// seen returns the calls so far, how many of them ended, and the accounts
+// whose requests were counted.
+func (s *site) seen() (calls []limpetupstream.Call, ended int, began []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.calls), s.ended, slices.Clone(s.began)
+}
+
 func request(path, key string) *limpetforward.Request {
 	return &limpetforward.Request{
 		ID: "r1", Method: http.MethodPost, Target: path, Path: path, Host: "h", Header: http.Header{}, Key: key,
@@ -136,10 +145,11 @@
 				a := s.Forward(context.Background(), request(c.path, c.key))
 				took := time.Since(began)
 				time.Sleep(2 * time.Hour)
+				calls, ended, _ := s.seen()
 				Convey(c.name, t, func() {
 					So(a.Reason.String(), ShouldEqual, c.want.String())
-					So(len(s.calls), ShouldEqual, c.sends)
-					So(s.ended, ShouldEqual, c.sends)
+					So(len(calls), ShouldEqual, c.sends)
+					So(ended, ShouldEqual, c.sends)
 					So(took, ShouldBeLessThanOrEqualTo, c.within)
 					if c.status != 0 {
 						So(a.Reply.Status, ShouldEqual, c.status)
@@ -154,10 +164,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(limpetsite.Idempotent, after(40*time.Millisecond, breaks), answers(200))
 		s.Forward(context.Background(), request("/k/x", "key"))
+		calls, _, _ := s.seen()
 		Convey("a later attempt is given what is left, and no key", t, func() {
-			So(s.calls[0].Remaining, ShouldEqual, time.Second)
-			So(s.calls[1].Remaining, ShouldEqual, 960*time.Millisecond)
-			So(s.calls[1].Account, ShouldEqual, "acme")
+			So(calls[0].Remaining, ShouldEqual, time.Second)
+			So(calls[1].Remaining, ShouldEqual, 960*time.Millisecond)
+			So(calls[1].Account, ShouldEqual, "acme")
 		})
 	})
 }
@@ -171,13 +182,15 @@
 			s := newSite(limpetsite.Idempotent, reactions...)
 			s.Forward(context.Background(), request("/k/x", "key"))
 			time.Sleep(time.Minute)
-			Convey("a request counts once: "+name, t, func() { So(s.began, ShouldResemble, []string{"acme"}) })
+			_, _, began := s.seen()
+			Convey("a request counts once: "+name, t, func() { So(began, ShouldResemble, []string{"acme"}) })
 		})
 	}
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(limpetsite.Idempotent, refuses, refuses)
 		s.Forward(context.Background(), request("/k/x", "key"))
-		Convey("a request that did not run does not count", t, func() { So(s.began, ShouldBeEmpty) })
+		_, _, began := s.seen()
+		Convey("a request that did not run does not count", t, func() { So(began, ShouldBeEmpty) })
 	})
 }
 
@@ -188,9 +201,10 @@
 		time.AfterFunc(200*time.Millisecond, cancel)
 		a := s.Forward(ctx, request("/k/x", "key"))
 		synctest.Wait()
+		_, ended, _ := s.seen()
 		Convey("the server's work ends with the caller", t, func() {
 			So(a.Reason.String(), ShouldEqual, limpetforward.CallerGone.String())
-			So(s.ended, ShouldEqual, 1)
+			So(ended, ShouldEqual, 1)
 		})
 	})
 }
@@ -221,10 +235,11 @@
 				ids = append(ids, e.ID)
 			}
 		}
+		calls, _, _ := s.seen()
 		Convey("the caller gets each event once, to the end", t, func() {
 			So(errors.Is(err, io.EOF), ShouldBeTrue)
 			So(ids, ShouldResemble, []int{1, 2, 3, 4, 5, 6})
-			So(s.calls[1].After, ShouldEqual, 3)
+			So(calls[1].After, ShouldEqual, 3)
 		})
 	})
 }
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -88,6 +88,7 @@
 	DraftsNotKept   = define(1723, logrus.InfoLevel, "unfinished texts not kept", "A write of unfinished texts failed; the next one follows.")
 	DutyNotTaken    = define(1731, logrus.DebugLevel, "duty not taken", "This VM tried to become the director and did not.")
 	ReadRefused     = define(1732, logrus.InfoLevel, "job not read", "A reader of a job was told to come back, or that there is none.")
+	TermEntered     = define(1733, logrus.InfoLevel, "term entered", "This VM is recorded as the director. It gives orders and reports once the time is over in which VMs must not take turns.")
 )
 
 // What a VM believes of the deployment.
--- a/internal/limpetwindow/limpetwindow_test.go
+++ b/internal/limpetwindow/limpetwindow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -131,9 +132,10 @@
 func TestCounterWithoutDirector(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		stub, i, held := limpetstub.NewStore(), &intake{}, limpetwindow.NewHeld()
-		taken := true
+		var taken atomic.Bool
+		taken.Store(true)
 		c := limpetwindow.NewCounter(stub.Client(), "a", length, time.Now, limpetlog.Discard())
-		c.Hand = func(context.Context, string, map[int64]limpetwindow.Counts) bool { return taken }
+		c.Hand = func(context.Context, string, map[int64]limpetwindow.Counts) bool { return taken.Load() }
 		g := limpettask.New(context.Background())
 		g.Go(c.Run)
 		time.Sleep(length)
@@ -141,7 +143,7 @@
 		c.Began("acme", time.Now())
 		time.Sleep(2 * time.Second)
 		// The director that took the counts is gone; there is none to hand to.
-		taken = false
+		taken.Store(false)
 		c.Again()
 		time.Sleep(length)
 		g.Go(reporter(stub, i, held).Run)
