--- a/limpetsoak/internal/limpetrig/callers.go
+++ b/limpetsoak/internal/limpetrig/callers.go
@@ -143,7 +143,7 @@
 }
 
 // train submits steps, reads their results and names versions.
-func (r *rig) train(ctx context.Context, random *rand.Rand) error {
+func (r *rig) train(ctx context.Context) error {
 	group := limpettask.New(ctx)
 	for step := 0; ctx.Err() == nil; step++ {
 		group.Go(func(ctx context.Context) error {
--- a/limpetsoak/internal/limpetrig/faults.go
+++ b/limpetsoak/internal/limpetrig/faults.go
@@ -106,6 +106,11 @@
 		return func() {}
 	}},
 	engine("server slow", Slow), engine("server silent", Silent), engine("server answers nothing", OneWay), engine("server refuses", Refuse),
+	{"server loses answers", func(r *rig, random *rand.Rand) func() {
+		s := r.servers[random.IntN(len(r.servers))]
+		s.Losing.Store(true)
+		return func() { s.Losing.Store(false) }
+	}},
 	{"connections to a server reset", func(r *rig, random *rand.Rand) func() {
 		r.proxies[random.IntN(len(r.proxies))].Reset()
 		return func() {}
--- a/limpetsoak/internal/limpetrig/rig.go
+++ b/limpetsoak/internal/limpetrig/rig.go
@@ -287,8 +287,8 @@
 		random := rand.New(rand.NewPCG(r.plan.Seed, uint64(n)+1))
 		callers.Go(func(ctx context.Context) error { return r.call(ctx, random, n) })
 	}
-	trainer, reader := rand.New(rand.NewPCG(r.plan.Seed, 11)), rand.New(rand.NewPCG(r.plan.Seed, 12))
-	callers.Go(func(ctx context.Context) error { return r.train(ctx, trainer) })
+	reader := rand.New(rand.NewPCG(r.plan.Seed, 12))
+	callers.Go(func(ctx context.Context) error { return r.train(ctx) })
 	callers.Go(func(ctx context.Context) error { return r.reread(ctx, reader) })
 	limpettask.Sleep(ctx, time.Second)
 	r.disturb(ctx, seeds, r.plan.Time)
