--- a/internal/limpetbatch/fleet.go
+++ b/internal/limpetbatch/fleet.go
@@ -48,3 +48,19 @@
 	}
 	return n
 }
+
+// Demand returns the number of items that run and wait by service.
+func (l *Ledger) Demand() map[string]int {
+	demand := map[string]int{}
+	for _, g := range l.engines {
+		demand[g.server.Service] += len(g.runs)
+	}
+	for _, j := range l.jobs {
+		for _, e := range j.entries {
+			if e.phase == waiting {
+				demand[j.Rules.Service]++
+			}
+		}
+	}
+	return demand
+}
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -75,6 +76,8 @@
 	// candidate is what Compete was told last.
 	candidate atomic.Bool
 
+	demand sync.Map
+
 	// Owned by the loop.
 	group *limpettask.Group
 	// watching follows the duty; nil while the VM is no candidate.
@@ -101,11 +104,12 @@
 	loading map[string]bool
 	whole   map[string]bool
 
-	swaps   map[string]time.Time
-	held    map[string]time.Time
-	loads   map[load]int
-	planned time.Time
-	rhythm  rhythm
+	swaps    map[string]time.Time
+	held     map[string]time.Time
+	loads    map[load]int
+	planned  time.Time
+	measured time.Time
+	rhythm   rhythm
 }
 
 // A load identifies the orders for one version of a model.
@@ -246,6 +250,7 @@
 		d.keepDrafts(now)
 		d.swap(now)
 		d.retirements()
+		d.measure(now)
 	}
 }
 
--- a/internal/limpetdirector/orders.go
+++ b/internal/limpetdirector/orders.go
@@ -183,3 +183,25 @@
 		d.stepDown("an engine has seen a later holder")
 	}
 }
+
+// measurePeriod is how often the demand for services is measured.
+const measurePeriod = 100 * time.Millisecond
+
+// measure counts the items that run and wait by service.
+func (d *Director) measure(now time.Time) {
+	if now.Sub(d.measured) < measurePeriod {
+		return
+	}
+	d.measured = now
+	for service, n := range d.ledger.Demand() {
+		d.demand.Store(service, n)
+	}
+}
+
+// Demand returns the number of items of a service that run and wait.
+func (d *Director) Demand(service string) int {
+	if n, ok := d.demand.Load(service); ok {
+		return n.(int)
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/limpetgrow/limpetgrow_test.go
@@ -0,0 +1,80 @@
+package limpetgrow_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpetgrow"
+	"limpetmount.org/internal/limpetsite"
+)
+
+var (
+	epoch = time.Unix(1_700_000_000, 0)
+	fleet = limpetsite.Fleet{Min: 1, Max: 4}
+)
+
+const slots = 8
+
+func zones(standard, spot int) []limpetgrow.Zone {
+	return []limpetgrow.Zone{{Name: "a", Standard: standard, Spot: spot, Price: 2}, {Name: "b", Standard: standard, Spot: spot, Price: 1}}
+}
+
+func TestGrowth(t *testing.T) {
+	Convey("a fleet that is enough is left alone", t, func() {
+		p := limpetgrow.New("s")
+		p.Demand(epoch, 20)
+		So(p.Plan(epoch, zones(2, 0), fleet, slots), ShouldBeEmpty)
+	})
+	Convey("more demand than places orders servers that may be reclaimed, spread over zones, once", t, func() {
+		p := limpetgrow.New("s")
+		p.Demand(epoch, 40)
+		So(p.Plan(epoch, zones(2, 0), fleet, slots), ShouldResemble, []limpetgrow.Order{
+			{Service: "s", Zone: "b", Desired: 1, Spot: true}, {Service: "s", Zone: "a", Desired: 1, Spot: true},
+		})
+		So(p.Plan(epoch.Add(time.Second), zones(2, 0), fleet, slots), ShouldBeEmpty)
+	})
+	Convey("no zone gets more than its bound", t, func() {
+		p := limpetgrow.New("s")
+		p.Demand(epoch, 500)
+		for _, o := range p.Plan(epoch, zones(3, 0), fleet, slots) {
+			So(o.Desired, ShouldEqual, 1)
+		}
+		So(p.Plan(epoch.Add(time.Minute), zones(3, 1), fleet, slots), ShouldBeEmpty)
+	})
+	Convey("a burst shorter than the average orders little", t, func() {
+		p := limpetgrow.New("s")
+		p.Demand(epoch, 10)
+		p.Demand(epoch.Add(50*time.Millisecond), 300)
+		p.Demand(epoch.Add(100*time.Millisecond), 10)
+		So(p.Plan(epoch.Add(100*time.Millisecond), zones(2, 0), fleet, slots), ShouldBeEmpty)
+	})
+	Convey("a zone that has none is not asked again for a while", t, func() {
+		p := limpetgrow.New("s")
+		p.Demand(epoch, 40)
+		p.Plan(epoch, zones(2, 0), fleet, slots)
+		p.Refused(epoch, "a")
+		p.Demand(epoch.Add(7*time.Second), 40)
+		orders := p.Plan(epoch.Add(7*time.Second), zones(2, 0), fleet, slots)
+		So(len(orders), ShouldEqual, 1)
+		So(orders[0].Zone, ShouldEqual, "b")
+	})
+}
+
+func TestLossAndSurplus(t *testing.T) {
+	Convey("standard servers that a zone lost are ordered again, after a while", t, func() {
+		p := limpetgrow.New("s")
+		p.Plan(epoch, zones(2, 0), fleet, slots)
+		lost := []limpetgrow.Zone{{Name: "a", Standard: 1}, {Name: "b", Standard: 2}}
+		So(p.Plan(epoch.Add(10*time.Second), lost, fleet, slots), ShouldBeEmpty)
+		So(p.Plan(epoch.Add(13*time.Second), lost, fleet, slots), ShouldResemble, []limpetgrow.Order{{Service: "s", Zone: "a", Desired: 2}})
+	})
+	Convey("a lasting surplus gives one spot server back, and no standard one", t, func() {
+		p := limpetgrow.New("s")
+		p.Plan(epoch, zones(1, 1), fleet, slots)
+		So(p.Plan(epoch.Add(30*time.Second), zones(1, 1), fleet, slots), ShouldBeEmpty)
+		So(p.Plan(epoch.Add(41*time.Second), zones(1, 1), fleet, slots), ShouldResemble, []limpetgrow.Order{{Service: "s", Zone: "a", Desired: 0, Spot: true}})
+		So(p.Plan(epoch.Add(200*time.Second), zones(1, 0), fleet, slots), ShouldBeEmpty)
+	})
+}
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -16,6 +16,7 @@
 	"limpetmount.org/internal/limpetdirector"
 	"limpetmount.org/internal/limpetfollow"
 	"limpetmount.org/internal/limpetforward"
+	"limpetmount.org/internal/limpetgrow"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetmetric"
@@ -45,6 +46,9 @@
 	Probe func(ctx context.Context) error
 	// Report hands in a window's usage.
 	Report func(ctx context.Context, r limpetwindow.Report) error
+	// Scale orders a number of backend servers. Fenced means that none are to
+	// be had now, or that a later holder has ordered.
+	Scale func(ctx context.Context, o limpetgrow.Order, holder string, fence uint64) error
 	// AskReady asks another VM whether it is ready.
 	AskReady func(ctx context.Context, address string) (bool, error)
 	// Emptied tells the operator that a VM may be removed.
@@ -175,6 +179,9 @@
 	if h.Settings.Duties.Usage {
 		deps.Duties = append(deps.Duties, h.reportUsage)
 	}
+	if h.Settings.Duties.Fleet {
+		deps.Duties = append(deps.Duties, h.orderServers)
+	}
 	h.director = limpetdirector.New(deps)
 	h.directing.Go(h.director.Run)
 	if h.Settings.Keeps {
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -111,6 +111,7 @@
 	OrderSettled    = define(1502, logrus.InfoLevel, "order settled", "The outcome of an order is known.")
 	OrderFailed     = define(1503, logrus.WarnLevel, "order failed", "The platform refused an order or did not answer.")
 	ServerDraining  = define(1504, logrus.InfoLevel, "backend server draining", "The backend server gets no new work.")
+	ServersOrdered  = define(1505, logrus.InfoLevel, "backend servers ordered by zone", "The director asked the platform for a number of backend servers in an availability zone.")
 	WindowFrozen    = define(1601, logrus.InfoLevel, "usage window frozen", "The window's figures can no longer change.")
 	WindowReported  = define(1602, logrus.InfoLevel, "usage window reported", "The intake accepted the window's figures.")
 	UsageNotWritten = define(1604, logrus.InfoLevel, "usage counts not written", "The store did not take this VM's counts; they are written again.")
