--- a/internal/limpetbatch/run.go
+++ b/internal/limpetbatch/run.go
@@ -265,21 +265,22 @@
 
 // Scored takes the end of a reward call: the seal of a good answer, or the
 // number of failing ones. An entry whose calls failed as often as allowed is
-// errored.
-func (l *Ledger) Scored(e *Entry, seal string, failures, allowed int, now time.Time) {
+// errored; Scored reports whether it is.
+func (l *Ledger) Scored(e *Entry, seal string, failures, allowed int, now time.Time) bool {
 	if e.phase != scoring {
-		return
+		return false
 	}
 	if seal != "" {
 		e.text.score = seal
 		l.settle(e, limpetlot.Completed)
-		return
+		return false
 	}
 	e.rewards += failures
 	if e.rewards >= max(allowed, 1) {
 		l.settle(e, errored)
-		return
+		return true
 	}
 	e.phase = unscored
 	e.rewardAt = now.Add(rewardPause)
+	return false
 }
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -263,7 +263,7 @@
 func (d *Director) giveUp(now time.Time) {
 	given, runs := d.ledger.GiveUp(now)
 	for _, e := range given {
-		d.Log.Emit(limpetlog.ItemErrored, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Value("cause", "its time is over"))
+		d.gaveUp(e, "its time is over")
 	}
 	d.cut(runs, "item given up")
 	d.ledger.Expire(now)
--- a/internal/limpetdirector/runs.go
+++ b/internal/limpetdirector/runs.go
@@ -155,6 +155,9 @@
 			limpetlog.Value("must", e.Must()), limpetlog.Value("age_ms", d.Now().Sub(e.Job.Arrived).Milliseconds()))
 		return
 	}
+	if settled {
+		d.gaveUp(e, "its runs failed as often as allowed")
+	}
 	cause := ""
 	if m.cause != nil {
 		cause = m.cause.Error()
@@ -163,6 +166,11 @@
 		limpetlog.Server(m.run.Server.ID), limpetlog.Value("status", m.status), limpetlog.Value("cause", cause), limpetlog.Value("settled", settled))
 }
 
+// gaveUp logs that an item is listed as errored.
+func (d *Director) gaveUp(e *limpetbatch.Entry, cause string) {
+	d.Log.Emit(limpetlog.ItemErrored, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Value("cause", cause))
+}
+
 // reward makes a reward call.
 func (d *Director) reward(r limpetbatch.Reward) {
 	d.group.Go(func(ctx context.Context) error {
@@ -191,7 +199,9 @@
 
 func (m scored) apply(d *Director) {
 	e := m.entry
-	d.ledger.Scored(e, m.seal, m.failures, max(m.allowed, e.Job.Rules.Attempts), d.Now())
+	if d.ledger.Scored(e, m.seal, m.failures, max(m.allowed, e.Job.Rules.Attempts), d.Now()) {
+		d.gaveUp(e, "its reward call failed as often as allowed")
+	}
 	if m.seal == "" {
 		d.Log.Emit(limpetlog.RewardFailed, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID),
 			limpetlog.Request(e.Item.Scorer.ID), limpetlog.Value("failures", m.failures), limpetlog.Value("reason", m.reason.String()))
--- a/internal/limpetlog/limpetlog.go
+++ b/internal/limpetlog/limpetlog.go
@@ -48,6 +48,9 @@
 	entry *logrus.Entry
 }
 
+// timeFormat is RFC 3339 with milliseconds: events of VMs are compared by it.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger. Format is json or text; level is a logrus level.
 func New(w io.Writer, level, format, vm string) (*Logger, error) {
 	l := logrus.New()
@@ -58,7 +61,7 @@
 	}
 	l.SetLevel(parsed)
 	if format == "json" {
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	}
 	return &Logger{entry: l.WithField("vm", vm)}, nil
 }
--- a/limpetctl/internal/limpetcommand/limpetcommand.go
+++ b/limpetctl/internal/limpetcommand/limpetcommand.go
@@ -72,6 +72,7 @@
 	Quarantine quarantineCommand `cmd:"" help:"Requests that crash backend servers."`
 	Usage      usageCommands     `cmd:"" help:"Usage windows and their figures by VM."`
 	Run        runCommand        `cmd:"" help:"Run statements of the operators' language."`
+	Explain    explainCommand    `cmd:"" help:"Gather what log files say of one request, job, item or server."`
 	Watch      watchCommand      `cmd:"" help:"Run a query again and again."`
 	Shell      shellCommand      `cmd:"" help:"Interactive prompt with history and completion."`
 	Language   languageCommand   `cmd:"" help:"Print the language's reference page."`
