--- a/internal/limpetbatch/fleet.go
+++ b/internal/limpetbatch/fleet.go
@@ -20,7 +20,7 @@
 		}
 		changing, held := state(id)
 		all = append(all, limpetswap.Engine{
-			ID: id, Versions: maps.Clone(g.versions), Running: len(g.runs), Changing: changing, Held: held,
+			ID: id, Versions: maps.Clone(g.versions), Running: len(g.runs), Spot: g.server.Spot, Changing: changing, Held: held,
 		})
 	}
 	slices.SortFunc(all, func(a, b limpetswap.Engine) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -91,6 +91,9 @@
 	listed   int
 	// committing is the number of results in a write that is not settled.
 	committing int
+	// unsure is set while it is not known what the store holds of the job;
+	// nothing is listed until then.
+	unsure bool
 	ended      bool
 	begun      bool
 	// undrafted is set while texts have grown since they were kept.
@@ -193,7 +196,7 @@
 		e.phase, e.result = listed, r
 	}
 	j.listed = max(j.listed, len(done))
-	j.committing = 0
+	j.committing, j.unsure = 0, false
 	j.unlisted = nil
 	for _, e := range j.entries {
 		if e.phase == settled {
--- a/internal/limpetbatch/listing.go
+++ b/internal/limpetbatch/listing.go
@@ -13,7 +13,7 @@
 
 // Listings returns the next chunk of each job that has settled items, at most
 // so many chunks and no more than one for a job at a time. Committed or
-// Uncommitted must follow.
+// Unsure must follow.
 func (l *Ledger) Listings(most int) []Listing {
 	var all []Listing
 	bytes := 0
@@ -21,7 +21,7 @@
 		if len(all) >= most || bytes >= chunkBytes {
 			break
 		}
-		if j.committing > 0 || len(j.unlisted) == 0 {
+		if j.unsure || j.committing > 0 || len(j.unlisted) == 0 {
 			continue
 		}
 		c := limpetlot.Chunk{First: j.listed}
@@ -47,5 +47,7 @@
 	j.committing = 0
 }
 
-// Uncommitted records that a chunk provably does not stand in the store.
-func (l *Ledger) Uncommitted(j *Job) { j.committing = 0 }
+// Unsure records that it is not known what the store holds of a job, until
+// Adopt tells.
+func (l *Ledger) Unsure(j *Job) { j.unsure, j.committing = true, 0 }
+
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -223,10 +223,11 @@
 
 // resync reads what is listed of a job that the ledger holds.
 func (d *Director) resync(id string) {
-	l := d.lead
-	if l == nil {
+	l, j := d.lead, d.ledger.Jobs()[id]
+	if l == nil || j == nil {
 		return
 	}
+	d.ledger.Unsure(j)
 	l.group.Go(func(ctx context.Context) error {
 		for ctx.Err() == nil {
 			done, err := listedResults(ctx, d.Store, id)
@@ -377,6 +378,7 @@
 		}
 		if m.err != nil {
 			d.Log.Emit(limpetlog.ListingFailed, limpetlog.Job(c.Job.ID), limpetlog.Value("first", c.Chunk.First), limpetlog.Error(m.err))
+			d.shelf.drop(c.Job.ID)
 			d.resync(c.Job.ID)
 			continue
 		}
--- a/internal/limpetdirector/limpetdirector_test.go
+++ b/internal/limpetdirector/limpetdirector_test.go
@@ -175,6 +175,10 @@
 	cut   bool
 	// hung is how long a write of the store keeps its caller waiting.
 	hung time.Duration
+	// late is how long a listing of the store is on its way back.
+	late time.Duration
+	// slow is how long a write of the store is on its way there.
+	slow time.Duration
 	// elsewhere is what other VMs say of the store.
 	elsewhere bool
 }
@@ -229,9 +233,24 @@
 		if err := c.reach(); err != nil {
 			return 0, err
 		}
+		c.mu.Lock()
+		slow := c.slow
+		c.mu.Unlock()
+		limpettask.Sleep(ctx, slow)
 		defer c.wait(ctx)
 		return inner.Commit(ctx, t)
 	}
+	s.Scan = func(ctx context.Context, prefix, after string) (limpetstore.Listing, error) {
+		if err := c.reach(); err != nil {
+			return limpetstore.Listing{}, err
+		}
+		l, err := inner.Scan(ctx, prefix, after)
+		c.mu.Lock()
+		late := c.late
+		c.mu.Unlock()
+		limpettask.Sleep(ctx, late)
+		return l, err
+	}
 	s.Renew = func(ctx context.Context, lease uint64) error {
 		if err := c.reach(); err != nil {
 			return err
@@ -446,6 +465,33 @@
 	})
 }
 
+func TestResultsAfterTheDutyIsTakenBack(t *testing.T) {
+	// pattern: the store is away while texts become whole; when it is back, the
+	// director reads what is listed and lists the rest at the same time.
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4)
+		a := w.candidate("a", 0)
+		time.Sleep(time.Second)
+		w.submit(t, "j", 20, 1)
+		// Sixteen texts have places and are listed; four follow.
+		time.Sleep(2 * time.Second)
+		w.store.SetDown(true)
+		time.Sleep(4 * time.Second)
+		a.mu.Lock()
+		a.late, a.slow = 300*time.Millisecond, 100*time.Millisecond
+		a.mu.Unlock()
+		w.store.SetDown(false)
+		time.Sleep(3 * time.Second)
+		stored := len(w.results(t, "j"))
+		page, _, known := a.Results(context.Background(), "j", "acme", 0, 0)
+		Convey("the director tells all that stands in the store, or nothing", t, func() {
+			So(stored, ShouldEqual, 20)
+			So(!known || len(page.Results) == stored, ShouldBeTrue)
+		})
+		a.stop(t)
+	})
+}
+
 func TestEndedJobStops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(2)
--- a/internal/limpetdirector/orders.go
+++ b/internal/limpetdirector/orders.go
@@ -41,21 +41,21 @@
 		_, changing = d.swaps[id]
 		return changing, now.Before(d.held[id])
 	})
-	for _, c := range limpetswap.Plan(engines, d.models(len(engines))) {
+	for _, c := range limpetswap.Plan(engines, d.models(engines)) {
 		d.order(c, now)
 	}
 }
 
 // models returns what is known of the trained models.
-func (d *Director) models(engines int) []limpetswap.Model {
+func (d *Director) models(engines []limpetswap.Engine) []limpetswap.Model {
 	need := d.ledger.Need()
 	interval := d.rhythm.interval(d.view.Named, d.Now())
-	share := limpetswap.Share(engines, len(d.view.Named), interval, d.rhythm.change())
+	share := limpetswap.Share(len(engines), limpetswap.Parallel(limpetswap.Lasting(engines)), len(d.view.Named), interval, d.rhythm.change())
 	var models []limpetswap.Model
 	for name, version := range d.view.Named {
 		models = append(models, limpetswap.Model{
 			Name: name, Named: version, Need: need[name], Waiting: d.ledger.Waiting(name),
-			Loads: d.loads[load{name, version}], Free: engines / max(len(d.view.Named), 1), Share: share,
+			Loads: d.loads[load{name, version}], Free: len(engines) / max(len(d.view.Named), 1), Share: share,
 		})
 	}
 	return models
--- a/internal/limpetswap/limpetswap.go
+++ b/internal/limpetswap/limpetswap.go
@@ -14,6 +14,9 @@
 	Versions map[string]int
 	// Running is the number of runs that it has.
 	Running int
+	// Spot engines may be reclaimed. How many engines may change at once is
+	// counted without them.
+	Spot bool
 	// Changing engines have an order under way.
 	Changing bool
 	// Held engines were ordered in vain lately and are left alone.
@@ -50,15 +53,26 @@
 
 const parallelShare = 5
 
+// Lasting counts the engines that may not be reclaimed.
+func Lasting(engines []Engine) int {
+	n := 0
+	for _, e := range engines {
+		if !e.Spot {
+			n++
+		}
+	}
+	return n
+}
+
 // Share returns how many of so many engines can keep up with one of so many
-// models, when versions are named at an interval and a change takes a time.
-// Half of them change for each version, and some of the changes that there is
-// time for are left to spare.
-func Share(engines, models int, interval, change time.Duration) int {
+// models, when so many change at once, versions are named at an interval and a
+// change takes a time. Half of them change for each version, and some of the
+// changes that there is time for are left to spare.
+func Share(engines, parallel, models int, interval, change time.Duration) int {
 	if models == 0 || change <= 0 {
 		return engines
 	}
-	perVersion := spareChanges * float64(Parallel(engines)) * interval.Seconds() / change.Seconds() / float64(models)
+	perVersion := spareChanges * float64(parallel) * interval.Seconds() / change.Seconds() / float64(models)
 	return max(min(engines, 2*int(perVersion)), min(engines, leastShare))
 }
 
@@ -103,7 +117,7 @@
 // would be of no use at once two versions later. Further ones change while
 // they are idle and no item waits.
 func Plan(engines []Engine, models []Model) []Choice {
-	p := &plan{places: Parallel(len(engines)), taken: map[string]bool{}}
+	p := &plan{places: Parallel(Lasting(engines)), taken: map[string]bool{}}
 	for _, e := range engines {
 		if e.Changing {
 			p.places--
--- a/internal/limpetswap/limpetswap_test.go
+++ b/internal/limpetswap/limpetswap_test.go
@@ -58,6 +58,13 @@
 		choices := limpetswap.Plan(engines, []limpetswap.Model{{Name: "m", Named: 3}})
 		So(chosen(choices), ShouldResemble, []string{"e1"})
 	})
+	Convey("engines that may be reclaimed make no room for more changes at once", t, func() {
+		engines := fleet(1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+		for n := range engines {
+			engines[n].Spot = n >= 8
+		}
+		So(len(limpetswap.Plan(engines, []limpetswap.Model{{Name: "m", Named: 3}})), ShouldEqual, 2)
+	})
 	Convey("an engine that was ordered in vain is left alone", t, func() {
 		engines := fleet(1)
 		engines[0].Held = true
@@ -78,7 +85,7 @@
 func TestShares(t *testing.T) {
 	for _, c := range []struct{ engines, models, want int }{{9, 1, 9}, {8, 2, 6}, {36, 3, 14}, {38, 3, 14}, {2, 5, 2}} {
 		Convey(fmt.Sprintf("%d engines and %d models", c.engines, c.models), t, func() {
-			So(limpetswap.Share(c.engines, c.models, 4*time.Second, time.Second), ShouldEqual, c.want)
+			So(limpetswap.Share(c.engines, limpetswap.Parallel(c.engines), c.models, 4*time.Second, time.Second), ShouldEqual, c.want)
 		})
 	}
 }
@@ -147,7 +154,7 @@
 	Convey("pattern: three models on 36 engines, each named a version every 4 s, shifted", t, func() {
 		models := []string{"a", "b", "c"}
 		s := newSchedule(36, models...)
-		share := limpetswap.Share(36, 3, namedEvery, changeTime)
+		share := limpetswap.Share(36, limpetswap.Parallel(36), 3, namedEvery, changeTime)
 		for now := time.Duration(0); now < time.Minute; now += tick {
 			for n, m := range models {
 				if (now+time.Duration(n)*1300*time.Millisecond)%namedEvery == 0 && now > 0 {
