--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -94,8 +94,8 @@
 	// unsure is set while it is not known what the store holds of the job;
 	// nothing is listed until then.
 	unsure bool
-	ended      bool
-	begun      bool
+	ended  bool
+	begun  bool
 	// undrafted is set while texts have grown since they were kept.
 	undrafted bool
 }
--- a/internal/limpetbatch/listing.go
+++ b/internal/limpetbatch/listing.go
@@ -50,4 +50,3 @@
 // Unsure records that it is not known what the store holds of a job, until
 // Adopt tells.
 func (l *Ledger) Unsure(j *Job) { j.unsure, j.committing = true, 0 }
-
--- a/internal/limpetdirector/limpetdirector_test.go
+++ b/internal/limpetdirector/limpetdirector_test.go
@@ -472,9 +472,9 @@
 		w := newWorld(4)
 		a := w.candidate("a", 0)
 		time.Sleep(time.Second)
-		w.submit(t, "j", 20, 1)
-		// Sixteen texts have places and are listed; four follow.
-		time.Sleep(2 * time.Second)
+		w.submit(t, "j", 36, 1)
+		// Thirty-two texts are listed by then; four become whole without a lease.
+		time.Sleep(2950 * time.Millisecond)
 		w.store.SetDown(true)
 		time.Sleep(4 * time.Second)
 		a.mu.Lock()
@@ -485,7 +485,7 @@
 		stored := len(w.results(t, "j"))
 		page, _, known := a.Results(context.Background(), "j", "acme", 0, 0)
 		Convey("the director tells all that stands in the store, or nothing", t, func() {
-			So(stored, ShouldEqual, 20)
+			So(stored, ShouldEqual, 36)
 			So(!known || len(page.Results) == stored, ShouldBeTrue)
 		})
 		a.stop(t)
