--- a/internal/limpetgrow/limpetgrow.go
+++ b/internal/limpetgrow/limpetgrow.go
@@ -31,7 +31,7 @@
 const (
 	// smoothFor is the time over which demand is averaged, and peakFor how
 	// long a peak counts.
-	smoothFor = 1500 * time.Millisecond
+	smoothFor = 3 * time.Second
 	peakFor   = 20 * time.Second
 	// headroom is kept above the peak.
 	headroom = 1.1
