An unsure lease is let go; a director abandons its runs only on a second word

(1) Leases stood still during an outage; the former director, which had all its runs, waited for its own old lease, took itself for cut off since other VMs saw the store a moment earlier, and dropped everything 1 s after the store's return. (2) With answers cut one way the renewals still reached the store; nobody could take the duty for 2.8 s.

--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -327,6 +327,7 @@
 	l := d.lead
 	if _, ok := d.holder.Holds(Duty, 0); !ok {
 		d.stepDown("the lease is not sure any more")
+		d.letGo()
 		return
 	}
 	if l.entered && !now.Before(l.actAfter) {
@@ -359,6 +360,32 @@
 	}
 }
 
+// letGo gives up the lease that this VM cannot be sure of, as soon as the
+// store takes the call: the lease may have stood still with the store, and
+// keeps everybody waiting otherwise. The VM then competes like others.
+func (d *Director) letGo() {
+	d.trying = true
+	d.group.Go(func(ctx context.Context) error {
+		release := d.holder.Handle()
+		for ctx.Err() == nil && release(ctx) != nil {
+			limpettask.Sleep(ctx, limpettask.Jitter(tryPause))
+		}
+		d.post(ctx, released{})
+		return nil
+	})
+}
+
+// released tells that the former lease is over.
+type released struct{}
+
+func (released) apply(d *Director) {
+	d.trying = false
+	if d.record.VM == d.VM && !d.record.Vacant {
+		// The watch of the duty may tell late; this VM knows already.
+		d.record.Vacant, d.vacantAt = true, d.Now()
+	}
+}
+
 // stepDown ends all that needs the lease. Runs go on.
 func (d *Director) stepDown(cause string) {
 	if d.lead == nil {
@@ -367,6 +394,7 @@
 	d.Log.Emit(limpetlog.LeaseLost, limpetlog.Value("fence", d.lead.fence), limpetlog.Value("cause", cause))
 	l := d.lead
 	d.lead = nil
+	d.upElsewhere = false
 	// A write that is under way may still add to what the store holds.
 	d.shelf.clear()
 	d.swaps = map[string]time.Time{}
@@ -448,7 +476,7 @@
 // askElsewhere finds out whether this VM alone lost the store. Its runs would
 // then only take places from those of its successor.
 func (d *Director) askElsewhere(now time.Time) {
-	if d.asking || now.Sub(d.vacantAt) < askAfter || now.Sub(d.askedAt) < askPeriod {
+	if d.asking || d.InContact() || now.Sub(d.vacantAt) < askAfter || now.Sub(d.askedAt) < askPeriod {
 		return
 	}
 	d.asking, d.askedAt = true, now
@@ -463,9 +491,14 @@
 
 func (m elsewhere) apply(d *Director) {
 	d.asking = false
-	if m.up && d.lead == nil && len(d.ledger.Jobs()) > 0 {
+	// At an outage's end other VMs may notice a little earlier: one answer
+	// alone proves nothing.
+	before := d.upElsewhere
+	d.upElsewhere = m.up
+	if m.up && before && d.lead == nil && !d.InContact() && len(d.ledger.Jobs()) > 0 {
 		d.Log.Emit(limpetlog.LeaseLost, limpetlog.Value("cause", "other VMs reach the store"))
 		d.standBack = d.Now().Add(standBackFor)
+		d.upElsewhere = false
 		d.abandon()
 	}
 }
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -40,6 +40,8 @@
 	RelayAddress string
 	// Wake makes the VM follow the deployment, or stop.
 	Wake func(awake bool)
+	// InContact reports whether this VM reaches the store.
+	InContact func() bool
 	// StoreElsewhere reports whether other VMs reach the store, so that one of
 	// them may take the duty over.
 	StoreElsewhere func(ctx context.Context) bool
@@ -92,6 +94,8 @@
 	vacantAt time.Time
 	trying   bool
 	asking   bool
+	// upElsewhere is set when other VMs said last that they reach the store.
+	upElsewhere bool
 	// standBack is until when the VM leaves the duty to others.
 	standBack time.Time
 	// stepped is when the loop ran last, and lag what it was late lately.
--- a/internal/limpetdirector/limpetdirector_test.go
+++ b/internal/limpetdirector/limpetdirector_test.go
@@ -257,6 +257,12 @@
 		}
 		return inner.Renew(ctx, lease)
 	}
+	s.Revoke = func(ctx context.Context, lease uint64) error {
+		if err := c.reach(); err != nil {
+			return err
+		}
+		return inner.Revoke(ctx, lease)
+	}
 	s.Follow = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (limpetstore.Listing, error) {
 		if err := c.reach(); err != nil {
 			return limpetstore.Listing{}, err
@@ -274,6 +280,7 @@
 		VM: name, Incarnation: name + ".1", Store: store, Peer: peer, View: w.current, Log: limpetlog.Discard(), Metrics: limpetmetric.New(),
 		Now: time.Now, Reserve: reserve, LeaseLeast: time.Second, Turn: 3 * time.Second, StatusLife: 2 * time.Minute, DutyWait: 2 * time.Second,
 		Wake: func(bool) {}, Emptied: func(context.Context, string) error { return nil },
+		InContact:      func() bool { return c.reach() == nil },
 		StoreElsewhere: func(context.Context) bool { c.mu.Lock(); defer c.mu.Unlock(); return c.elsewhere },
 		Forwarder:      &limpetforward.Forwarder{View: w.current, Peer: peer, Tracker: limpetbalance.New(), Log: limpetlog.Discard(), Metrics: limpetmetric.New(), Now: time.Now},
 	})
@@ -492,6 +499,41 @@
 	})
 }
 
+func TestPausedLeaseIsLetGo(t *testing.T) {
+	// pattern: leases stand still while the store is down. The former director
+	// still has its runs and must be the one that goes on, without waiting for
+	// its own old lease.
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4)
+		a, b := w.candidate("a", 0), w.candidate("b", 100*time.Millisecond)
+		a.mu.Lock()
+		a.elsewhere = true
+		a.mu.Unlock()
+		time.Sleep(time.Second)
+		w.submit(t, "j", 8, 1)
+		time.Sleep(500 * time.Millisecond)
+		w.store.SetDown(true)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			w.store.Prolong()
+		}
+		// Others reach the store a little earlier than the former director.
+		a.setCut(true)
+		w.store.SetDown(false)
+		time.Sleep(50 * time.Millisecond)
+		a.setCut(false)
+		time.Sleep(time.Second)
+		stored := len(w.results(t, "j"))
+		_, made := w.counts()
+		Convey("the texts that became whole meanwhile are listed at once, and none is made again", t, func() {
+			So(stored, ShouldEqual, 8)
+			So(made, ShouldEqual, 8*events)
+		})
+		a.stop(t)
+		b.stop(t)
+	})
+}
+
 func TestEndedJobStops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(2)
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -103,7 +103,7 @@
 	// than VMs that do not.
 	standby = 500 * time.Millisecond
 	// keeperWait and standbyWait are how long watches of the duty wait.
-	keeperWait  = 4 * time.Second
+	keeperWait  = 2 * time.Second
 	standbyWait = 4 * time.Second
 	// keeperSpread keeps VMs from competing at the same moment.
 	keeperSpread = 120 * time.Millisecond
@@ -173,7 +173,7 @@
 	deps := limpetdirector.Deps{
 		VM: h.Settings.VM, Incarnation: h.deps.Incarnation, Store: store, Peer: h.deps.Peer, View: h.View,
 		Forwarder: h.Forwarder, Log: h.Log, Metrics: h.Metrics, Now: h.deps.Now, Reserve: reserve,
-		RelayAddress: h.Settings.RelayAddress, Wake: h.Wake, StoreElsewhere: h.storeElsewhere, Emptied: h.deps.Emptied, DutyWait: wait,
+		RelayAddress: h.Settings.RelayAddress, Wake: h.Wake, StoreElsewhere: h.storeElsewhere, InContact: h.InContact, Emptied: h.deps.Emptied, DutyWait: wait,
 		LeaseLeast: h.Settings.LeaseLeast, Turn: h.Settings.Bounds.LeaseTurn, StatusLife: h.Settings.Bounds.StatusLife,
 	}
 	if h.Settings.Duties.Usage {
--- a/internal/limpetlease/limpetlease.go
+++ b/internal/limpetlease/limpetlease.go
@@ -38,8 +38,10 @@
 	margin      time.Duration
 	now         func() time.Time
 
-	mu     sync.Mutex
-	lease  uint64
+	mu    sync.Mutex
+	lease uint64
+	// last is the lease that was held last.
+	last   uint64
 	sent   time.Time
 	duties map[string]uint64
 }
@@ -148,7 +150,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lease, h.sent = lease, sent
+	h.lease, h.last, h.sent = lease, lease, sent
 	h.duties = map[string]uint64{}
 	return lease, nil
 }
@@ -196,6 +198,29 @@
 	return lost
 }
 
+// Handle forgets the lease and returns what ends it at the store, for a
+// holder that cannot be sure of it any more. It may be called again until it
+// returns nil; a lease that has ended by itself is no error.
+func (h *Holder) Handle() func(ctx context.Context) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lease := h.lease
+	if lease == 0 {
+		lease = h.last
+	}
+	h.lease, h.duties = 0, map[string]uint64{}
+	return func(ctx context.Context) error {
+		if lease == 0 {
+			return nil
+		}
+		err := h.store.Revoke(ctx, lease)
+		if limpeterror.Is(err, limpeterror.NotFound) {
+			return nil
+		}
+		return err
+	}
+}
+
 // Release gives all duties up at once, so that others need not wait.
 func (h *Holder) Release(ctx context.Context) error {
 	h.mu.Lock()
--- a/internal/limpetstub/transaction.go
+++ b/internal/limpetstub/transaction.go
@@ -115,3 +115,13 @@
 
 // ErrSilent is what a call to a store that does not answer ends with.
 var ErrSilent = limpeterror.Unavailable.New("store: no answer")
+
+// Prolong gives every lease its whole time again, as a platform does whose
+// leases stand still during an outage.
+func (s *Store) Prolong() {
+	s.Lock()
+	defer s.Unlock()
+	for _, l := range s.leases {
+		l.ends = time.Now().Add(l.ttl)
+	}
+}
