--- a/limpetsoak/internal/limpetrig/callers.go
+++ b/limpetsoak/internal/limpetrig/callers.go
@@ -1,15 +1,10 @@
 package limpetrig
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptrace"
-	"strconv"
 	"time"
 
 	"limpetmount.org/internal/limpettask"
@@ -24,6 +19,7 @@
 	jobGroups   = 5
 	groupItems  = 3
 	readPause   = 150 * time.Millisecond
+	readWait    = 300 * time.Millisecond
 )
 
 // A tracked job is one whose submission was answered with 202.
@@ -31,81 +27,22 @@
 	items map[string]string
 	min   int
 	// seen holds the results by position, as they were read first.
-	seen  []resultDocument
+	seen  []limpetplay.Result
 	ended bool
 }
 
-type resultDocument struct {
-	ID       string `json:"id"`
-	State    string `json:"state"`
-	Text     string `json:"text"`
-	Versions []int  `json:"versions"`
-	Score    string `json:"score"`
-}
-
-type pageDocument struct {
-	Total   int              `json:"total"`
-	Next    int              `json:"next"`
-	Results []resultDocument `json:"results"`
-}
-
-// An exchange is one request of a caller and what came back.
-type exchange struct {
-	status int
-	header http.Header
-	body   []byte
-	err    error
-	// fresh is set when the connection was new and carried the whole request.
-	fresh bool
-}
-
-func (r *rig) exchange(ctx context.Context, client *http.Client, v *VM, method, path, id, key string, body []byte, header http.Header) exchange {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	var x exchange
-	reused, wrote := false, false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(i httptrace.GotConnInfo) { reused = i.Reused },
-		WroteRequest: func(i httptrace.WroteRequestInfo) { wrote = i.Err == nil },
-	})
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+v.Front+path, bytes.NewReader(body))
-	if err != nil {
-		return exchange{err: err}
-	}
-	request.GetBody = nil
-	request.Host = host
-	for name, values := range header {
-		request.Header[name] = values
-	}
-	request.Header.Set("X-Attempt-Id", id)
-	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(callTime.Milliseconds(), 10))
-	request.Header.Set("Authorization", "Bearer "+key)
-	response, err := client.Do(request)
-	x.fresh = !reused && wrote
-	if err != nil {
-		x.err = err
-		return x
-	}
-	defer response.Body.Close()
-	x.status, x.header = response.StatusCode, response.Header
-	x.body, x.err = io.ReadAll(response.Body)
-	return x
-}
-
 // call sends plain requests, on a connection that stays open.
 func (r *rig) call(ctx context.Context, random *rand.Rand, n int) error {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	caller := r.caller
+	caller.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	for count := 0; ctx.Err() == nil; count++ {
 		v := r.edges[random.IntN(len(r.edges))]
-		path := "/plain/"
-		if random.IntN(2) == 0 {
-			path = "/once/"
-		}
+		once := random.IntN(2) == 0
 		id := fmt.Sprintf("p%d-%d", n, count)
 		began := time.Now()
-		x := r.exchange(ctx, client, v, http.MethodPost, path+id, id, keyGood, []byte(id), nil)
+		x := caller.Plain(ctx, v.Front, id, once)
 		if ctx.Err() == nil {
-			r.judge(v, path, id, began, x)
+			r.judge(v, once, id, began, x)
 		}
 		limpettask.Sleep(ctx, callPause)
 	}
@@ -113,31 +50,31 @@
 }
 
 // judge checks what a plain request came to.
-func (r *rig) judge(v *VM, path, id string, began time.Time, x exchange) {
+func (r *rig) judge(v *VM, once bool, id string, began time.Time, x limpetplay.Exchange) {
 	calm, leaving := v.quiet(began)
 	switch {
-	case x.err != nil:
-		if x.fresh && calm && leaving && time.Since(began) < callTime/2 {
-			r.fault("a planned stop of %s cut request %s off: %v", v.Name, id, x.err)
+	case x.Err != nil:
+		if x.Fresh && calm && leaving && time.Since(began) < callTime/2 {
+			r.fault("a planned stop of %s cut request %s off: %v", v.Name, id, x.Err)
 		}
-	case x.status == http.StatusOK:
-		if string(x.body) != "answer to "+id || !r.record.Sealed(id, x.header.Get("X-Response-Seal")) {
+	case x.Status == http.StatusOK:
+		if string(x.Body) != "answer to "+id || !r.record.Sealed(id, x.Seal) {
 			r.fault("request %s got an answer that is not its own", id)
 		}
 		r.mu.Lock()
 		r.plain++
 		r.mu.Unlock()
-	case x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests:
+	case x.Status == http.StatusServiceUnavailable || x.Status == http.StatusTooManyRequests:
 		if r.record.Ran(id) > 0 {
 			r.fault("request %s ran and was told not to have run", id)
 		}
 		r.mu.Lock()
 		r.refused[id] = true
 		r.mu.Unlock()
-	case x.status >= 400 && x.status < 500:
-		r.fault("request %s got status %d under a valid key", id, x.status)
+	case x.Status >= 400 && x.Status < 500:
+		r.fault("request %s got status %d under a valid key", id, x.Status)
 	}
-	if path == "/once/" && r.record.Ran(id) > 1 {
+	if once && r.record.Ran(id) > 1 {
 		r.fault("request %s ran %d times", id, r.record.Ran(id))
 	}
 }
@@ -155,7 +92,7 @@
 		r.version++
 		named := r.version
 		r.mu.Unlock()
-		r.store.Set("op/version/"+limpetplay.Model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, limpetplay.Model, named))
+		r.store.Set(limpetplay.Named(named))
 	}
 	return group.Stop()
 }
@@ -165,14 +102,14 @@
 	r.mu.Lock()
 	least := max(1, r.version-1)
 	r.mu.Unlock()
-	job, items := newJob(id, step, least)
+	job := limpetplay.Job{ID: id, Step: step, MinVersion: least, Groups: jobGroups, GroupItems: groupItems}
 	deadline := time.Now().Add(stepLongest)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		v := r.edges[random.IntN(len(r.edges))]
-		x := r.exchange(ctx, r.client, v, http.MethodPost, "/jobs/"+id, id, keyGood, job, nil)
-		if x.err == nil && x.status == http.StatusAccepted {
+		x := r.caller.Submit(ctx, v.Front, job)
+		if x.Err == nil && x.Status == http.StatusAccepted {
 			r.mu.Lock()
-			r.jobs[id] = &tracked{items: items, min: least}
+			r.jobs[id] = &tracked{items: job.Items(), min: least}
 			r.mu.Unlock()
 			break
 		}
@@ -184,7 +121,7 @@
 	}
 	if random.IntN(2) == 0 {
 		v := r.edges[random.IntN(len(r.edges))]
-		if x := r.exchange(ctx, r.client, v, http.MethodDelete, "/lots/"+id, id, keyGood, nil, nil); x.err == nil && x.status == http.StatusOK {
+		if x := r.caller.End(ctx, v.Front, id); x.Err == nil && x.Status == http.StatusOK {
 			r.mu.Lock()
 			if j := r.jobs[id]; j != nil {
 				j.ended = true
@@ -194,26 +131,6 @@
 	}
 }
 
-// newJob returns a submission, and the reward call of each of its items.
-func newJob(id string, step, least int) ([]byte, map[string]string) {
-	scorers := map[string]string{}
-	var items []map[string]any
-	for g := range jobGroups {
-		for n := range groupItems {
-			item := fmt.Sprintf("%s-g%d-%d", id, g, n)
-			scorers[item] = "s-" + item
-			items = append(items, map[string]any{
-				"id": item, "path": "/jobs/" + item, "headers": map[string]string{"X-Model": limpetplay.Model, "X-Token-Counts": "10,4000"},
-				"body": []byte(item), "group": fmt.Sprint(g), "tokens": 10,
-				"scorer": map[string]any{"id": "s-" + item, "host": host, "path": "/score/" + item, "body": []byte("score")},
-			})
-		}
-	}
-	// Plain values always encode.
-	data, _ := json.Marshal(map[string]any{"step": step, "model": limpetplay.Model, "minVersion": least, "desired": jobGroups, "items": items})
-	return data, scorers
-}
-
 func (r *rig) whole(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -258,22 +175,17 @@
 	r.mu.Unlock()
 	v := r.edges[random.IntN(len(r.edges))]
 	began := time.Now()
-	x := r.exchange(ctx, r.client, v, http.MethodGet, fmt.Sprintf("/lots/%s?after=%d", id, after), id, keyGood, nil, http.Header{"X-Wait-Ms": {"300"}})
-	if x.err != nil || x.status == http.StatusServiceUnavailable || x.status == http.StatusBadGateway {
+	x, p := r.caller.Read(ctx, v.Front, id, after, readWait)
+	if x.Err != nil || x.Status == http.StatusServiceUnavailable || x.Status == http.StatusBadGateway {
 		return false
 	}
 	calm, _ := v.quiet(began)
-	if x.status != http.StatusOK {
+	if x.Status != http.StatusOK {
 		if calm {
-			r.fault("job %s was accepted and answers %d", id, x.status)
+			r.fault("job %s was accepted and answers %d", id, x.Status)
 		}
 		return false
 	}
-	var p pageDocument
-	if err := json.Unmarshal(x.body, &p); err != nil {
-		r.fault("job %s: %v", id, err)
-		return false
-	}
 	if len(p.Results) == 0 && after < known && calm {
 		r.fault("job %s has nothing at position %d, %d were read", id, after, known)
 	}
@@ -283,7 +195,7 @@
 
 // compare checks a page against what was read before, and new results against
 // what servers did.
-func (r *rig) compare(id string, j *tracked, after int, p pageDocument) {
+func (r *rig) compare(id string, j *tracked, after int, p limpetplay.Page) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	broken := func(format string, args ...any) { r.faults["job "+id+": "+fmt.Sprintf(format, args...)]++ }
@@ -311,7 +223,7 @@
 	}
 }
 
-func (r *rig) verify(j *tracked, x resultDocument, broken func(string, ...any)) {
+func (r *rig) verify(j *tracked, x limpetplay.Result, broken func(string, ...any)) {
 	scorer, ok := j.items[x.ID]
 	switch {
 	case !ok:
--- a/limpetsoak/internal/limpetrig/check.go
+++ b/limpetsoak/internal/limpetrig/check.go
@@ -64,9 +64,10 @@
 	for _, v := range r.edges {
 		for key, want := range map[string]int{keyGood: http.StatusOK, keyTaken: http.StatusUnauthorized} {
 			id := fmt.Sprintf("key-%s-%d", v.Name, want)
-			x := r.exchange(ctx, r.client, v, http.MethodPost, "/plain/"+id, id, key, []byte(id), nil)
-			if x.err != nil || x.status != want {
-				r.fault("%s answers %d to a key that wants %d: %v", v.Name, x.status, want, x.err)
+			caller := r.caller
+			caller.Key = key
+			if x := caller.Plain(ctx, v.Front, id, false); x.Err != nil || x.Status != want {
+				r.fault("%s answers %d to a key that wants %d: %v", v.Name, x.Status, want, x.Err)
 			}
 		}
 	}
--- a/limpetsoak/internal/limpetrig/rig.go
+++ b/limpetsoak/internal/limpetrig/rig.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -61,7 +60,7 @@
 	edges   []*VM
 	proxies []*Proxy
 	servers []*limpetplay.Server
-	client  *http.Client
+	caller  limpetplay.Caller
 
 	mu       sync.Mutex
 	faults   map[string]int
@@ -99,7 +98,7 @@
 	}
 	r := &rig{
 		plan: p, group: limpettask.New(ctx), store: limpetstub.NewStore(), record: limpetplay.NewRecord(),
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		caller: limpetplay.Caller{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Host: host, Key: keyGood, Patience: callTime},
 		faults: map[string]int{}, injected: map[string]int{}, jobs: map[string]*tracked{}, refused: map[string]bool{}, version: 1,
 	}
 	// How the stand-ins end does not matter any more.
@@ -182,9 +181,9 @@
 
 func (r *rig) addServer(n int, ip string) error {
 	isEngine := n < r.plan.Engines
-	service := "desk"
+	service := limpetplay.Desk
 	if isEngine {
-		service = "llm"
+		service = limpetplay.Engines
 	}
 	s := limpetplay.NewServer(r.record, fmt.Sprintf("i-%02d", n), service, slots, isEngine, account)
 	address, err := r.serve(ip, s.Handler())
@@ -228,16 +227,7 @@
 
 // configure writes a version of the operator's configuration.
 func (r *rig) configure(version int, keys ...string) {
-	routes := []map[string]any{
-		{"name": "plain", "host": host, "pathPrefix": "/plain/", "service": "desk", "kind": "idempotent", "timeoutMs": 3000, "goalMs": 200, "maxAttempts": 2},
-		{"name": "once", "host": host, "pathPrefix": "/once/", "service": "desk", "kind": "non_idempotent", "timeoutMs": 3000, "goalMs": 200, "maxAttempts": 2},
-		{"name": "score", "host": host, "pathPrefix": "/score/", "service": "desk", "kind": "idempotent", "goalMs": 200, "maxAttempts": 4, "public": true},
-		{"name": "jobs", "host": host, "pathPrefix": "/jobs/", "service": "llm", "kind": "rollout", "goalMs": 400, "maxAttempts": 3, "runTargetMs": 3000, "itemTtlS": 60},
-	}
-	config := map[string]any{"version": version, "routes": routes, "services": []map[string]any{{"name": "desk"}, {"name": "llm"}}, "tenants": []map[string]any{{"name": account, "apiKeys": keys}}}
-	// Plain values always encode.
-	data, _ := json.Marshal(config)
-	r.store.Set("op/config", data)
+	r.store.Set(limpetplay.ConfigKey, limpetplay.Config(version, host, account, keys...))
 }
 
 // beat writes the servers' entries when they change.
@@ -247,7 +237,7 @@
 		for n, s := range r.servers {
 			if e := string(s.Entry(r.proxies[n].Address, fmt.Sprintf("zone-%d", n%2))); e != last[n] {
 				last[n] = e
-				r.store.Set("servers/"+s.ID, []byte(e))
+				r.store.Set(limpetplay.ServerKey(s.ID), []byte(e))
 			}
 		}
 		limpettask.Sleep(ctx, beatEvery)
@@ -261,11 +251,7 @@
 	for {
 		var late []string
 		for _, v := range r.edges {
-			response, err := r.client.Get("http://" + v.Ready + "/readyz")
-			if err == nil {
-				_ = response.Body.Close()
-			}
-			if err != nil || response.StatusCode != http.StatusOK {
+			if !r.caller.Ready(v.Ready) {
 				late = append(late, v.Name)
 			}
 		}
--- a/limpetsoak/internal/limpetrig/vm.go
+++ b/limpetsoak/internal/limpetrig/vm.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/platform/limpetform"
+	"limpetmount.org/platform/limpetplay"
 )
 
 // A VM is one process of the system with its way to the store.
@@ -44,42 +46,17 @@
 	graceSeconds = 6
 )
 
-const settingsForm = `node=%s
-class=%s
-serves=%s
-ip=%s
-zone=zone-%d
-region=r
-listen.front=%s
-listen.ready=%s
-portRange=%d,%d
-limits.memoryMb=256
-heartbeatMs=1000
-bounds.graceS=%d
-bounds.drainMs=2000
-bounds.leaseMs=3000
-bounds.usageWindowS=2
-bounds.usageLateS=4
-bounds.statusTtlS=120
-platform.address=%s
-platform.form=kv
-platform.writesPerS=400
-platform.valueBytes=1048576
-platform.ttlMinMs=1000
-cloud.address=%s
-cloud.duties=usage_report
-`
-
 // write writes the VM's settings file.
 func (v *VM) write(ip string, zone int, store, cloud string) error {
-	class, serves, front, ready := "storage", "storage", "", ""
+	s := limpetplay.Settings{
+		VM: v.Name, IP: ip, Zone: fmt.Sprintf("zone-%d", zone), FirstPort: firstPort, LastPort: lastPort,
+		GraceSeconds: graceSeconds, Store: store, Cloud: cloud, WindowSeconds: 2, LateSec: 4,
+	}
 	if v.Edge {
-		class, serves = "edge", "edge"
-		front, ready = fmt.Sprintf("%s:%d", ip, frontPort), fmt.Sprintf("%s:%d", ip, readyPort)
+		s.Front, s.Ready = fmt.Sprintf("%s:%d", ip, frontPort), fmt.Sprintf("%s:%d", ip, readyPort)
 	}
-	v.Front, v.Ready = front, ready
-	text := fmt.Sprintf(settingsForm, v.Name, class, serves, ip, zone, front, ready, firstPort, lastPort, graceSeconds, store, cloud)
-	return os.WriteFile(v.settings, []byte(text), 0o600)
+	v.Front, v.Ready = s.Front, s.Ready
+	return os.WriteFile(v.settings, []byte(s.Text()), 0o600)
 }
 
 // Start starts the process and keeps it running until Stop.
@@ -107,7 +84,7 @@
 	}
 	defer file.Close()
 	cmd := exec.Command(v.binary, "run")
-	cmd.Env = append(os.Environ(), "LIMPETMOUNT_CONFIG="+v.settings, "GOMAXPROCS=1")
+	cmd.Env = append(os.Environ(), limpetform.PathVariable+"="+v.settings, "GOMAXPROCS=1")
 	cmd.Stdout, cmd.Stderr = file, file
 	if err := cmd.Start(); err != nil {
 		return false
