--- a/internal/limpetforward/effort.go
+++ b/internal/limpetforward/effort.go
@@ -147,6 +147,9 @@
 	switch {
 	case e.failure != nil:
 		return e.failure, Served
+	case e.sent > 0 && !e.forwarder.Now().Before(e.ends):
+		// The attempt ended with the request's time, and may be seen first.
+		return nil, TimedOut
 	case e.sent > 0:
 		return nil, Failed
 	case e.refused > 0:
