--- a/internal/limpetbatch/draft.go
+++ b/internal/limpetbatch/draft.go
@@ -26,7 +26,7 @@
 // last time are left out.
 func (l *Ledger) Drafts(most int) []DraftSet {
 	var long []*Entry
-	for _, j := range l.jobs {
+	for _, j := range l.line {
 		if !j.undrafted {
 			continue
 		}
--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -1,6 +1,7 @@
 package limpetbatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -11,7 +12,8 @@
 // An engine is one server of a service with the runs that this VM has there.
 type engine struct {
 	server *limpetsite.Server
-	runs   map[*Run]struct{}
+	// runs holds its runs by their start.
+	runs []*Run
 	// versions is the belief about its weights: what it told last.
 	versions map[string]int
 	// pace is the mean time between events of a run; 0 when not known.
@@ -36,8 +38,8 @@
 	slowRatio = 2.0
 )
 
-// Engines takes the engines that may get new work. It returns the runs at
-// engines that left, which may go on until they end by themselves.
+// Engines takes the engines that may get new work. Runs at engines that left
+// may go on until they end by themselves.
 func (l *Ledger) Engines(view *limpetsite.Snapshot) {
 	for id, g := range l.engines {
 		if view.Server(id) == nil && len(g.runs) == 0 {
@@ -50,7 +52,7 @@
 		}
 		g := l.engines[id]
 		if g == nil || g.server.Born != s.Born {
-			fresh := &engine{server: s, runs: map[*Run]struct{}{}, versions: maps.Clone(s.Models)}
+			fresh := &engine{server: s, versions: maps.Clone(s.Models)}
 			if g != nil {
 				fresh.runs = g.runs
 			}
@@ -62,6 +64,7 @@
 			g.versions[model] = max(g.versions[model], v)
 		}
 	}
+	l.fleet = slices.SortedFunc(maps.Values(l.engines), func(a, b *engine) int { return cmp.Compare(a.server.ID, b.server.ID) })
 }
 
 // Learned records the versions that an engine reported.
@@ -79,7 +82,7 @@
 		return
 	}
 	if model == "" {
-		for r := range g.runs {
+		for _, r := range g.runs {
 			r.last = now
 		}
 	}
@@ -96,14 +99,14 @@
 		return nil
 	}
 	var runs []*Run
-	for r := range g.runs {
+	for _, r := range g.runs {
 		if r.Entry.Job.Model == model && !r.Entry.Job.Rules.OnPolicy {
 			runs = append(runs, r)
 		}
 	}
 	places := 0
-	for other, o := range l.engines {
-		if other == id {
+	for _, o := range l.fleet {
+		if o == g {
 			continue
 		}
 		for _, r := range runs {
@@ -142,7 +145,7 @@
 // third of them are at least as fast, so that it holds while many are slow.
 func (l *Ledger) typicalPace(now time.Time) time.Duration {
 	var paces []time.Duration
-	for _, g := range l.engines {
+	for _, g := range l.fleet {
 		if g.pace > 0 && now.Sub(g.paceAt) < paceLife {
 			paces = append(paces, g.pace)
 		}
@@ -172,7 +175,7 @@
 	if g.server.Spot {
 		cost += spotCost
 	}
-	for r := range g.runs {
+	for _, r := range g.runs {
 		if r.Entry.group == e.group {
 			cost -= sharedPrompt
 			break
@@ -213,7 +216,7 @@
 func (l *Ledger) choose(e *Entry, view *limpetsite.Snapshot, typical time.Duration, now time.Time) *engine {
 	var best *engine
 	bestCost := 0.0
-	for _, g := range l.engines {
+	for _, g := range l.fleet {
 		if !g.usable(e, view, now) {
 			continue
 		}
@@ -234,7 +237,7 @@
 		r.Version = e.text.version
 	}
 	e.run, e.phase = r, running
-	g.runs[r] = struct{}{}
+	g.runs = append(g.runs, r)
 	return r
 }
 
@@ -242,7 +245,7 @@
 func (l *Ledger) detach(r *Run) {
 	r.cut = true
 	if g := l.engines[r.Server.ID]; g != nil {
-		delete(g.runs, r)
+		g.runs = slices.DeleteFunc(g.runs, func(other *Run) bool { return other == r })
 	}
 	if r.Entry.run == r {
 		r.Entry.run = nil
--- a/internal/limpetbatch/fleet.go
+++ b/internal/limpetbatch/fleet.go
@@ -1,9 +1,7 @@
 package limpetbatch
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetswap"
@@ -14,7 +12,8 @@
 // back.
 func (l *Ledger) Fleet(view *limpetsite.Snapshot, state func(id string) (changing, held bool)) []limpetswap.Engine {
 	var all []limpetswap.Engine
-	for id, g := range l.engines {
+	for _, g := range l.fleet {
+		id := g.server.ID
 		if !view.Takes(id) {
 			continue
 		}
@@ -23,13 +22,12 @@
 			ID: id, Versions: maps.Clone(g.versions), Running: len(g.runs), Spot: g.server.Spot, Changing: changing, Held: held,
 		})
 	}
-	slices.SortFunc(all, func(a, b limpetswap.Engine) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
 // OnPolicy reports whether an open job of a model needs texts of one version.
 func (l *Ledger) OnPolicy(model string) bool {
-	for _, j := range l.jobs {
+	for _, j := range l.line {
 		if j.Model == model && j.Rules.OnPolicy {
 			return true
 		}
@@ -40,7 +38,7 @@
 // Usable returns the number of engines whose weights fit a job.
 func (l *Ledger) Usable(j *Job) int {
 	n := 0
-	for _, g := range l.engines {
+	for _, g := range l.fleet {
 		version, serves := g.versions[j.Model]
 		if serves && version >= j.MinVersion && g.loading != j.Model {
 			n++
@@ -52,10 +50,10 @@
 // Demand returns the number of items that run and wait by service.
 func (l *Ledger) Demand() map[string]int {
 	demand := map[string]int{}
-	for _, g := range l.engines {
+	for _, g := range l.fleet {
 		demand[g.server.Service] += len(g.runs)
 	}
-	for _, j := range l.jobs {
+	for _, j := range l.line {
 		for _, e := range j.entries {
 			if e.phase == waiting {
 				demand[j.Rules.Service]++
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -6,6 +6,8 @@
 package limpetbatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"limpetmount.org/internal/limpetlot"
@@ -124,6 +126,10 @@
 type Ledger struct {
 	jobs    map[string]*Job
 	engines map[string]*engine
+	// line holds the jobs by arrival and fleet the engines by ID: decisions
+	// walk these, so that they do not depend on the order of a map.
+	line  []*Job
+	fleet []*engine
 	// earlier holds texts of jobs that ended, by item.
 	earlier map[string]*kept
 	stale   bool
@@ -151,6 +157,10 @@
 		j.group(e)
 	}
 	l.jobs[spec.ID] = j
+	l.line = append(l.line, j)
+	slices.SortFunc(l.line, func(a, b *Job) int {
+		return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
+	})
 	l.reuse(j, now)
 	l.Adopt(j, done)
 	j.rank()
@@ -221,6 +231,7 @@
 		l.keep(e, now)
 	}
 	delete(l.jobs, id)
+	l.line = slices.DeleteFunc(l.line, func(other *Job) bool { return other == j })
 	l.stale = true
 	return cut
 }
--- a/internal/limpetbatch/listing.go
+++ b/internal/limpetbatch/listing.go
@@ -17,7 +17,7 @@
 func (l *Ledger) Listings(most int) []Listing {
 	var all []Listing
 	bytes := 0
-	for _, j := range l.jobs {
+	for _, j := range l.line {
 		if len(all) >= most || bytes >= chunkBytes {
 			break
 		}
--- a/internal/limpetbatch/overdue_test.go
+++ b/internal/limpetbatch/overdue_test.go
@@ -1,7 +1,10 @@
 package limpetbatch_test
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,8 +120,8 @@
 			f.ledger.Head(r, 1, now)
 			f.next[r] = now.Add(f.paces[r.Server.ID])
 		}
-		for r, due := range f.next {
-			f.advance(r, due, passed)
+		for _, r := range f.underWay() {
+			f.advance(r, f.next[r], passed)
 		}
 		for _, r := range listed(f.ledger) {
 			f.done[r.ID] = true
@@ -130,6 +133,13 @@
 	return limit
 }
 
+// underWay returns the runs in an order that is the same in every play.
+func (f *fleet) underWay() []*limpetbatch.Run {
+	return slices.SortedFunc(maps.Keys(f.next), func(a, b *limpetbatch.Run) int {
+		return cmp.Compare(a.Entry.Item.ID, b.Entry.Item.ID)
+	})
+}
+
 func (f *fleet) advance(r *limpetbatch.Run, due time.Time, passed time.Duration) {
 	now := at(passed)
 	if span, ok := f.down[r.Server.ID]; ok && passed >= span[0] && passed < span[1] {
--- a/internal/limpetbatch/rank.go
+++ b/internal/limpetbatch/rank.go
@@ -64,7 +64,7 @@
 func (l *Ledger) ready(now time.Time) []*Entry {
 	if l.stale {
 		l.queue = l.queue[:0]
-		for _, j := range l.jobs {
+		for _, j := range l.line {
 			for _, e := range j.entries {
 				if e.phase == waiting {
 					l.queue = append(l.queue, e)
@@ -86,7 +86,7 @@
 // Waiting returns the number of items of a model that could use an engine.
 func (l *Ledger) Waiting(model string) int {
 	n := 0
-	for _, j := range l.jobs {
+	for _, j := range l.line {
 		if j.Model != model {
 			continue
 		}
@@ -103,7 +103,7 @@
 // jobs of each model.
 func (l *Ledger) Need() map[string]int {
 	need := map[string]int{}
-	for _, j := range l.jobs {
+	for _, j := range l.line {
 		if !j.Whole() {
 			need[j.Model] = max(need[j.Model], j.MinVersion)
 		}
@@ -113,7 +113,7 @@
 
 // GiveUp settles items whose life is over as errored.
 func (l *Ledger) GiveUp(now time.Time) (given []*Entry, cut []*Run) {
-	for _, j := range l.jobs {
+	for _, j := range l.line {
 		if j.Rules.ItemLife <= 0 || now.Before(j.Arrived.Add(j.Rules.ItemLife+giveUpSlack)) {
 			continue
 		}
--- a/internal/limpetbatch/run.go
+++ b/internal/limpetbatch/run.go
@@ -1,11 +1,9 @@
 package limpetbatch
 
 import (
-	"slices"
 	"time"
 
 	"limpetmount.org/internal/limpetlot"
-	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -160,127 +158,3 @@
 		e.notBefore = now.Add(brokenPause)
 	}
 }
-
-const (
-	// firstEvent is how long an engine may take to begin.
-	firstEvent = 700 * time.Millisecond
-	// betweenLeast and betweenPaces bound the time between events.
-	betweenLeast  = 350 * time.Millisecond
-	betweenPaces  = 8
-	loadingExtra  = 2500 * time.Millisecond
-	movesMost     = 6
-	movePaceAfter = 250 * time.Millisecond
-)
-
-// Overdue gives up runs that are silent for too long, or much slower than
-// they would be at another engine with a place. The runs returned are to be
-// broken off; their items wait again and go on where their text ends.
-func (l *Ledger) Overdue(view *limpetsite.Snapshot, now time.Time) []*Run {
-	var cut []*Run
-	typical := l.typicalPace(now)
-	spare := l.spare(view, typical, now)
-	for _, g := range l.engines {
-		silent := false
-		for r := range g.runs {
-			if now.Sub(r.last) > g.patience(r, typical) {
-				r.Entry.avoid = g.server.ID
-				r.Entry.moves++
-				silent = silent || g.loading == ""
-				l.detach(r)
-				cut = append(cut, r)
-				continue
-			}
-			if !g.slow(typical, now) || r.Entry.moves >= movesMost || now.Sub(r.started) <= movePaceAfter {
-				continue
-			}
-			if spare > 0 {
-				spare--
-				r.Entry.avoid = g.server.ID
-				r.Entry.moves++
-				l.detach(r)
-				cut = append(cut, r)
-			}
-		}
-		if silent {
-			g.failed(now)
-		}
-	}
-	return cut
-}
-
-func (g *engine) patience(r *Run, typical time.Duration) time.Duration {
-	limit := max(betweenLeast, betweenPaces*typical)
-	if r.events == 0 {
-		limit = max(firstEvent, limit)
-	}
-	if g.loading == r.Entry.Job.Model {
-		limit += loadingExtra
-	}
-	return limit
-}
-
-// spare returns the number of places at engines that are not slow, beyond
-// what waits for them.
-func (l *Ledger) spare(view *limpetsite.Snapshot, typical time.Duration, now time.Time) int {
-	n := 0
-	for _, g := range l.engines {
-		if view.Takes(g.server.ID) && !now.Before(g.until) && g.loading == "" && !g.slow(typical, now) {
-			n += max(0, g.server.Slots-len(g.runs))
-		}
-	}
-	for _, j := range l.jobs {
-		for _, e := range j.entries {
-			if e.phase == waiting && e.group.must {
-				n--
-			}
-		}
-	}
-	return n
-}
-
-// A Reward is a reward call that is due.
-type Reward struct {
-	Entry  *Entry
-	Scorer *limpetlot.Scorer
-}
-
-const (
-	rewardPause = 150 * time.Millisecond
-)
-
-// Rewards returns the reward calls that are due, and marks them as under way.
-func (l *Ledger) Rewards(now time.Time) []Reward {
-	var due []Reward
-	for _, j := range l.jobs {
-		for _, e := range j.entries {
-			if e.phase == unscored && !now.Before(e.rewardAt) {
-				e.phase = scoring
-				due = append(due, Reward{Entry: e, Scorer: e.Item.Scorer})
-			}
-		}
-	}
-	slices.SortFunc(due, func(a, b Reward) int { return order(a.Entry, b.Entry) })
-	return due
-}
-
-// Scored takes the end of a reward call: the seal of a good answer, or the
-// number of failing ones. An entry whose calls failed as often as allowed is
-// errored; Scored reports whether it is.
-func (l *Ledger) Scored(e *Entry, seal string, failures, allowed int, now time.Time) bool {
-	if e.phase != scoring {
-		return false
-	}
-	if seal != "" {
-		e.text.score = seal
-		l.settle(e, limpetlot.Completed)
-		return false
-	}
-	e.rewards += failures
-	if e.rewards >= max(allowed, 1) {
-		l.settle(e, errored)
-		return true
-	}
-	e.phase = unscored
-	e.rewardAt = now.Add(rewardPause)
-	return false
-}
