Runs are sent by carriers, which keep them when the director is lost

Ruled out: a shorter lease (1.2 s is lost with a slow store), drafts more often (does not shorten the pause), weights changes and slow engines (0.3 to 0.5 s on texts that saw no takeover). Change: VMs that serve callers offer themselves to the director as carriers, about one for three engines. They send the runs, deliver events in batches with their ages, and go on when the director is lost; the next one is offered the runs with their texts. A director that is not sure of its lease says so, and carriers look for its successor; one that learns of a successor from a carrier drops its jobs.

--- a/internal/limpetbalance/limpetbalance.go
+++ b/internal/limpetbalance/limpetbalance.go
@@ -23,11 +23,12 @@
 	// otherZone is the cost of a server in another availability zone.
 	otherZone = 6 * time.Millisecond
 	// coldConnection is the cost of a server without a recent request of this
-	// VM: it needs a new connection.
-	coldConnection = 8 * time.Millisecond
-	warmFor        = 6 * time.Second
-	ejectFirst     = 400 * time.Millisecond
-	ejectLast      = 6 * time.Second
+	// VM: it needs a new connection, which is dear to the users' servers.
+	coldConnection = 20 * time.Millisecond
+	// warmFor is a little shorter than connections are kept.
+	warmFor    = 8500 * time.Millisecond
+	ejectFirst = 400 * time.Millisecond
+	ejectLast  = 6 * time.Second
 )
 
 type stats struct {
--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -165,7 +165,7 @@
 
 // cost ranks engines for an item; the lowest is chosen.
 func (g *engine) cost(e *Entry, typical time.Duration, now time.Time) float64 {
-	cost := float64(len(g.runs)) / float64(max(g.server.Slots, 1))
+	cost := g.burden() / float64(max(g.server.Slots, 1))
 	if typical > 0 && g.pace > 0 && now.Sub(g.paceAt) < paceLife {
 		cost += paceCost * (float64(g.pace)/float64(typical) - 1)
 	}
@@ -184,6 +184,30 @@
 	return cost
 }
 
+// burden estimates how much the runs of an engine slow each other down, in
+// usual runs: by their number, and by what an engine reads of their texts for
+// each token.
+func (g *engine) burden() float64 {
+	sum := 0.0
+	for _, r := range g.runs {
+		sum += runBurden + r.Entry.middle()/usualMiddle
+	}
+	return sum
+}
+
+// middle estimates the tokens of a text in the middle of what is left of it.
+func (e *Entry) middle() float64 {
+	read := e.text.last * tokensPerEvent
+	return float64(read) + float64(max(e.size()-read, read/4))/2
+}
+
+const (
+	// usualMiddle is the middle of a usual text, in tokens.
+	usualMiddle = 1500
+	// runBurden is the part of a run's burden that does not depend on its text.
+	runBurden = 0.3
+)
+
 // The parts of an engine's cost, in shares of its places.
 const (
 	paceCost     = 0.6
--- a/internal/limpetbatch/listing.go
+++ b/internal/limpetbatch/listing.go
@@ -37,6 +37,22 @@
 	return all
 }
 
+// GroupReady reports whether a group that a trainer waits for is whole but for
+// its listing.
+func (l *Ledger) GroupReady() bool {
+	for _, j := range l.line {
+		if j.unsure || j.committing > 0 {
+			continue
+		}
+		for _, e := range j.unlisted {
+			if e.group.must && e.group.open == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Committed records that a chunk stands in the store.
 func (l *Ledger) Committed(j *Job) {
 	for _, e := range j.unlisted[:j.committing] {
--- a/internal/limpetbatch/overdue_test.go
+++ b/internal/limpetbatch/overdue_test.go
@@ -94,6 +94,9 @@
 	later []*limpetlot.Job
 	// crowding is what each neighbour adds to the time between events.
 	crowding time.Duration
+	// context is what each event of the texts at an engine adds to the time
+	// between events there.
+	context time.Duration
 	// done holds the items that are listed.
 	done map[string]bool
 	// down engines are silent in a span of time.
@@ -163,13 +166,14 @@
 // paceOf returns the time between events at an engine, which each neighbour
 // makes longer.
 func (f *fleet) paceOf(id string) time.Duration {
-	neighbours := -1
+	neighbours, read := -1, 0
 	for r := range f.next {
 		if r.Server.ID == id {
 			neighbours++
+			read += r.Entry.Events()
 		}
 	}
-	return f.paces[id] + time.Duration(neighbours)*f.crowding
+	return f.paces[id] + time.Duration(neighbours)*f.crowding + time.Duration(read)*f.context
 }
 
 func (f *fleet) strikeLong() {
@@ -207,7 +211,10 @@
 
 // newFleet returns five engines of eight places and a step whose texts are
 // short but for one in twelve, which is as long as texts get.
-func newFleet() *fleet {
+func newFleet() *fleet { return newFleetWith(12, longText) }
+
+// newFleetWith has one long text of so many events in so many.
+func newFleetWith(every, long int) *fleet {
 	versions := map[string]int{}
 	f := &fleet{paces: map[string]time.Duration{}, lengths: map[string]int{}, next: map[*limpetbatch.Run]time.Time{}, done: map[string]bool{}, down: map[string][2]time.Duration{}}
 	for n := range 5 {
@@ -220,8 +227,8 @@
 		group := []int{}
 		for n := range groupSize {
 			events := 18 + 3*((g+n)%5)
-			if (g*groupSize+n)%12 == 5 {
-				events = longText
+			if (g*groupSize+n)%every == 5 {
+				events = long
 			}
 			f.lengths[fmt.Sprintf("j-g%d-%d", g, n)] = events
 			group = append(group, events*64)
@@ -302,3 +309,26 @@
 		So(took, ShouldBeLessThan, due)
 	})
 }
+
+func TestLoadOfLongContexts(t *testing.T) {
+	Convey("pattern: several of the longest texts at once, beside short work all the time; engines slow down with what their runs have read", t, func() {
+		f := newFleetWith(8, 187)
+		f.context = 24 * time.Microsecond
+		for id := range f.paces {
+			f.paces[id] = 34600 * time.Microsecond
+		}
+		for wave := range 14 {
+			other := job(fmt.Sprintf("k%d", wave), 1)
+			other.Arrived = at(time.Duration(wave+1) * 500 * time.Millisecond)
+			for n := range 10 {
+				id := fmt.Sprintf("k%d-%d", wave, n)
+				f.lengths[id] = 25
+				other.Items = append(other.Items, limpetlot.Item{ID: id, Path: "/p/1", Group: id, Expected: 25 * 64})
+			}
+			f.later = append(f.later, other)
+		}
+		took := f.play(20 * time.Second)
+		t.Log(took)
+		So(took, ShouldBeLessThan, due)
+	})
+}
--- /dev/null
+++ b/internal/limpetdirector/carriers.go
@@ -0,0 +1,372 @@
+package limpetdirector
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpetcarry"
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpetupstream"
+)
+
+const (
+	// gatherTime is how long a new director waits for carriers before it sends
+	// items itself.
+	gatherTime = 450 * time.Millisecond
+	// carrierSilent is how long a carrier with runs may be silent, and
+	// carrierIdle one without.
+	carrierSilent = 600 * time.Millisecond
+	carrierIdle   = 2500 * time.Millisecond
+	// loopLate is a pause of the loop after which the silence of carriers
+	// proves nothing.
+	loopLate = 200 * time.Millisecond
+	// strayLife is how long a run is kept whose job is not known.
+	strayLife = 5 * time.Second
+	// serverPatience is how long a run waits until its engine is known here.
+	serverPatience = 1500 * time.Millisecond
+	// enginesPerCarrier is how many engines a carrier sends to, about.
+	enginesPerCarrier = 3
+)
+
+// A session is a VM that sends runs for this director.
+type session struct {
+	id, vm, zone string
+	out          *outbox
+
+	// Owned by the loop.
+	runs map[string]*limpetbatch.Run
+	// strays are runs of jobs or engines that are not known here yet.
+	strays map[string]*limpetcarry.Held
+	opened time.Time
+	heard  time.Time
+}
+
+// An outbox holds what a carrier is to be told. It is safe for use by several
+// goroutines.
+type outbox struct {
+	mu     sync.Mutex
+	batch  limpetcarry.Batch
+	closed bool
+	err    error
+	ready  chan struct{}
+}
+
+func newOutbox() *outbox { return &outbox{ready: make(chan struct{}, 1)} }
+
+func (b *outbox) change(f func()) {
+	b.mu.Lock()
+	f()
+	b.mu.Unlock()
+	select {
+	case b.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (b *outbox) order(o limpetcarry.Order) {
+	b.change(func() { b.batch.Orders = append(b.batch.Orders, o) })
+}
+
+func (b *outbox) cut(run string) {
+	b.change(func() { b.batch.Cuts = append(b.batch.Cuts, run) })
+}
+
+// doubt tells whether the director may have a successor.
+func (b *outbox) doubt(unsure bool) { b.change(func() { b.batch.Unsure = unsure }) }
+
+// close ends the offer; without an error the VM is not needed.
+func (b *outbox) close(err error) { b.change(func() { b.closed, b.err = true, err }) }
+
+func (b *outbox) take() (batch limpetcarry.Batch, closed bool, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	batch = b.batch
+	b.batch = limpetcarry.Batch{Unsure: batch.Unsure}
+	return batch, b.closed, b.err
+}
+
+// pump sends batches until the offer, ctx or the director ends.
+func (b *outbox) pump(ctx context.Context, over <-chan struct{}, send func(limpetcarry.Batch) error) error {
+	beat := time.NewTicker(limpetcarry.BeatPeriod)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-over:
+			return limpeterror.Unavailable.New("the director stopped")
+		case <-b.ready:
+		case <-beat.C:
+		}
+		batch, closed, err := b.take()
+		if closed {
+			return err
+		}
+		if err := send(batch); err != nil {
+			return err
+		}
+	}
+}
+
+// Carry takes a VM's offer to send runs, and hands it batches until the offer
+// is over.
+func (d *Director) Carry(ctx context.Context, o limpetcarry.Opening, send func(limpetcarry.Batch) error) error {
+	s := &session{
+		id: o.Session, vm: o.VM, zone: o.Zone, out: newOutbox(),
+		runs: map[string]*limpetbatch.Run{}, strays: map[string]*limpetcarry.Held{},
+	}
+	d.post(ctx, opened{session: s, held: o.Held})
+	// The end must be told although ctx ended.
+	defer d.post(context.WithoutCancel(ctx), closed{session: s})
+	return s.out.pump(ctx, d.over, send)
+}
+
+// Deliver takes the progress of a VM's runs. It reports whether the offer is
+// known.
+func (d *Director) Deliver(ctx context.Context, m limpetcarry.Delivery) bool {
+	s, known := d.offers.Load(m.Session)
+	if !known {
+		return false
+	}
+	d.post(ctx, delivered{session: s.(*session), delivery: m, at: d.Now()})
+	return true
+}
+
+// opened is an offer that began.
+type opened struct {
+	session *session
+	held    []limpetcarry.Held
+}
+
+func (m opened) apply(d *Director) {
+	s, now := m.session, d.Now()
+	if d.lead == nil && !d.mayWork(now) {
+		s.out.close(limpeterror.Unavailable.New("this VM is not the director"))
+		return
+	}
+	for _, other := range d.sessions {
+		if other.vm == s.vm {
+			d.dropCarrier(other, "it offered itself anew")
+		}
+	}
+	if len(m.held) == 0 && !d.wantsCarrier(s.zone) {
+		s.out.close(nil)
+		return
+	}
+	s.opened, s.heard = now, now
+	s.out.doubt(d.lead == nil)
+	d.sessions[s.id] = s
+	d.offers.Store(s.id, s)
+	d.Log.Emit(limpetlog.CarrierJoined, limpetlog.Value("carrier", s.vm), limpetlog.Value("held", len(m.held)))
+	for _, h := range m.held {
+		s.strays[h.Run] = &h
+	}
+}
+
+// wantsCarrier reports whether one more VM of an availability zone is of use.
+func (d *Director) wantsCarrier(zone string) bool {
+	engines, zones := 0, map[string]bool{}
+	for _, s := range d.view.All() {
+		if len(s.Models) > 0 {
+			engines++
+			zones[s.Zone] = true
+		}
+	}
+	most := max(1, (engines+enginesPerCarrier*len(zones)-1)/(enginesPerCarrier*max(len(zones), 1)))
+	for _, s := range d.sessions {
+		if s.zone == zone {
+			most--
+		}
+	}
+	return most > 0
+}
+
+// carrierOf returns the VM that sends to an engine; nil when there is none. It
+// is the same one as long as VMs do not come or go, so that connections last,
+// and in the engine's availability zone if there is one.
+func (d *Director) carrierOf(server *limpetsite.Server) *session {
+	var best *session
+	var most uint64
+	for _, s := range d.sessions {
+		rank := xxhash.Sum64String(server.ID + " " + s.vm)
+		near := s.zone == server.Zone
+		switch {
+		case best == nil, near && best.zone != server.Zone, near == (best.zone == server.Zone) && rank > most:
+			best, most = s, rank
+		}
+	}
+	return best
+}
+
+// hand gives a run to a carrier.
+func (d *Director) hand(s *session, r *limpetbatch.Run, call limpetupstream.Call) {
+	if len(s.runs) == 0 {
+		// Without runs it was free to be silent for longer.
+		s.heard = d.Now()
+	}
+	d.ordered++
+	id := d.Incarnation + "." + strconv.Itoa(d.ordered)
+	d.carried(s, id, r)
+	s.out.order(limpetcarry.Order{Run: id, Job: r.Entry.Job.ID, Call: call, Begun: r.Entry.Draft()})
+}
+
+// carried records that a carrier has a run.
+func (d *Director) carried(s *session, id string, r *limpetbatch.Run) {
+	s.runs[id] = r
+	d.cancels[r] = func() {
+		delete(s.runs, id)
+		s.out.cut(id)
+	}
+}
+
+// tendCarriers drops those that fell silent, and takes over what others held.
+func (d *Director) tendCarriers(now time.Time) {
+	late := now.Sub(d.checked) > loopLate
+	d.checked = now
+	for _, s := range d.sessions {
+		if late {
+			s.heard = now
+		}
+		silence := now.Sub(s.heard)
+		if silence > carrierIdle || (silence > carrierSilent && len(s.runs) > 0) {
+			d.dropCarrier(s, "it is silent")
+			continue
+		}
+		for id, h := range s.strays {
+			if d.takeHeld(s, h, now) {
+				delete(s.strays, id)
+			}
+		}
+	}
+}
+
+// takeHeld goes on with a run of an earlier director. It reports false while
+// too little is known.
+func (d *Director) takeHeld(s *session, h *limpetcarry.Held, now time.Time) bool {
+	age := now.Sub(s.opened)
+	j := d.ledger.Jobs()[h.Job]
+	if j == nil && !d.ended[h.Job] && !d.whole[h.Job] && age < strayLife {
+		return false
+	}
+	if j != nil && h.Running && d.view.Server(h.Server) == nil && age < serverPatience {
+		return false
+	}
+	if j == nil {
+		s.out.cut(h.Run)
+		return true
+	}
+	run, replaced := d.ledger.Attach(j, h.Text, h.Server, h.Running, now)
+	if replaced != nil {
+		d.cut([]*limpetbatch.Run{replaced}, "a carrier has more of the text")
+	}
+	if run != nil {
+		d.carried(s, h.Run, run)
+	} else if h.Running {
+		s.out.cut(h.Run)
+	}
+	d.Log.Emit(limpetlog.RunTakenOver, limpetlog.Job(h.Job), limpetlog.Value("item", h.Text.Item), limpetlog.Server(h.Server),
+		limpetlog.Value("carrier", s.vm), limpetlog.Value("after", h.Text.Last), limpetlog.Value("whole", h.Text.Whole), limpetlog.Value("used", run != nil))
+	return true
+}
+
+// delivered is the progress of a carrier's runs.
+type delivered struct {
+	session  *session
+	delivery limpetcarry.Delivery
+	at       time.Time
+}
+
+func (m delivered) apply(d *Director) {
+	s := m.session
+	if d.sessions[s.id] != s {
+		return
+	}
+	s.heard = d.Now()
+	for _, p := range m.delivery.Progress {
+		d.advance(s, p, m.at)
+	}
+	switch {
+	case m.delivery.Superseded && d.lead == nil:
+		d.Log.Emit(limpetlog.LeaseLost, limpetlog.Value("cause", "a carrier found a later director"), limpetlog.Value("carrier", s.vm))
+		d.abandon()
+	case m.delivery.Superseded || m.delivery.Leaving:
+		d.dropCarrier(s, "it left")
+	}
+}
+
+// advance takes the progress of one run.
+func (d *Director) advance(s *session, p limpetcarry.Progress, at time.Time) {
+	r := s.runs[p.Run]
+	if r == nil {
+		if h := s.strays[p.Run]; h != nil {
+			h.Take(p)
+		}
+		return
+	}
+	if p.Headed {
+		runHead{run: r, version: p.Version}.apply(d)
+	}
+	for _, e := range p.Events {
+		if !d.ledger.Event(r, e.Event, e.Under, at.Add(-e.Age)) {
+			d.refuse(r, e.Under)
+			return
+		}
+	}
+	if p.Ended && s.runs[p.Run] == r {
+		delete(s.runs, p.Run)
+		// The carrier keeps the text for a while, until it is surely listed.
+		d.cancels[r] = func() {}
+		runEnded{run: r, end: p.End}.apply(d)
+	}
+}
+
+// closed is an offer that ended.
+type closed struct{ session *session }
+
+func (m closed) apply(d *Director) {
+	if d.sessions[m.session.id] == m.session {
+		d.dropCarrier(m.session, "its connection ended")
+	}
+}
+
+// dropCarrier takes a carrier out; its runs wait again.
+func (d *Director) dropCarrier(s *session, cause string) {
+	now := d.Now()
+	runs := len(s.runs)
+	d.forgetCarrier(s)
+	for _, r := range s.runs {
+		d.ledger.Lost(r, now)
+	}
+	d.Log.Emit(limpetlog.CarrierLost, limpetlog.Value("carrier", s.vm), limpetlog.Value("runs", runs), limpetlog.Value("cause", cause))
+}
+
+// forgetCarrier ends an offer and leaves its runs to the carrier.
+func (d *Director) forgetCarrier(s *session) {
+	delete(d.sessions, s.id)
+	d.offers.Delete(s.id)
+	s.out.close(limpeterror.Unavailable.New("the director ended the offer"))
+	for _, r := range s.runs {
+		delete(d.cancels, r)
+	}
+}
+
+// doubtful tells carriers whether this VM may have a successor, which they
+// then look for.
+func (d *Director) doubtful(unsure bool) {
+	for _, s := range d.sessions {
+		s.out.doubt(unsure)
+	}
+}
+
+func (d *Director) forgetCarriers() {
+	for _, s := range d.sessions {
+		d.forgetCarrier(s)
+	}
+}
--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -223,8 +223,12 @@
 	d.record = dutyRecord{VM: d.VM, Revision: a.fence}
 	// The lease is renewed at once: with a slow store much of it is over.
 	d.lead = &lead{fence: a.fence, group: limpettask.New(d.group.Context()), since: now}
+	d.doubtful(false)
 	d.Log.Emit(limpetlog.LeaseAcquired, limpetlog.Value("fence", a.fence))
 	l := d.lead
+	if len(d.ledger.Jobs()) == 0 {
+		l.gatherUntil = now.Add(gatherTime)
+	}
 	l.group.Go(func(ctx context.Context) error {
 		d.enterTerm(ctx, l)
 		return nil
@@ -394,6 +398,7 @@
 	d.Log.Emit(limpetlog.LeaseLost, limpetlog.Value("fence", d.lead.fence), limpetlog.Value("cause", cause))
 	l := d.lead
 	d.lead = nil
+	d.doubtful(true)
 	d.upElsewhere = false
 	// A write that is under way may still add to what the store holds.
 	d.shelf.clear()
@@ -405,6 +410,8 @@
 // abandon drops all jobs: another VM carries them out.
 func (d *Director) abandon() {
 	now := d.Now()
+	// Carriers keep their runs for the other VM.
+	d.forgetCarriers()
 	for id := range d.ledger.Jobs() {
 		d.cut(d.ledger.End(id, now), "another VM took over")
 	}
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -260,7 +260,11 @@
 // effect only while this VM is the director.
 func (d *Director) list(now time.Time) {
 	l := d.lead
-	if l.committing || now.Sub(l.committed) < listPeriod {
+	period := listPeriod
+	if d.ledger.GroupReady() {
+		period = listGroup
+	}
+	if l.committing || now.Sub(l.committed) < period {
 		return
 	}
 	chunks := d.ledger.Listings((limpetstore.MaxEntries - 2) / 2)
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -79,6 +79,10 @@
 	candidate atomic.Bool
 
 	demand sync.Map
+	// offers holds the sessions of carriers by name, for their deliveries.
+	offers sync.Map
+	// over is closed once the loop has ended.
+	over chan struct{}
 
 	// Owned by the loop.
 	group *limpettask.Group
@@ -103,6 +107,12 @@
 	lag     time.Duration
 	askedAt time.Time
 
+	// sessions are the carriers by the name of their offer, and ordered counts
+	// the runs given to them.
+	sessions map[string]*session
+	ordered  int
+	checked  time.Time
+
 	open    map[string]limpetlot.Summary
 	ended   map[string]bool
 	loading map[string]bool
@@ -128,15 +138,18 @@
 	since time.Time
 	// entered is set once it is known who was the director before, and
 	// actAfter when orders and reports may begin.
-	entered    bool
-	actAfter   time.Time
-	group      *limpettask.Group
-	committing bool
-	committed  time.Time
-	drafting   bool
-	drafted    time.Time
-	renewing   bool
-	renewed    time.Time
+	entered  bool
+	actAfter time.Time
+	// gatherUntil is when items begin to be sent: until then carriers tell
+	// what they hold for an earlier director.
+	gatherUntil time.Time
+	group       *limpettask.Group
+	committing  bool
+	committed   time.Time
+	drafting    bool
+	drafted     time.Time
+	renewing    bool
+	renewed     time.Time
 }
 
 // A message changes the state of the loop.
@@ -149,6 +162,8 @@
 	inboxSize   = 2048
 	// listPeriod is the time between writes of results.
 	listPeriod = 130 * time.Millisecond
+	// listGroup is the one while a group waits that a trainer needs.
+	listGroup = 20 * time.Millisecond
 	// draftPeriod is the time between writes of unfinished texts.
 	draftPeriod = 900 * time.Millisecond
 	// keepWorking is how long a director whose lease lapsed goes on with its
@@ -160,7 +175,7 @@
 func New(deps Deps) *Director {
 	ttl := max(leaseTime, deps.LeaseLeast)
 	return &Director{
-		Deps: deps, ledger: limpetbatch.New(), inbox: make(chan message, inboxSize), shelf: newShelf(),
+		Deps: deps, ledger: limpetbatch.New(), inbox: make(chan message, inboxSize), over: make(chan struct{}), sessions: map[string]*session{}, shelf: newShelf(),
 		holder:  limpetlease.New(deps.Store, deps.VM, deps.Incarnation, ttl, deps.Now),
 		cancels: map[*limpetbatch.Run]context.CancelFunc{}, view: limpetsite.Empty(),
 		open: map[string]limpetlot.Summary{}, ended: map[string]bool{}, loading: map[string]bool{}, whole: map[string]bool{},
@@ -173,6 +188,7 @@
 	select {
 	case d.inbox <- m:
 	case <-ctx.Done():
+	case <-d.over:
 	}
 }
 
@@ -186,6 +202,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			close(d.over)
 			return d.stop()
 		case m := <-d.inbox:
 			m.apply(d)
@@ -241,10 +258,13 @@
 		d.view = view
 		d.ledger.Engines(view)
 	}
+	d.tendCarriers(now)
 	d.giveUp(now)
 	d.cut(d.ledger.Overdue(d.view, now), "overdue")
-	for _, r := range d.ledger.Dispatch(d.view, now) {
-		d.begin(r)
+	if d.lead == nil || !now.Before(d.lead.gatherUntil) {
+		for _, r := range d.ledger.Dispatch(d.view, now) {
+			d.begin(r)
+		}
 	}
 	for _, r := range d.ledger.Rewards(now) {
 		d.reward(r)
--- a/internal/limpetdirector/runs.go
+++ b/internal/limpetdirector/runs.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpetcarry"
 	"limpetmount.org/internal/limpetforward"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetupstream"
@@ -20,10 +19,8 @@
 	rewardPatience = 4 * time.Second
 )
 
-// begin starts a run in a goroutine of its own.
+// begin starts a run: at a carrier, or from this VM when there is none.
 func (d *Director) begin(r *limpetbatch.Run) {
-	ctx, cancel := context.WithCancel(d.group.Context())
-	d.cancels[r] = cancel
 	e := r.Entry
 	header := make(http.Header, len(e.Item.Header))
 	for name, value := range e.Item.Header {
@@ -40,62 +37,25 @@
 	}
 	d.Log.Emit(limpetlog.RunStarted, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID),
 		limpetlog.Server(r.Server.ID), limpetlog.Value("after", r.After))
-	d.group.Go(func(context.Context) error {
-		d.run(ctx, r, call)
-		return nil
-	})
-}
-
-// run sends one run and posts what comes of it.
-func (d *Director) run(ctx context.Context, r *limpetbatch.Run, call limpetupstream.Call) {
-	reply, err := d.Peer.Send(ctx, call)
-	if err != nil {
-		d.post(ctx, runEnded{run: r, ending: limpetbatch.Broken, cause: err})
-		return
-	}
-	defer reply.Close()
-	if ending, ok := refusal(reply); ok {
-		d.post(ctx, runEnded{run: r, ending: ending, status: reply.Status})
+	if s := d.carrierOf(r.Server); s != nil {
+		d.hand(s, r, call)
 		return
 	}
-	if reply.Events == nil {
-		d.post(ctx, runEnded{run: r, ending: limpetbatch.Broken, status: reply.Status})
-		return
-	}
-	version := reply.Version
-	d.post(ctx, runHead{run: r, version: version})
-	for {
-		event, err := reply.Events()
-		if errors.Is(err, io.EOF) {
-			d.post(ctx, runEnded{run: r, ending: limpetbatch.Whole})
-			return
-		}
-		if err != nil {
-			d.post(ctx, runEnded{run: r, ending: limpetbatch.Broken, cause: err})
-			return
-		}
-		if event.Version > 0 {
-			version = event.Version
-		}
-		d.post(ctx, runEvent{run: r, event: event, version: version})
-	}
+	d.runHere(r, call)
 }
 
-// refusal classifies answers that are no stream.
-func refusal(reply *limpetupstream.Reply) (limpetbatch.Ending, bool) {
-	switch {
-	case reply.Misdirected:
-		return limpetbatch.Misdirected, true
-	case reply.NotRun:
-		return limpetbatch.NotRun, true
-	case reply.Status == http.StatusUnprocessableEntity:
-		return limpetbatch.Impossible, true
-	case reply.Status == http.StatusInternalServerError:
-		return limpetbatch.Failed, true
-	case reply.Status != http.StatusOK:
-		return limpetbatch.Broken, true
-	}
-	return 0, false
+// runHere sends a run from this VM.
+func (d *Director) runHere(r *limpetbatch.Run, call limpetupstream.Call) {
+	ctx, cancel := context.WithCancel(d.group.Context())
+	d.cancels[r] = cancel
+	d.group.Go(func(context.Context) error {
+		limpetcarry.Read(ctx, d.Peer.Send, call, limpetcarry.Sink{
+			Head:  func(version int) { d.post(ctx, runHead{run: r, version: version}) },
+			Event: func(e limpetupstream.Event, version int) { d.post(ctx, runEvent{run: r, event: e, version: version}) },
+			End:   func(e limpetcarry.End) { d.post(ctx, runEnded{run: r, end: e}) },
+		})
+		return nil
+	})
 }
 
 type runHead struct {
@@ -134,10 +94,8 @@
 }
 
 type runEnded struct {
-	run    *limpetbatch.Run
-	ending limpetbatch.Ending
-	status int
-	cause  error
+	run *limpetbatch.Run
+	end limpetcarry.End
 }
 
 func (m runEnded) apply(d *Director) {
@@ -148,8 +106,8 @@
 	cancel()
 	delete(d.cancels, m.run)
 	e := m.run.Entry
-	settled := d.ledger.Ended(m.run, m.ending, d.Now())
-	if m.ending == limpetbatch.Whole {
+	settled := d.ledger.Ended(m.run, m.end.Ending, d.Now())
+	if m.end.Ending == limpetbatch.Whole {
 		d.Log.Emit(limpetlog.TextWhole, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Server(m.run.Server.ID),
 			limpetlog.Value("events", e.Events()), limpetlog.Value("expected_tokens", e.Item.Expected), limpetlog.Value("moves", e.Moves()),
 			limpetlog.Value("must", e.Must()), limpetlog.Value("age_ms", d.Now().Sub(e.Job.Arrived).Milliseconds()))
@@ -158,12 +116,8 @@
 	if settled {
 		d.gaveUp(e, "its runs failed as often as allowed")
 	}
-	cause := ""
-	if m.cause != nil {
-		cause = m.cause.Error()
-	}
 	d.Log.Emit(limpetlog.RunFailed, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID),
-		limpetlog.Server(m.run.Server.ID), limpetlog.Value("status", m.status), limpetlog.Value("cause", cause), limpetlog.Value("settled", settled))
+		limpetlog.Server(m.run.Server.ID), limpetlog.Value("status", m.end.Status), limpetlog.Value("cause", m.end.Cause), limpetlog.Value("settled", settled))
 }
 
 // gaveUp logs that an item is listed as errored.
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"limpetmount.org/internal/limpetbalance"
+	"limpetmount.org/internal/limpetcarry"
 	"limpetmount.org/internal/limpetdirector"
 	"limpetmount.org/internal/limpetfollow"
 	"limpetmount.org/internal/limpetforward"
@@ -78,6 +79,9 @@
 	directing *limpettask.Group
 	followers []*limpetfollow.Follower
 
+	// seeker offers this VM to directors as a sender of runs.
+	seeker *limpetcarry.Seeker
+
 	board *limpetrelay.Board
 	held  *limpetwindow.Held
 	// relay is the director that this VM follows; nil when there is none.
@@ -126,12 +130,14 @@
 		Zone: settings.Zone, View: h.View, Peer: deps.Peer, Tracker: limpetbalance.New(),
 		Log: log, Metrics: metrics, Began: h.counter.Began, Now: deps.Now,
 	}
+	h.seeker = h.carrier()
 	h.followers = h.feeds(meter.Wrap(deps.Store, "site"))
 	h.group.Go(h.keepSite)
 	h.direct(meter.Wrap(deps.Store, "director"))
 	if settings.Serves {
 		h.counter.Hand = h.handCounts
 		h.group.Go(h.source)
+		h.group.Go(h.seeker.Run)
 		h.group.Go(h.counter.Run)
 	}
 	return h
@@ -203,6 +209,7 @@
 		return
 	}
 	h.Log.Emit(limpetlog.NodeDraining)
+	h.seeker.Carrier.Leave()
 	if err := h.directing.Stop(); err != nil {
 		h.Log.Emit(limpetlog.LeaseLost, limpetlog.Error(err))
 	}
--- a/internal/limpethost/source.go
+++ b/internal/limpethost/source.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"limpetmount.org/internal/limpetdirector"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetrelay"
@@ -95,6 +94,7 @@
 	from.epoch, from.position = u.Epoch, u.Position
 	h.takeUpdate(u)
 	h.contact.Store(true)
+	h.seeker.Heard(from.address)
 	if h.relay.Swap(from.client) != from.client {
 		h.Log.Emit(limpetlog.RelayFound, limpetlog.Value("address", from.address))
 		h.counter.Again()
@@ -133,15 +133,11 @@
 
 // findDirector reads who the director is.
 func (h *Host) findDirector(ctx context.Context, shared *http.Client, from *relayed) {
-	v, err := h.deps.Store.Get(ctx, limpetdirector.TermKey)
-	if err != nil {
+	address, err := h.term(ctx)
+	if err != nil || address == "" || address == from.address {
 		return
 	}
-	term := limpetdirector.DecodeTerm(v)
-	if term.Address == "" || term.VM == h.Settings.VM || term.Address == from.address {
-		return
-	}
-	*from = relayed{address: term.Address, client: limpetrelay.NewClient(shared, term.Address, h.Settings.ReadyAddress)}
+	*from = relayed{address: address, client: limpetrelay.NewClient(shared, address, h.Settings.ReadyAddress)}
 }
 
 // Read returns the listed results of an account's job: from the director while
@@ -204,6 +200,7 @@
 			h.held.Take(counter, windows)
 			return true
 		},
+		Carry: h.director.Carry, Deliver: h.director.Deliver,
 	}
 }
 
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -88,6 +88,9 @@
 	DraftsNotKept   = define(1723, logrus.InfoLevel, "unfinished texts not kept", "A write of unfinished texts failed; the next one follows.")
 	DutyNotTaken    = define(1731, logrus.DebugLevel, "duty not taken", "This VM tried to become the director and did not.")
 	ReadRefused     = define(1732, logrus.InfoLevel, "job not read", "A reader of a job was told to come back, or that there is none.")
+	CarrierJoined   = define(1734, logrus.InfoLevel, "carrier joined", "A VM sends runs to engines for the director; it may hold some of an earlier one.")
+	CarrierLost     = define(1735, logrus.InfoLevel, "carrier lost", "A VM sends no more runs for the director; its runs wait again.")
+	RunTakenOver    = define(1736, logrus.InfoLevel, "run taken over", "The director goes on with a run that a carrier held for an earlier one.")
 	TermEntered     = define(1733, logrus.InfoLevel, "term entered", "This VM is recorded as the director. It gives orders and reports once the time is over in which VMs must not take turns.")
 )
 
@@ -100,6 +103,7 @@
 	ValueIgnored = define(1805, logrus.WarnLevel, "value ignored", "A value of the store cannot be read and names nothing to use.")
 	LinesDropped = define(1806, logrus.WarnLevel, "log lines dropped", "The reader of the log was too slow; so many lines are missing.")
 	RequestPanic = define(1807, logrus.ErrorLevel, "request handler failed", "A fault of the program ended one request.")
+	CarryLost    = define(1812, logrus.InfoLevel, "carrying ended", "This VM carries no runs for the director any more. Its runs go on for a while and are offered to the next one.")
 	PeersAsked   = define(1809, logrus.InfoLevel, "VMs asked for the store", "The director lost the store and asked other VMs; none reaches it.")
 	RelayLost    = define(1810, logrus.InfoLevel, "director not heard", "The director gave no fresh word of the deployment; this VM follows the store itself.")
 	RelayFound   = define(1811, logrus.InfoLevel, "director heard", "This VM follows the deployment through the director.")
--- /dev/null
+++ b/internal/limpetrelay/carry.go
@@ -0,0 +1,159 @@
+package limpetrelay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpetcarry"
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpetupstream"
+	"limpetmount.org/internal/limpetwire"
+)
+
+// Link returns the calls of a carrier to the director.
+func (c *Client) Link() limpetcarry.Link {
+	return limpetcarry.Link{Carry: c.carry, Deliver: c.deliver}
+}
+
+func (c *Client) carry(ctx context.Context, o limpetcarry.Opening, take func(limpetcarry.Batch)) error {
+	request := &limpetwire.CarryRequest{Vm: o.VM, Zone: o.Zone, Session: o.Session}
+	for _, h := range o.Held {
+		request.Held = append(request.Held, &limpetwire.HeldRun{
+			Run: h.Run, Job: h.Job, Server: h.Server, Running: h.Running, Text: textMessage(h.Text),
+		})
+	}
+	stream, err := c.relay.Carry(ctx, connect.NewRequest(request))
+	if err != nil {
+		return err
+	}
+	for stream.Receive() {
+		take(batchOf(stream.Msg()))
+	}
+	err = stream.Err()
+	// Closing reports the same failure once more.
+	_ = stream.Close()
+	return err
+}
+
+func (c *Client) deliver(ctx context.Context, d limpetcarry.Delivery) (bool, error) {
+	request := &limpetwire.DeliverRequest{Session: d.Session, Leaving: d.Leaving, Superseded: d.Superseded}
+	for _, p := range d.Progress {
+		request.Progress = append(request.Progress, progressMessage(p))
+	}
+	r, err := c.relay.Deliver(ctx, connect.NewRequest(request))
+	if err != nil {
+		return false, err
+	}
+	return r.Msg.Known, nil
+}
+
+// Carry implements limpetwire.RelayHandler.
+func (s server) Carry(ctx context.Context, r *connect.Request[limpetwire.CarryRequest], stream *connect.ServerStream[limpetwire.CarryReply]) error {
+	o := limpetcarry.Opening{VM: r.Msg.Vm, Zone: r.Msg.Zone, Session: r.Msg.Session}
+	for _, h := range r.Msg.Held {
+		o.Held = append(o.Held, limpetcarry.Held{Run: h.Run, Job: h.Job, Server: h.Server, Running: h.Running, Text: textOf(h.Text)})
+	}
+	return s.office.Carry(ctx, o, func(b limpetcarry.Batch) error { return stream.Send(batchMessage(b)) })
+}
+
+// Deliver implements limpetwire.RelayHandler.
+func (s server) Deliver(ctx context.Context, r *connect.Request[limpetwire.DeliverRequest]) (*connect.Response[limpetwire.DeliverReply], error) {
+	d := limpetcarry.Delivery{Session: r.Msg.Session, Leaving: r.Msg.Leaving, Superseded: r.Msg.Superseded}
+	for _, p := range r.Msg.Progress {
+		d.Progress = append(d.Progress, progressOf(p))
+	}
+	return connect.NewResponse(&limpetwire.DeliverReply{Known: s.office.Deliver(ctx, d)}), nil
+}
+
+func batchMessage(b limpetcarry.Batch) *limpetwire.CarryReply {
+	m := &limpetwire.CarryReply{Cuts: b.Cuts, Unsure: b.Unsure}
+	for _, o := range b.Orders {
+		header := make(map[string]string, len(o.Call.Header))
+		for name := range o.Call.Header {
+			header[name] = o.Call.Header.Get(name)
+		}
+		m.Orders = append(m.Orders, &limpetwire.RunOrder{
+			Run: o.Run, Job: o.Job, Server: o.Call.Server.ID, Address: o.Call.Server.Address, Target: o.Call.Target,
+			Host: o.Call.Host, Header: header, Body: o.Call.Body, Account: o.Call.Account,
+			RemainingMs: o.Call.Remaining.Milliseconds(), Version: int64(o.Call.Version), Begun: textMessage(o.Begun),
+		})
+	}
+	return m
+}
+
+func batchOf(m *limpetwire.CarryReply) limpetcarry.Batch {
+	b := limpetcarry.Batch{Cuts: m.Cuts, Unsure: m.Unsure}
+	for _, o := range m.Orders {
+		header := make(http.Header, len(o.Header))
+		for name, value := range o.Header {
+			header.Set(name, value)
+		}
+		begun := textOf(o.Begun)
+		b.Orders = append(b.Orders, limpetcarry.Order{Run: o.Run, Job: o.Job, Begun: begun, Call: limpetupstream.Call{
+			Server: &limpetsite.Server{ID: o.Server, Address: o.Address}, ID: begun.Item, Method: http.MethodPost,
+			Target: o.Target, Host: o.Host, Header: header, Body: o.Body, Account: o.Account,
+			Remaining: time.Duration(o.RemainingMs) * time.Millisecond, After: begun.Last, Version: int(o.Version), Priority: -1,
+		}})
+	}
+	return b
+}
+
+func textMessage(d limpetlot.Draft) *limpetwire.CarriedText {
+	return &limpetwire.CarriedText{
+		Item: d.Item, Pieces: d.Pieces, Last: int64(d.Last), Versions: int64s(d.Versions), Version: int64(d.Version), Whole: d.Whole,
+	}
+}
+
+func textOf(m *limpetwire.CarriedText) limpetlot.Draft {
+	return limpetlot.Draft{
+		Item: m.GetItem(), Pieces: m.GetPieces(), Last: int(m.GetLast()), Versions: ints(m.GetVersions()), Version: int(m.GetVersion()), Whole: m.GetWhole(),
+	}
+}
+
+func progressMessage(p limpetcarry.Progress) *limpetwire.RunProgress {
+	m := &limpetwire.RunProgress{
+		Run: p.Run, Headed: p.Headed, Version: int64(p.Version), Ended: p.Ended,
+		Ending: int64(p.End.Ending), Status: int64(p.End.Status), Cause: p.End.Cause,
+	}
+	for _, e := range p.Events {
+		m.Events = append(m.Events, &limpetwire.CarriedEvent{
+			Id: int64(e.ID), Data: e.Data, Changed: int64(e.Version), Under: int64(e.Under), AgeUs: e.Age.Microseconds(),
+		})
+	}
+	return m
+}
+
+func progressOf(m *limpetwire.RunProgress) limpetcarry.Progress {
+	p := limpetcarry.Progress{
+		Run: m.Run, Headed: m.Headed, Version: int(m.Version), Ended: m.Ended,
+		End: limpetcarry.End{Ending: limpetbatch.Ending(m.Ending), Status: int(m.Status), Cause: m.Cause},
+	}
+	for _, e := range m.Events {
+		p.Events = append(p.Events, limpetcarry.Event{
+			Event: limpetupstream.Event{ID: int(e.Id), Data: e.Data, Version: int(e.Changed)},
+			Under: int(e.Under), Age: time.Duration(e.AgeUs) * time.Microsecond,
+		})
+	}
+	return p
+}
+
+func int64s(values []int) []int64 {
+	out := make([]int64, 0, len(values))
+	for _, v := range values {
+		out = append(out, int64(v))
+	}
+	return out
+}
+
+func ints(values []int64) []int {
+	out := make([]int, 0, len(values))
+	for _, v := range values {
+		out = append(out, int(v))
+	}
+	return out
+}
--- a/internal/limpetrelay/client.go
+++ b/internal/limpetrelay/client.go
@@ -72,12 +72,8 @@
 	}
 	page = limpetlot.Page{Total: int(r.Msg.Total), Next: after + len(r.Msg.Results)}
 	for _, x := range r.Msg.Results {
-		versions := make([]int, 0, len(x.Versions))
-		for _, v := range x.Versions {
-			versions = append(versions, int(v))
-		}
 		page.Results = append(page.Results, limpetlot.Result{
-			ID: x.Id, State: limpetlot.State(x.State), Text: x.Text, Versions: versions, Score: x.Score,
+			ID: x.Id, State: limpetlot.State(x.State), Text: x.Text, Versions: ints(x.Versions), Score: x.Score,
 		})
 	}
 	return page, r.Msg.Denied, r.Msg.Known, nil
--- a/internal/limpetrelay/limpetrelay_test.go
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"testing/synctest"
@@ -9,9 +10,13 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpetcarry"
 	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetrelay"
+	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpetupstream"
 	"limpetmount.org/internal/limpetwindow"
 )
 
@@ -144,3 +149,45 @@
 		So(held[4]["acme"], ShouldEqual, 2)
 	})
 }
+
+func TestCarrying(t *testing.T) {
+	text := limpetlot.Draft{Item: "i", Pieces: []string{"a", "b"}, Last: 2, Versions: []int{3, 4}, Version: 4}
+	batch := limpetcarry.Batch{Cuts: []string{"old"}, Unsure: true, Orders: []limpetcarry.Order{{
+		Run: "r", Job: "j", Begun: text, Call: limpetupstream.Call{
+			Server: &limpetsite.Server{ID: "e", Address: "10.0.0.1:1"}, ID: "i", Method: http.MethodPost, Target: "/p?x=1", Host: "h",
+			Header: http.Header{"X-Model": {"m"}}, Body: []byte{0, 255}, Account: "acme", Remaining: 9 * time.Second, After: 2, Version: 4, Priority: -1,
+		},
+	}}}
+	opening := limpetcarry.Opening{VM: "v", Zone: "z", Session: "s", Held: []limpetcarry.Held{{Run: "q", Job: "j", Server: "e", Running: true, Text: text}}}
+	delivery := limpetcarry.Delivery{Session: "s", Leaving: true, Superseded: true, Progress: []limpetcarry.Progress{{
+		Run: "r", Headed: true, Version: 3, Ended: true, End: limpetcarry.End{Ending: limpetbatch.Failed, Status: 500, Cause: "c"},
+		Events: []limpetcarry.Event{{Event: limpetupstream.Event{ID: 3, Data: "d", Version: 5}, Under: 5, Age: 1500 * time.Microsecond}},
+	}}}
+	var offered limpetcarry.Opening
+	var brought limpetcarry.Delivery
+	office := &limpetrelay.Office{
+		Board: limpetrelay.NewBoard("e1", time.Now),
+		Carry: func(_ context.Context, o limpetcarry.Opening, send func(limpetcarry.Batch) error) error {
+			offered = o
+			return send(batch)
+		},
+		Deliver: func(_ context.Context, d limpetcarry.Delivery) bool {
+			brought = d
+			return true
+		},
+	}
+	server := httptest.NewServer(office.Handler())
+	t.Cleanup(server.Close)
+	link := limpetrelay.NewClient(limpetrelay.NewHTTP(), server.Listener.Addr().String(), "").Link()
+	Convey("orders, held texts and progress arrive as they were sent", t, func() {
+		var taken []limpetcarry.Batch
+		err := link.Carry(context.Background(), opening, func(b limpetcarry.Batch) { taken = append(taken, b) })
+		So(err, ShouldBeNil)
+		So(taken, ShouldResemble, []limpetcarry.Batch{batch})
+		So(offered, ShouldResemble, opening)
+		known, err := link.Deliver(context.Background(), delivery)
+		So(err, ShouldBeNil)
+		So(known, ShouldBeTrue)
+		So(brought, ShouldResemble, delivery)
+	})
+}
--- a/internal/limpetrelay/serve.go
+++ b/internal/limpetrelay/serve.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"limpetmount.org/internal/limpetcarry"
 	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetwindow"
 	"limpetmount.org/internal/limpetwire"
@@ -27,6 +28,12 @@
 	Results func(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetlot.Page, denied, known bool)
 	// Count takes another VM's usage counts.
 	Count func(counter string, windows map[int64]limpetwindow.Counts) bool
+	// Carry takes a VM's offer to send runs, and hands it batches until the
+	// offer is over.
+	Carry func(ctx context.Context, o limpetcarry.Opening, send func(limpetcarry.Batch) error) error
+	// Deliver takes the progress of a VM's runs. It reports whether the offer
+	// is known.
+	Deliver func(ctx context.Context, d limpetcarry.Delivery) bool
 }
 
 // Handler serves the office to other VMs.
@@ -67,12 +74,8 @@
 	page, denied, known := s.office.Results(ctx, r.Msg.Job, r.Msg.Account, int(r.Msg.After), waitOf(r.Msg.WaitMs))
 	reply := &limpetwire.ResultsReply{Known: known, Denied: denied, Total: int64(page.Total)}
 	for _, x := range page.Results {
-		versions := make([]int64, 0, len(x.Versions))
-		for _, v := range x.Versions {
-			versions = append(versions, int64(v))
-		}
 		reply.Results = append(reply.Results, &limpetwire.RelayedResult{
-			Id: x.ID, State: string(x.State), Text: x.Text, Versions: versions, Score: x.Score,
+			Id: x.ID, State: string(x.State), Text: x.Text, Versions: int64s(x.Versions), Score: x.Score,
 		})
 	}
 	return connect.NewResponse(reply), nil
--- a/internal/limpetwire/limpetwire.connect.go
+++ b/internal/limpetwire/limpetwire.connect.go
@@ -62,6 +62,10 @@
 	RelayResultsProcedure = "/limpetmount.v1.Relay/Results"
 	// RelayCountProcedure is the fully-qualified name of the Relay's Count RPC.
 	RelayCountProcedure = "/limpetmount.v1.Relay/Count"
+	// RelayCarryProcedure is the fully-qualified name of the Relay's Carry RPC.
+	RelayCarryProcedure = "/limpetmount.v1.Relay/Carry"
+	// RelayDeliverProcedure is the fully-qualified name of the Relay's Deliver RPC.
+	RelayDeliverProcedure = "/limpetmount.v1.Relay/Deliver"
 )
 
 // PeerServiceClient is a client for the limpetmount.v1.PeerService service.
@@ -415,6 +419,11 @@
 	Results(context.Context, *connect.Request[ResultsRequest]) (*connect.Response[ResultsReply], error)
 	// Count adds the requests of client accounts that began on a VM.
 	Count(context.Context, *connect.Request[CountRequest]) (*connect.Response[CountReply], error)
+	// Carry offers the director a VM that sends runs to engines. The stream
+	// brings orders until the director has no use for the VM any more.
+	Carry(context.Context, *connect.Request[CarryRequest]) (*connect.ServerStreamForClient[CarryReply], error)
+	// Deliver brings what became of the runs that a VM carries.
+	Deliver(context.Context, *connect.Request[DeliverRequest]) (*connect.Response[DeliverReply], error)
 }
 
 // NewRelayClient constructs a client for the limpetmount.v1.Relay service. By default, it uses the
@@ -446,6 +455,18 @@
 			connect.WithSchema(relayMethods.ByName("Count")),
 			connect.WithClientOptions(opts...),
 		),
+		carry: connect.NewClient[CarryRequest, CarryReply](
+			httpClient,
+			baseURL+RelayCarryProcedure,
+			connect.WithSchema(relayMethods.ByName("Carry")),
+			connect.WithClientOptions(opts...),
+		),
+		deliver: connect.NewClient[DeliverRequest, DeliverReply](
+			httpClient,
+			baseURL+RelayDeliverProcedure,
+			connect.WithSchema(relayMethods.ByName("Deliver")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -454,6 +475,8 @@
 	follow  *connect.Client[FollowRequest, FollowReply]
 	results *connect.Client[ResultsRequest, ResultsReply]
 	count   *connect.Client[CountRequest, CountReply]
+	carry   *connect.Client[CarryRequest, CarryReply]
+	deliver *connect.Client[DeliverRequest, DeliverReply]
 }
 
 // Follow calls limpetmount.v1.Relay.Follow.
@@ -471,6 +494,16 @@
 	return c.count.CallUnary(ctx, req)
 }
 
+// Carry calls limpetmount.v1.Relay.Carry.
+func (c *relayClient) Carry(ctx context.Context, req *connect.Request[CarryRequest]) (*connect.ServerStreamForClient[CarryReply], error) {
+	return c.carry.CallServerStream(ctx, req)
+}
+
+// Deliver calls limpetmount.v1.Relay.Deliver.
+func (c *relayClient) Deliver(ctx context.Context, req *connect.Request[DeliverRequest]) (*connect.Response[DeliverReply], error) {
+	return c.deliver.CallUnary(ctx, req)
+}
+
 // RelayHandler is an implementation of the limpetmount.v1.Relay service.
 type RelayHandler interface {
 	// Follow returns what changed of the deployment since a position, and waits
@@ -480,6 +513,11 @@
 	Results(context.Context, *connect.Request[ResultsRequest]) (*connect.Response[ResultsReply], error)
 	// Count adds the requests of client accounts that began on a VM.
 	Count(context.Context, *connect.Request[CountRequest]) (*connect.Response[CountReply], error)
+	// Carry offers the director a VM that sends runs to engines. The stream
+	// brings orders until the director has no use for the VM any more.
+	Carry(context.Context, *connect.Request[CarryRequest], *connect.ServerStream[CarryReply]) error
+	// Deliver brings what became of the runs that a VM carries.
+	Deliver(context.Context, *connect.Request[DeliverRequest]) (*connect.Response[DeliverReply], error)
 }
 
 // NewRelayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -507,6 +545,18 @@
 		connect.WithSchema(relayMethods.ByName("Count")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayCarryHandler := connect.NewServerStreamHandler(
+		RelayCarryProcedure,
+		svc.Carry,
+		connect.WithSchema(relayMethods.ByName("Carry")),
+		connect.WithHandlerOptions(opts...),
+	)
+	relayDeliverHandler := connect.NewUnaryHandler(
+		RelayDeliverProcedure,
+		svc.Deliver,
+		connect.WithSchema(relayMethods.ByName("Deliver")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/limpetmount.v1.Relay/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RelayFollowProcedure:
@@ -515,6 +565,10 @@
 			relayResultsHandler.ServeHTTP(w, r)
 		case RelayCountProcedure:
 			relayCountHandler.ServeHTTP(w, r)
+		case RelayCarryProcedure:
+			relayCarryHandler.ServeHTTP(w, r)
+		case RelayDeliverProcedure:
+			relayDeliverHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -535,3 +589,11 @@
 func (UnimplementedRelayHandler) Count(context.Context, *connect.Request[CountRequest]) (*connect.Response[CountReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Count is not implemented"))
 }
+
+func (UnimplementedRelayHandler) Carry(context.Context, *connect.Request[CarryRequest], *connect.ServerStream[CarryReply]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Carry is not implemented"))
+}
+
+func (UnimplementedRelayHandler) Deliver(context.Context, *connect.Request[DeliverRequest]) (*connect.Response[DeliverReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Deliver is not implemented"))
+}
