Usage counts that a director holds for other VMs are saved; carriers tested by themselves

Cause: counts that VMs hand to the director stood in its memory until their window was frozen, 4.5 s after its end. They are saved each 1.5 s under the director's fencing number and merged by counter; a call more each 1.5 s while there is traffic.

--- /dev/null
+++ b/internal/limpetcarry/limpetcarry_test.go
@@ -0,0 +1,285 @@
+package limpetcarry_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpetcarry"
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/internal/limpetupstream"
+)
+
+const pace = 50 * time.Millisecond
+
+// stream answers with events up to a number, one at each pace.
+func stream(last int) func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error) {
+	return func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
+		n := c.After
+		return &limpetupstream.Reply{Status: http.StatusOK, Version: 3, Close: func() {}, Events: func() (limpetupstream.Event, error) {
+			if n == last {
+				return limpetupstream.Event{}, io.EOF
+			}
+			if !limpettask.Sleep(ctx, pace) {
+				return limpetupstream.Event{}, ctx.Err()
+			}
+			n++
+			return limpetupstream.Event{ID: n, Data: "x"}, nil
+		}}, nil
+	}
+}
+
+func answer(r limpetupstream.Reply) func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error) {
+	r.Close = func() {}
+	return func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error) { return &r, nil }
+}
+
+func TestRead(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		send func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error)
+		want limpetcarry.End
+	}{
+		{"no answer", func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error) {
+			return nil, errors.New("reset")
+		}, limpetcarry.End{Ending: limpetbatch.Broken, Cause: "reset"}},
+		{"other weights", answer(limpetupstream.Reply{Status: 421, Misdirected: true, NotRun: true}), limpetcarry.End{Ending: limpetbatch.Misdirected, Status: 421}},
+		{"a full engine", answer(limpetupstream.Reply{Status: 503, NotRun: true}), limpetcarry.End{Ending: limpetbatch.NotRun, Status: 503}},
+		{"a failure", answer(limpetupstream.Reply{Status: 500}), limpetcarry.End{Ending: limpetbatch.Failed, Status: 500}},
+		{"what can never be done", answer(limpetupstream.Reply{Status: 422}), limpetcarry.End{Ending: limpetbatch.Impossible, Status: 422}},
+		{"another status", answer(limpetupstream.Reply{Status: 404}), limpetcarry.End{Ending: limpetbatch.Broken, Status: 404}},
+		{"a success without a stream", answer(limpetupstream.Reply{Status: 200}), limpetcarry.End{Ending: limpetbatch.Broken, Status: 200}},
+		{"a whole text", stream(0), limpetcarry.End{Ending: limpetbatch.Whole}},
+	} {
+		Convey(c.name, t, func() {
+			var ends []limpetcarry.End
+			limpetcarry.Read(context.Background(), c.send, limpetupstream.Call{}, limpetcarry.Sink{
+				Head: func(int) {}, Event: func(limpetupstream.Event, int) {}, End: func(e limpetcarry.End) { ends = append(ends, e) },
+			})
+			So(ends, ShouldResemble, []limpetcarry.End{c.want})
+		})
+	}
+}
+
+// A director records what a carrier brings.
+type director struct {
+	mu sync.Mutex
+	// batches are what carriers are told; the channel's end ends the offer.
+	batches  chan limpetcarry.Batch
+	refuse   bool
+	down     bool
+	openings []limpetcarry.Opening
+	brought  []limpetcarry.Delivery
+}
+
+func (d *director) link() limpetcarry.Link {
+	return limpetcarry.Link{
+		Carry: func(ctx context.Context, o limpetcarry.Opening, take func(limpetcarry.Batch)) error {
+			d.mu.Lock()
+			d.openings = append(d.openings, o)
+			refuse, down := d.refuse, d.down
+			d.mu.Unlock()
+			if down {
+				return limpeterror.Unavailable.New("down")
+			}
+			if refuse {
+				return nil
+			}
+			for {
+				select {
+				case b := <-d.batches:
+					take(b)
+				case <-ctx.Done():
+					return ctx.Err()
+				}
+			}
+		},
+		Deliver: func(_ context.Context, m limpetcarry.Delivery) (bool, error) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.down {
+				return false, limpeterror.Unavailable.New("down")
+			}
+			d.brought = append(d.brought, m)
+			return true, nil
+		},
+	}
+}
+
+func (d *director) set(change func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change()
+}
+
+// seen returns the offers so far, and the IDs of all events and the ends that were brought.
+func (d *director) seen() (openings []limpetcarry.Opening, events []int, ends []limpetcarry.End) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range d.brought {
+		for _, p := range m.Progress {
+			for _, e := range p.Events {
+				events = append(events, e.ID)
+			}
+			if p.Ended {
+				ends = append(ends, p.End)
+			}
+		}
+	}
+	return d.openings, events, ends
+}
+
+func order(run string, begun limpetlot.Draft) limpetcarry.Order {
+	return limpetcarry.Order{Run: run, Job: "j", Begun: begun, Call: limpetupstream.Call{
+		Server: &limpetsite.Server{ID: "e"}, ID: "i", After: begun.Last,
+	}}
+}
+
+// carry starts a carrier and its seeker for one director.
+func carry(d *director, last int) (*limpetcarry.Seeker, *limpettask.Group) {
+	g := limpettask.New(context.Background())
+	c := limpetcarry.New(g, "vm", "a", time.Now, limpetlog.Discard())
+	c.Send, c.Refuses = stream(last), func(server string) bool { return server != "e" }
+	s := &limpetcarry.Seeker{
+		Carrier: c, Session: "vm", Able: func() bool { return true }, Link: func(string) limpetcarry.Link { return d.link() },
+		Term: func(context.Context) (string, error) { return "", nil },
+	}
+	g.Go(s.Run)
+	s.Heard("d")
+	return s, g
+}
+
+// check is So within a bubble, where no Convey can be.
+func check(t *testing.T, actual any, should func(any, ...any) string, expected ...any) {
+	t.Helper()
+	if fault := should(actual, expected...); fault != "" {
+		t.Error(fault)
+	}
+}
+
+func stop(t *testing.T, g *limpettask.Group) {
+	if err := g.Stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCarrier(t *testing.T) {
+	begun := limpetlot.Draft{Pieces: []string{"a", "b"}, Last: 2, Versions: []int{2}, Version: 2}
+	t.Run("progress comes once and in order, the end of a run at once", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := &director{batches: make(chan limpetcarry.Batch, 4)}
+			_, g := carry(d, 6)
+			d.batches <- limpetcarry.Batch{Orders: []limpetcarry.Order{order("r", begun)}}
+			time.Sleep(4*pace + 600*time.Millisecond)
+			_, events, ends := d.seen()
+			check(t, events, ShouldResemble, []int{3, 4, 5, 6})
+			check(t, ends, ShouldResemble, []limpetcarry.End{{Ending: limpetbatch.Whole}})
+			stop(t, g)
+		})
+	})
+	t.Run("a run goes on without a director, and is offered with its whole text", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := &director{batches: make(chan limpetcarry.Batch, 4)}
+			s, g := carry(d, 60)
+			d.batches <- limpetcarry.Batch{Orders: []limpetcarry.Order{order("r", begun)}}
+			time.Sleep(time.Second)
+			d.set(func() { d.down = true })
+			time.Sleep(time.Second)
+			d.set(func() { d.down = false })
+			s.Heard("d")
+			time.Sleep(300 * time.Millisecond)
+			openings, _, _ := d.seen()
+			held := openings[len(openings)-1].Held
+			check(t, len(held), ShouldEqual, 1)
+			check(t, held[0].Running, ShouldBeTrue)
+			check(t, held[0].Text.Last, ShouldBeGreaterThan, 25)
+			check(t, len(held[0].Text.Pieces), ShouldEqual, held[0].Text.Last)
+			check(t, held[0].Text.Versions, ShouldResemble, []int{2, 3})
+			stop(t, g)
+		})
+	})
+	t.Run("runs end when there is no director for too long", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := &director{batches: make(chan limpetcarry.Batch, 4)}
+			s, g := carry(d, 1000)
+			d.batches <- limpetcarry.Batch{Orders: []limpetcarry.Order{order("r", begun)}}
+			time.Sleep(time.Second)
+			d.set(func() { d.down = true })
+			time.Sleep(8 * time.Second)
+			check(t, s.Carrier.Busy(), ShouldBeTrue)
+			time.Sleep(4 * time.Second)
+			check(t, s.Carrier.Busy(), ShouldBeFalse)
+			stop(t, g)
+		})
+	})
+	t.Run("a director that is silent is left", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := &director{batches: make(chan limpetcarry.Batch, 4)}
+			s, g := carry(d, 60)
+			d.batches <- limpetcarry.Batch{Orders: []limpetcarry.Order{order("r", begun)}}
+			time.Sleep(2500 * time.Millisecond)
+			s.Heard("d")
+			time.Sleep(400 * time.Millisecond)
+			openings, _, _ := d.seen()
+			check(t, len(openings), ShouldEqual, 2)
+			stop(t, g)
+		})
+	})
+	t.Run("a run that is cut ends, and one for a server that must get no work does not begin", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := &director{batches: make(chan limpetcarry.Batch, 4)}
+			s, g := carry(d, 60)
+			other := order("q", limpetlot.Draft{})
+			other.Call.Server = &limpetsite.Server{ID: "draining"}
+			d.batches <- limpetcarry.Batch{Orders: []limpetcarry.Order{order("r", begun), other}}
+			time.Sleep(700 * time.Millisecond)
+			_, _, ends := d.seen()
+			check(t, len(ends), ShouldEqual, 1)
+			check(t, ends[0].Ending, ShouldEqual, limpetbatch.NotRun)
+			d.batches <- limpetcarry.Batch{Cuts: []string{"r", "q"}}
+			time.Sleep(50 * time.Millisecond)
+			check(t, s.Carrier.Busy(), ShouldBeFalse)
+			stop(t, g)
+		})
+	})
+	t.Run("a VM that leaves gives its runs back with all that there is of them", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := &director{batches: make(chan limpetcarry.Batch, 4)}
+			s, g := carry(d, 60)
+			d.batches <- limpetcarry.Batch{Orders: []limpetcarry.Order{order("r", begun)}}
+			time.Sleep(900 * time.Millisecond)
+			s.Carrier.Leave()
+			time.Sleep(10 * time.Millisecond)
+			_, events, _ := d.seen()
+			check(t, d.brought[len(d.brought)-1].Leaving, ShouldBeTrue)
+			check(t, len(events), ShouldBeGreaterThanOrEqualTo, 7)
+			check(t, s.Carrier.Busy(), ShouldBeFalse)
+			stop(t, g)
+		})
+	})
+	t.Run("a VM that is not needed asks again only after a while", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := &director{refuse: true}
+			s, g := carry(d, 1)
+			for range 60 {
+				time.Sleep(100 * time.Millisecond)
+				s.Heard("d")
+			}
+			openings, _, _ := d.seen()
+			check(t, len(openings), ShouldEqual, 1)
+			stop(t, g)
+		})
+	})
+}
--- a/internal/limpetwindow/limpetwindow_test.go
+++ b/internal/limpetwindow/limpetwindow_test.go
@@ -194,3 +194,34 @@
 		})
 	}
 }
+
+func TestCountsOutliveAllVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub, i := limpetstub.NewStore(), &intake{}
+		window := limpetwindow.WindowOf(time.Now(), length)
+		held := limpetwindow.NewHeld()
+		first := limpettask.New(context.Background())
+		first.Go(reporter(stub, i, held).Run)
+		held.Take("a", map[int64]limpetwindow.Counts{window: {"acme": 2}})
+		held.Take("b", map[int64]limpetwindow.Counts{window: {"acme": 1, "other": 4}})
+		time.Sleep(2 * time.Second)
+		// All VMs lose power; nobody is left to hand the counts over again.
+		if err := first.Stop(); err != nil {
+			t.Error(err)
+		}
+		second := limpettask.New(context.Background())
+		fresh := limpetwindow.NewHeld()
+		next := reporter(stub, i, fresh)
+		next.Fence = func(time.Duration) (uint64, bool) { return 9, true }
+		second.Go(next.Run)
+		// A VM that only lost its director hands over what it has, and more.
+		fresh.Take("b", map[int64]limpetwindow.Counts{window: {"acme": 2, "other": 4}})
+		time.Sleep(length + late)
+		if err := second.Stop(); err != nil {
+			t.Error(err)
+		}
+		Convey("the report holds what was handed over before, and nothing twice", t, func() {
+			So(i.of(window), ShouldResemble, []limpetwindow.Counts{{"acme": 4, "other": 4}})
+		})
+	})
+}
