--- a/internal/limpethost/settings.go
+++ b/internal/limpethost/settings.go
@@ -15,16 +15,10 @@
 	Serves, Keeps bool
 	// MemoryLimit is the largest memory of the process, in bytes.
 	MemoryLimit int64
-	// StoreWrites is the number of writes a second that all VMs may make.
-	StoreWrites float64
-	// StoreValue is the largest value of the store, in bytes.
-	StoreValue int
 	// LeaseLeast is the shortest lease of the store.
 	LeaseLeast time.Duration
-	// Heartbeat is the period in which backend servers register.
-	Heartbeat time.Duration
-	Duties    Duties
-	Bounds    Bounds
+	Duties     Duties
+	Bounds     Bounds
 }
 
 // Duties says which duties the platform gives the system.
@@ -34,16 +28,13 @@
 type Bounds struct {
 	// Grace is the time from SIGTERM to the kill of the process.
 	Grace time.Duration
-	// Drain is how long a leaving server takes requests.
-	Drain time.Duration
+	// Config is when a configuration must be in force everywhere, and Drain when
+	// a leaving server must get no requests any more.
+	Config, Drain time.Duration
 	// LeaseTurn is the time in which two VMs must not take turns in a duty.
 	LeaseTurn time.Duration
 	// UsageWindow is the length of a window, UsageLate when its report is due.
 	UsageWindow, UsageLate time.Duration
 	// StatusLife is how long a job can be read after its submission.
 	StatusLife time.Duration
-	// Cancel is when an ended job's items must not run any more.
-	Cancel time.Duration
-	// AddressReuse is when the address of a gone server may be another's.
-	AddressReuse time.Duration
 }
--- a/internal/limpethost/source.go
+++ b/internal/limpethost/source.go
@@ -26,8 +26,15 @@
 	// standbyAfter is how long no director is heard before a VM that serves
 	// callers competes for the duty.
 	standbyAfter = 3 * time.Second
-	// termPeriod is the time between questions who the director is.
+	// termPeriod is the time between questions who the director is, and
+	// termSoon the one in the first time without one, in which most often
+	// another VM takes over.
 	termPeriod = time.Second
+	termSoon   = 350 * time.Millisecond
+	termHopes  = 4 * time.Second
+	// aloneMargin is left of the time in which a change must be in force when
+	// a VM without a director begins to follow the store itself.
+	aloneMargin = 1100 * time.Millisecond
 )
 
 // A relayed is the director that a VM follows the deployment through.
@@ -54,16 +61,25 @@
 			limpettask.Sleep(ctx, alonePause)
 			continue
 		}
-		if from.client != nil && h.listen(ctx, &from) {
-			heard = h.deps.Now()
-			h.director.Compete(ctx, false)
-			continue
+		if from.client != nil {
+			if age, good := h.listen(ctx, &from); good {
+				heard = h.deps.Now().Add(-age)
+				h.director.Compete(ctx, false)
+				continue
+			}
 		}
 		now := h.deps.Now()
-		if h.View().Ready() || now.Sub(heard) > startAlone {
+		period, patience := termPeriod, startAlone
+		if now.Sub(heard) < termHopes {
+			period = termSoon
+		}
+		if h.View().Ready() {
+			patience = h.Settings.Bounds.aloneAfter()
+		}
+		if now.Sub(heard) > patience {
 			h.alone(ctx)
 		}
-		if now.Sub(asked) >= termPeriod {
+		if now.Sub(asked) >= period {
 			asked = now
 			h.findDirector(ctx, shared, &from)
 		}
@@ -75,8 +91,14 @@
 	return nil
 }
 
-// listen asks the director for changes. It reports whether its word is good.
-func (h *Host) listen(ctx context.Context, from *relayed) bool {
+// aloneAfter is how old the last word of a director may become before a VM
+// follows the store itself. Where changes may take longer, VMs wait for the
+// next director instead: at once, all of them would be a load on the store.
+func (b Bounds) aloneAfter() time.Duration { return max(0, min(b.Config, b.Drain)-aloneMargin) }
+
+// listen asks the director for changes. It reports whether its word is good,
+// and how old it is.
+func (h *Host) listen(ctx context.Context, from *relayed) (age time.Duration, good bool) {
 	u, directing, err := from.client.Follow(ctx, from.epoch, from.position, relayWait)
 	if err != nil || !directing || u.Age > relayStale {
 		if h.relay.Swap(nil) != nil && ctx.Err() == nil {
@@ -89,7 +111,7 @@
 			}
 			h.Log.Emit(limpetlog.RelayLost, limpetlog.Value("address", from.address), limpetlog.Value("cause", cause), limpetlog.Value("age_ms", u.Age.Milliseconds()))
 		}
-		return false
+		return 0, false
 	}
 	from.epoch, from.position = u.Epoch, u.Position
 	h.takeUpdate(u)
@@ -100,7 +122,7 @@
 		h.counter.Again()
 		h.Wake(false)
 	}
-	return true
+	return u.Age, true
 }
 
 // takeUpdate hands what the director told to the owner of the site's state.
