An engine that was slow or failed is tried with one run first; carriers are chosen once engines are known

Now one run tries it. Test fails before (4 runs in place of 1). A director that did not know its engines yet took one carrier a zone, others came 8 s later and engines changed hands.

--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -163,6 +163,13 @@
 		float64(g.pace) > slowRatio*float64(typical)
 }
 
+// doubtful reports whether the last that is known of an engine is that it
+// failed or was much slower than the others. However long ago that was, one run
+// tries it first.
+func (g *engine) doubtful(typical time.Duration) bool {
+	return g.failures > 0 || (typical > 0 && float64(g.pace) > slowRatio*float64(typical))
+}
+
 // cost ranks engines for an item; the lowest is chosen.
 func (g *engine) cost(e *Entry, typical time.Duration, now time.Time) float64 {
 	cost := g.burden() / float64(max(g.server.Slots, 1))
@@ -244,7 +251,7 @@
 		if !g.usable(e, view, now) {
 			continue
 		}
-		if g.slow(typical, now) && len(g.runs) > 0 {
+		if g.doubtful(typical) && len(g.runs) > 0 {
 			continue
 		}
 		cost := g.cost(e, typical, now)
--- a/internal/limpetbatch/overdue_test.go
+++ b/internal/limpetbatch/overdue_test.go
@@ -66,6 +66,57 @@
 	})
 }
 
+func TestTrial(t *testing.T) {
+	// start returns a ledger with an engine that just failed or was slow, and one that is busy.
+	start := func(spoil func(l *limpetbatch.Ledger, r *limpetbatch.Run)) (*limpetbatch.Ledger, *limpetsite.Snapshot) {
+		v := view(4, map[string]int{"e1": 1, "e2": 1})
+		l := ledger(v)
+		l.Add(job("j", 2, []int{100}, []int{100}), rules, nil, epoch)
+		for _, r := range l.Dispatch(v, epoch) {
+			l.Head(r, 1, epoch)
+			if r.Server.ID == "e1" {
+				spoil(l, r)
+				continue
+			}
+			for n := 1; n <= 230; n++ {
+				feed(l, r, n, n, 1, at(time.Duration(n)*pace))
+			}
+		}
+		return l, v
+	}
+	// given returns the runs that the first engine gets of a new job.
+	given := func(l *limpetbatch.Ledger, v *limpetsite.Snapshot, id string, now time.Time) []*limpetbatch.Run {
+		l.Add(job(id, 8, []int{1}, []int{1}, []int{1}, []int{1}, []int{1}, []int{1}, []int{1}, []int{1}), rules, nil, now)
+		return slices.DeleteFunc(l.Dispatch(v, now), func(r *limpetbatch.Run) bool { return r.Server.ID != "e1" })
+	}
+	for name, spoil := range map[string]func(l *limpetbatch.Ledger, r *limpetbatch.Run){
+		"slow": func(l *limpetbatch.Ledger, r *limpetbatch.Run) {
+			for n := 1; n <= 5; n++ {
+				feed(l, r, n, n, 1, at(time.Duration(n)*5*pace))
+			}
+			finish(l, r, 5, 1, at(26*pace))
+		},
+		"broken": func(l *limpetbatch.Ledger, r *limpetbatch.Run) {
+			l.Ended(r, limpetbatch.Broken, at(pace))
+		},
+	} {
+		Convey("an engine that was "+name+" long ago is tried with one run", t, func() {
+			l, v := start(spoil)
+			So(len(given(l, v, "k", at(8*time.Second))), ShouldEqual, 1)
+		})
+	}
+	Convey("an engine that was found well again gets its places filled", t, func() {
+		l, v := start(func(l *limpetbatch.Ledger, r *limpetbatch.Run) {
+			l.Ended(r, limpetbatch.Broken, at(pace))
+		})
+		trial := given(l, v, "k", at(8*time.Second))
+		So(len(trial), ShouldEqual, 1)
+		l.Head(trial[0], 1, at(8*time.Second))
+		feed(l, trial[0], 1, 1, 1, at(8*time.Second+pace))
+		So(len(given(l, v, "m", at(8*time.Second+2*pace))), ShouldEqual, 3)
+	})
+}
+
 func TestEvacuate(t *testing.T) {
 	Convey("the longest runs of those that are needed leave an engine first, as far as others have places", t, func() {
 		v := view(4, map[string]int{"e1": 1})
--- a/internal/limpetdirector/carriers.go
+++ b/internal/limpetdirector/carriers.go
@@ -156,6 +156,10 @@
 			d.dropCarrier(other, "it offered itself anew")
 		}
 	}
+	if len(m.held) == 0 && !d.knowsEngines() {
+		s.out.close(limpeterror.Unavailable.New("this VM knows no engines yet"))
+		return
+	}
 	if len(m.held) == 0 && !d.wantsCarrier(s.zone) {
 		s.out.close(nil)
 		return
@@ -170,6 +174,16 @@
 	}
 }
 
+// knowsEngines reports whether it can be told how many carriers are of use.
+func (d *Director) knowsEngines() bool {
+	for _, s := range d.view.All() {
+		if len(s.Models) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // wantsCarrier reports whether one more VM of an availability zone is of use.
 func (d *Director) wantsCarrier(zone string) bool {
 	engines, zones := 0, map[string]bool{}
