Carriers that hear nothing of several engines are passed over; weights of engines are no log line on every VM

Now an engine that was silent to a carrier is tried through another one, and a carrier to which two were silent gets nothing for 5 s.

--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -120,8 +120,12 @@
 	events        int
 	headed        bool
 	cut           bool
+	silent        bool
 }
 
+// Silent reports whether the run was given up because nothing was heard of it.
+func (r *Run) Silent() bool { return r.silent }
+
 // A Ledger holds all jobs and engines.
 type Ledger struct {
 	jobs    map[string]*Job
--- a/internal/limpetbatch/overdue.go
+++ b/internal/limpetbatch/overdue.go
@@ -30,6 +30,7 @@
 		for _, r := range g.runs {
 			switch {
 			case now.Sub(r.last) > g.patience(r, typical):
+				r.silent = true
 				cut = append(cut, r)
 				silent = silent || g.loading == ""
 			case slow && r.Entry.moves < movesMost && now.Sub(r.started) > movePaceAfter:
--- a/internal/limpetdirector/carriers.go
+++ b/internal/limpetdirector/carriers.go
@@ -31,6 +31,12 @@
 	strayLife = 5 * time.Second
 	// serverPatience is how long a run waits until its engine is known here.
 	serverPatience = 1500 * time.Millisecond
+	// faultLife is how long a carrier sends nothing to an engine that it heard
+	// nothing from, and doubtLife how long it sends nothing at all after
+	// faultsMost such engines.
+	faultLife  = 5 * time.Second
+	doubtLife  = 5 * time.Second
+	faultsMost = 2
 	// enginesPerCarrier is how many engines a carrier sends to, about.
 	enginesPerCarrier = 3
 )
@@ -46,6 +52,30 @@
 	strays map[string]*limpetcarry.Held
 	opened time.Time
 	heard  time.Time
+	// faults holds when an engine was silent to this VM.
+	faults map[string]time.Time
+	// doubted is until when the VM itself is taken for the cause.
+	doubted time.Time
+}
+
+// fit reports whether the VM should send to an engine.
+func (s *session) fit(engine string, now time.Time) bool {
+	at, known := s.faults[engine]
+	return !now.Before(s.doubted) && (!known || now.Sub(at) > faultLife)
+}
+
+// fault records that an engine was silent to this VM.
+func (s *session) fault(engine string, now time.Time) {
+	s.faults[engine] = now
+	recent := 0
+	for _, at := range s.faults {
+		if now.Sub(at) < faultLife {
+			recent++
+		}
+	}
+	if recent >= faultsMost {
+		s.doubted = now.Add(doubtLife)
+	}
 }
 
 // An outbox holds what a carrier is to be told. It is safe for use by several
@@ -120,7 +150,7 @@
 func (d *Director) Carry(ctx context.Context, o limpetcarry.Opening, send func(limpetcarry.Batch) error) error {
 	s := &session{
 		id: o.Session, vm: o.VM, zone: o.Zone, out: newOutbox(),
-		runs: map[string]*limpetbatch.Run{}, strays: map[string]*limpetcarry.Held{},
+		runs: map[string]*limpetbatch.Run{}, strays: map[string]*limpetcarry.Held{}, faults: map[string]time.Time{},
 	}
 	d.post(ctx, opened{session: s, held: o.Held})
 	// The end must be told although ctx ended.
@@ -202,13 +232,37 @@
 	return most > 0
 }
 
+// blame records which carriers had runs that nothing was heard of: the fault
+// may be in the way from the carrier to the engine.
+func (d *Director) blame(runs []*limpetbatch.Run, now time.Time) {
+	silent := map[*limpetbatch.Run]bool{}
+	for _, r := range runs {
+		silent[r] = r.Silent()
+	}
+	for _, s := range d.sessions {
+		sure := !now.Before(s.doubted)
+		for _, r := range s.runs {
+			if silent[r] {
+				s.fault(r.Server.ID, now)
+			}
+		}
+		if sure && now.Before(s.doubted) {
+			d.Log.Emit(limpetlog.CarrierDoubted, limpetlog.Value("carrier", s.vm), limpetlog.Value("engines", len(s.faults)))
+		}
+	}
+}
+
 // carrierOf returns the VM that sends to an engine; nil when there is none. It
 // is the same one as long as VMs do not come or go, so that connections last,
 // and in the engine's availability zone if there is one.
 func (d *Director) carrierOf(server *limpetsite.Server) *session {
 	var best *session
 	var most uint64
+	now := d.Now()
 	for _, s := range d.sessions {
+		if !s.fit(server.ID, now) {
+			continue
+		}
 		rank := xxhash.Sum64String(server.ID + " " + s.vm)
 		near := s.zone == server.Zone
 		switch {
@@ -327,6 +381,9 @@
 	if p.Headed {
 		runHead{run: r, version: p.Version}.apply(d)
 	}
+	if len(p.Events) > 0 {
+		delete(s.faults, r.Server.ID)
+	}
 	for _, e := range p.Events {
 		if !d.ledger.Event(r, e.Event, e.Under, at.Add(-e.Age)) {
 			d.refuse(r, e.Under)
--- a/internal/limpetdirector/carriers_test.go
+++ b/internal/limpetdirector/carriers_test.go
@@ -14,6 +14,7 @@
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/internal/limpetupstream"
 )
 
 // A helper is a VM that carries runs.
@@ -23,6 +24,44 @@
 	mu     sync.Mutex
 	// mute helpers neither hear nor are heard.
 	mute bool
+	// lost helpers hear nothing from engines.
+	lost bool
+}
+
+func (h *helper) lose() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lost = true
+}
+
+func (h *helper) isLost() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lost
+}
+
+// send passes a call to the engines while the way there is open.
+func (h *helper) send(w *world) func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error) {
+	return func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
+		if h.isLost() {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		reply, err := w.send(ctx, c)
+		if err != nil {
+			return nil, err
+		}
+		inner := reply.Events
+		reply.Events = func() (limpetupstream.Event, error) {
+			e, err := inner()
+			if h.isLost() {
+				<-ctx.Done()
+				return limpetupstream.Event{}, ctx.Err()
+			}
+			return e, err
+		}
+		return reply, nil
+	}
 }
 
 func (h *helper) setMute(mute bool) {
@@ -41,7 +80,7 @@
 func (w *world) helper(name string, candidates map[string]*candidate) *helper {
 	h := &helper{group: limpettask.New(context.Background())}
 	c := limpetcarry.New(h.group, name, "a", time.Now, limpetlog.Discard())
-	c.Send, c.Refuses = w.send, func(string) bool { return false }
+	c.Send, c.Refuses = h.send(w), func(string) bool { return false }
 	h.seeker = &limpetcarry.Seeker{
 		Carrier: c, Session: name, Able: func() bool { return true },
 		Term: func(ctx context.Context) (string, error) {
@@ -94,6 +133,7 @@
 			a.setCut(true)
 		}, items*events + 60, 4500 * time.Millisecond},
 		{"a carrier falls silent", func(_ *testing.T, _ *world, _ *candidate, x *helper) { x.setMute(true) }, items*events + 160, 5 * time.Second},
+		{"a carrier hears no engine any more", func(_ *testing.T, _ *world, _ *candidate, x *helper) { x.lose() }, items*events + 160, 4 * time.Second},
 		{"a carrier leaves", func(_ *testing.T, _ *world, _ *candidate, x *helper) { x.seeker.Carrier.Leave() }, items*events + 20, 4 * time.Second},
 		{"a carrier dies", func(t *testing.T, _ *world, _ *candidate, x *helper) {
 			if err := x.group.Stop(); err != nil {
@@ -158,3 +198,27 @@
 		a.stop(t)
 	})
 }
+
+func TestEnginesAreReachedThroughOtherCarriers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const items = 32
+		w := newWorld(4)
+		a := w.candidate("a", 0)
+		candidates := map[string]*candidate{"a": a}
+		time.Sleep(time.Second)
+		x, y := w.helper("x", candidates), w.helper("y", candidates)
+		time.Sleep(time.Second)
+		w.submit(t, "j", items, 1)
+		time.Sleep(900 * time.Millisecond)
+		x.lose()
+		// All engines together need 2.8 s for the job, half of them 4.8 s from here.
+		time.Sleep(3300 * time.Millisecond)
+		wantWhole(t, w.results(t, "j"), items)
+		for _, g := range []*limpettask.Group{x.group, y.group} {
+			if err := g.Stop(); err != nil {
+				t.Error(err)
+			}
+		}
+		a.stop(t)
+	})
+}
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -261,7 +261,9 @@
 	d.tendCarriers(now)
 	d.giveUp(now)
 	// What this VM is late by itself says nothing about engines.
-	d.cut(d.ledger.Overdue(d.view, now.Add(-d.lag)), "overdue")
+	overdue := d.ledger.Overdue(d.view, now.Add(-d.lag))
+	d.blame(overdue, now)
+	d.cut(overdue, "overdue")
 	if d.lead == nil || !now.Before(d.lead.gatherUntil) {
 		for _, r := range d.ledger.Dispatch(d.view, now) {
 			d.begin(r)
--- a/internal/limpethost/site.go
+++ b/internal/limpethost/site.go
@@ -52,6 +52,10 @@
 		view := state.Snapshot()
 		h.view.Store(view)
 		for _, c := range changes {
+			if c.Routine {
+				// All VMs see it; the director's lines tell of the order behind it.
+				continue
+			}
 			h.Log.Emit(limpetlog.SiteChanged, limpetlog.Value("what", c.What), limpetlog.Value("name", c.Name), limpetlog.Value("revision", view.Revision))
 		}
 		h.Forwarder.Tracker.Forget(func(id string) bool { return view.Server(id) != nil })
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -90,6 +90,7 @@
 	ReadRefused     = define(1732, logrus.InfoLevel, "job not read", "A reader of a job was told to come back, or that there is none.")
 	CarrierJoined   = define(1734, logrus.InfoLevel, "carrier joined", "A VM sends runs to engines for the director; it may hold some of an earlier one.")
 	CarrierLost     = define(1735, logrus.InfoLevel, "carrier lost", "A VM sends no more runs for the director; its runs wait again.")
+	CarrierDoubted  = define(1737, logrus.InfoLevel, "carrier doubted", "Several engines were silent to a carrier; others send to them for a while.")
 	RunTakenOver    = define(1736, logrus.InfoLevel, "run taken over", "The director goes on with a run that a carrier held for an earlier one.")
 	TermEntered     = define(1733, logrus.InfoLevel, "term entered", "This VM is recorded as the director. It gives orders and reports once the time is over in which VMs must not take turns.")
 )
--- a/internal/limpetsite/limpetsite_test.go
+++ b/internal/limpetsite/limpetsite_test.go
@@ -150,3 +150,22 @@
 		So(s.Snapshot().Server("x"), ShouldBeNil)
 	})
 }
+
+func TestRoutineChanges(t *testing.T) {
+	Convey("weights alone are routine; what decides where requests go is not", t, func() {
+		s := limpetsite.NewState()
+		change := func(revision uint64, v *limpetsite.Server) limpetsite.Change {
+			c, changed := s.Apply(limpetsite.Record{Key: limpetsite.ServerKey + v.ID, Revision: revision, Server: v}, epoch)
+			So(changed, ShouldBeTrue)
+			return c
+		}
+		first, newer, moved, leaving := server("x", false), server("x", false), server("x", false), server("x", true)
+		newer.Models = map[string]int{"m": 2}
+		moved.Models, moved.Address = newer.Models, "elsewhere"
+		leaving.Models, leaving.Address = newer.Models, moved.Address
+		So(change(1, first).Routine, ShouldBeFalse)
+		So(change(2, newer).Routine, ShouldBeTrue)
+		So(change(3, moved).Routine, ShouldBeFalse)
+		So(change(4, leaving).Routine, ShouldBeFalse)
+	})
+}
--- a/internal/limpetsite/state.go
+++ b/internal/limpetsite/state.go
@@ -55,6 +55,9 @@
 type Change struct {
 	What string
 	Name string
+	// Routine changes are those of weight versions alone, which engines tell of
+	// all day.
+	Routine bool
 }
 
 // Apply takes one change of the store. It reports whether anything changed.
@@ -122,13 +125,19 @@
 		return Change{What: "server added", Name: after.ID}
 	case after.Draining && !before.server.Draining:
 		return Change{What: "server draining", Name: after.ID}
+	case before.lapsed.IsZero() && sameButWeights(before.server, after):
+		return Change{What: "weights", Name: after.ID, Routine: true}
 	}
 	return Change{What: "server changed", Name: after.ID}
 }
 
 func sameServer(a, b *Server) bool {
+	return sameButWeights(a, b) && maps.Equal(a.Models, b.Models)
+}
+
+func sameButWeights(a, b *Server) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots &&
-		a.Draining == b.Draining && a.Spot == b.Spot && a.Born == b.Born && maps.Equal(a.Models, b.Models)
+		a.Draining == b.Draining && a.Spot == b.Spot && a.Born == b.Born
 }
 
 // Listed takes the servers' keys of a complete listing at a revision: those
