--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -112,7 +112,7 @@
 			var done []limpetlot.Result
 			var drafts []limpetlot.Draft
 			if err == nil {
-				done, err = listedResults(ctx, d.Store, s.ID)
+				done, err = limpetlot.Listed(ctx, d.Store, s.ID)
 			}
 			if err == nil && d.Now().Sub(s.Arrived) > draftPeriod {
 				drafts, err = limpetlot.LoadDrafts(ctx, d.Store, s.ID)
@@ -127,26 +127,6 @@
 	})
 }
 
-// listedResults returns the results of a job that stand in the store.
-func listedResults(ctx context.Context, store limpetstore.Store, id string) ([]limpetlot.Result, error) {
-	l, err := store.Scan(ctx, limpetlot.ResultPrefix(id), "")
-	if err != nil {
-		return nil, err
-	}
-	var all []limpetlot.Result
-	for _, v := range l.Values {
-		c, err := limpetlot.DecodeChunk(v)
-		if err != nil {
-			return nil, err
-		}
-		if c.First != len(all) {
-			return nil, limpeterror.Unavailable.New("job %s: the chunk at %d does not follow on %d", id, c.First, len(all))
-		}
-		all = append(all, c.Results...)
-	}
-	return all, nil
-}
-
 // loaded is a job with what is listed of it.
 type loaded struct {
 	lead *lead
@@ -230,7 +210,7 @@
 	d.ledger.Unsure(j)
 	l.group.Go(func(ctx context.Context) error {
 		for ctx.Err() == nil {
-			done, err := listedResults(ctx, d.Store, id)
+			done, err := limpetlot.Listed(ctx, d.Store, id)
 			if err == nil {
 				d.post(ctx, resynced{lead: l, id: id, done: done})
 				return nil
--- a/internal/limpetlot/accept.go
+++ b/internal/limpetlot/accept.go
@@ -87,6 +87,27 @@
 	return j, nil
 }
 
+// Listed returns the results of a job that stand in the store, in the order of
+// their positions. Its error has type Unavailable when a chunk is missing.
+func Listed(ctx context.Context, store limpetstore.Store, id string) ([]Result, error) {
+	l, err := store.Scan(ctx, ResultPrefix(id), "")
+	if err != nil {
+		return nil, err
+	}
+	var all []Result
+	for _, v := range l.Values {
+		c, err := DecodeChunk(v)
+		if err != nil {
+			return nil, err
+		}
+		if c.First != len(all) {
+			return nil, limpeterror.Unavailable.New("job %s: the chunk at %d does not follow on %d", id, c.First, len(all))
+		}
+		all = append(all, c.Results...)
+	}
+	return all, nil
+}
+
 // End marks a job as ended. Repeating it is harmless.
 func End(ctx context.Context, store limpetstore.Store, id string) error {
 	_, err := store.Commit(ctx, limpetstore.Transaction{
--- /dev/null
+++ b/internal/limpetshow/limpetshow.go
@@ -0,0 +1,238 @@
+// Package limpetshow reads what stands in a prepared platform's store, for
+// operators: the configuration in force, backend servers, who holds the
+// director's duty, batch jobs with their stragglers, and usage windows. It only
+// reads.
+package limpetshow
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"limpetmount.org/internal/limpetdirector"
+	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpethost"
+	"limpetmount.org/internal/limpetlease"
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpetwindow"
+)
+
+// stragglersMost bounds the items that are named of one job.
+const stragglersMost = 8
+
+// A State is what stands in the store at one moment.
+type State struct {
+	Configuration Configuration
+	Director      Director
+	Servers       []Server
+	Jobs          []Job
+	// Windows holds the requests of each frozen usage window, the newest first.
+	Windows []Window
+}
+
+// A Configuration summarizes the one in force.
+type Configuration struct {
+	Version                    uint64
+	Routes, Services, Accounts int
+	// Named holds the newest weight version of each model.
+	Named map[string]int
+	// Retiring holds the VMs that are to be emptied.
+	Retiring []string
+}
+
+// A Director tells who has the duty, with the fencing number; VM is empty when
+// nobody has it. Last is who had it last, and Address where that VM is reached.
+type Director struct {
+	VM      string
+	Fence   uint64
+	Last    string
+	Address string
+}
+
+// A Server is a backend server with its weight versions.
+type Server struct {
+	ID, Service, Zone string
+	Slots             int
+	Draining, Spot    bool
+	Versions          map[string]int
+}
+
+// A Job is an accepted batch job that is not forgotten yet.
+type Job struct {
+	ID, Account   string
+	Arrived       time.Time
+	Total, Listed int
+	Errored       int
+	Ended         bool
+	// Groups and Whole count the groups and those that are listed as a whole;
+	// Stragglers names items of the others. They are empty of jobs that are
+	// over.
+	Groups, Whole int
+	Stragglers    []string
+}
+
+// A Window is a frozen usage window.
+type Window struct {
+	Number   int64
+	Accounts int
+	Requests int
+}
+
+// Read returns what stands in a store. Feeds decode what others write.
+func Read(ctx context.Context, store limpetstore.Store, feeds []limpethost.Feed, now time.Time) (State, error) {
+	var s State
+	view := limpetsite.NewState()
+	for _, f := range feeds {
+		l, err := store.Scan(ctx, f.Prefix, "")
+		if err != nil {
+			return State{}, err
+		}
+		for _, v := range l.Values {
+			view.Apply(f.Decode(v), now)
+		}
+	}
+	s.site(view.Snapshot())
+	for _, read := range []func(context.Context, limpetstore.Store) error{s.director, s.jobs, s.windows} {
+		if err := read(ctx, store); err != nil {
+			return State{}, err
+		}
+	}
+	return s, nil
+}
+
+func (s *State) site(view *limpetsite.Snapshot) {
+	s.Configuration.Named = view.Named
+	for vm := range view.Retiring {
+		s.Configuration.Retiring = append(s.Configuration.Retiring, vm)
+	}
+	slices.Sort(s.Configuration.Retiring)
+	if c := view.Config; c != nil {
+		s.Configuration.Version = c.Version
+		s.Configuration.Routes, s.Configuration.Services, s.Configuration.Accounts = len(c.Routes), len(c.Services), len(c.Accounts)
+	}
+	for _, v := range view.All() {
+		s.Servers = append(s.Servers, Server{
+			ID: v.ID, Service: v.Service, Zone: v.Zone, Slots: v.Slots, Draining: v.Draining, Spot: v.Spot, Versions: v.Models,
+		})
+	}
+	slices.SortFunc(s.Servers, func(a, b Server) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+func (s *State) director(ctx context.Context, store limpetstore.Store) error {
+	v, err := store.Get(ctx, limpetlease.Prefix+limpetdirector.Duty)
+	if err != nil && !limpeterror.Is(err, limpeterror.NotFound) {
+		return err
+	}
+	if err == nil {
+		var r limpetlease.Record
+		if err := json.Unmarshal(v.Data, &r); err != nil {
+			return limpeterror.Invalid.Wrap(err, "value of %s", v.Key)
+		}
+		s.Director.VM, s.Director.Fence = r.Holder, v.Revision
+	}
+	v, err = store.Get(ctx, limpetdirector.TermKey)
+	if err != nil && !limpeterror.Is(err, limpeterror.NotFound) {
+		return err
+	}
+	term := limpetdirector.DecodeTerm(v)
+	s.Director.Last, s.Director.Address = term.VM, term.Address
+	return nil
+}
+
+func (s *State) jobs(ctx context.Context, store limpetstore.Store) error {
+	ended := map[string]bool{}
+	l, err := store.Scan(ctx, limpetlot.EndPrefix, "")
+	if err != nil {
+		return err
+	}
+	for _, v := range l.Values {
+		ended[strings.TrimPrefix(v.Key, limpetlot.EndPrefix)] = true
+	}
+	if l, err = store.Scan(ctx, limpetlot.OpenPrefix, ""); err != nil {
+		return err
+	}
+	for _, v := range l.Values {
+		summary, err := limpetlot.DecodeSummary(v)
+		if err != nil {
+			return err
+		}
+		j := Job{ID: summary.ID, Account: summary.Account, Arrived: summary.Arrived, Total: summary.Total, Ended: ended[summary.ID]}
+		if err := j.read(ctx, store, summary); err != nil {
+			return err
+		}
+		s.Jobs = append(s.Jobs, j)
+	}
+	slices.SortFunc(s.Jobs, func(a, b Job) int { return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID)) })
+	return nil
+}
+
+// read takes the listed results, and the groups of a job that is not over.
+func (j *Job) read(ctx context.Context, store limpetstore.Store, summary limpetlot.Summary) error {
+	results, err := limpetlot.Listed(ctx, store, summary.ID)
+	if err != nil {
+		return err
+	}
+	listed := map[string]bool{}
+	for _, r := range results {
+		listed[r.ID] = true
+		if r.State == limpetlot.Errored {
+			j.Errored++
+		}
+	}
+	j.Listed = len(results)
+	if j.Ended || j.Listed >= j.Total {
+		return nil
+	}
+	job, err := limpetlot.Load(ctx, store, summary)
+	if err != nil {
+		return err
+	}
+	open, groups := map[string]bool{}, map[string]bool{}
+	for _, item := range job.Items {
+		group := cmp.Or(item.Group, item.ID)
+		groups[group] = true
+		if listed[item.ID] {
+			continue
+		}
+		open[group] = true
+		if len(j.Stragglers) < stragglersMost {
+			j.Stragglers = append(j.Stragglers, item.ID)
+		}
+	}
+	j.Groups, j.Whole = len(groups), len(groups)-len(open)
+	return nil
+}
+
+func (s *State) windows(ctx context.Context, store limpetstore.Store) error {
+	frozen, err := limpetwindow.Frozen(ctx, store)
+	if err != nil {
+		return err
+	}
+	for number, counts := range frozen {
+		w := Window{Number: number, Accounts: len(counts)}
+		for _, n := range counts {
+			w.Requests += n
+		}
+		s.Windows = append(s.Windows, w)
+	}
+	slices.SortFunc(s.Windows, func(a, b Window) int { return cmp.Compare(b.Number, a.Number) })
+	return nil
+}
+
+// versions returns weight versions as text, in the order of the models.
+func versions(all map[string]int) string {
+	var parts []string
+	for model, v := range all {
+		parts = append(parts, model+" "+strconv.Itoa(v))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/limpetshow/limpetshow_test.go
@@ -0,0 +1,118 @@
+package limpetshow_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"limpetmount.org/internal/limpetdirector"
+	"limpetmount.org/internal/limpethost"
+	"limpetmount.org/internal/limpetlease"
+	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetshow"
+	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpetstub"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// put writes values into a store.
+func put(t *testing.T, store limpetstore.Store, writes ...limpetstore.Write) {
+	t.Helper()
+	if _, err := store.Commit(context.Background(), limpetstore.Transaction{Writes: writes}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func accept(t *testing.T, store limpetstore.Store, id string, groups int) {
+	t.Helper()
+	j := &limpetlot.Job{ID: id, Account: "acme", Host: "h", Path: "/p/", Model: "m", Arrived: epoch}
+	for n := range 2 * groups {
+		j.Items = append(j.Items, limpetlot.Item{ID: fmt.Sprintf("%s-%d", id, n), Path: "/p/1", Group: fmt.Sprint(n / 2)})
+	}
+	if err := limpetlot.Accept(context.Background(), store, j); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// feeds decode keys that this test writes.
+func feeds() []limpethost.Feed {
+	return []limpethost.Feed{{Prefix: "servers/", Servers: true, Decode: func(v limpetstore.Value) limpetsite.Record {
+		id := strings.TrimPrefix(v.Key, "servers/")
+		return limpetsite.Record{Key: limpetsite.ServerKey + id, Revision: v.Revision, Server: &limpetsite.Server{
+			ID: id, Service: "llm", Zone: "a", Slots: 4, Draining: id == "e2", Models: map[string]int{"m": 3},
+		}}
+	}}}
+}
+
+func TestRead(t *testing.T) {
+	store := limpetstub.NewStore().Client()
+	holder := limpetlease.New(store, "vm-1", "x", time.Minute, time.Now)
+	fence, err := holder.Acquire(context.Background(), limpetdirector.Duty)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accept(t, store, "j", 3)
+	accept(t, store, "k", 1)
+	chunk := limpetlot.Chunk{Results: []limpetlot.Result{
+		{ID: "j-0", State: limpetlot.Completed}, {ID: "j-1", State: limpetlot.Errored}, {ID: "j-3", State: limpetlot.Completed},
+	}}
+	put(t, store,
+		limpetstore.Write{Key: limpetlot.ChunkKey("j", 0), Data: chunk.Encode()},
+		limpetstore.Write{Key: "servers/e1", Data: []byte("{}")}, limpetstore.Write{Key: "servers/e2", Data: []byte("{}")},
+		limpetstore.Write{Key: "frozen/41", Data: []byte(`{"acme":3,"other":4}`)}, limpetstore.Write{Key: "frozen/42", Data: []byte(`{}`)},
+		limpetstore.Write{Key: limpetdirector.TermKey, Data: []byte(`{"vm":"vm-1","address":"10.0.0.1:1"}`)},
+	)
+	if err := limpetlot.End(context.Background(), store, "k"); err != nil {
+		t.Fatal(err)
+	}
+	s, err := limpetshow.Read(context.Background(), store, feeds(), epoch)
+	Convey("what stands in the store is told: the duty with its fence, servers, jobs with stragglers, windows", t, func() {
+		So(err, ShouldBeNil)
+		So(s.Director, ShouldResemble, limpetshow.Director{VM: "vm-1", Fence: fence, Last: "vm-1", Address: "10.0.0.1:1"})
+		So(len(s.Servers), ShouldEqual, 2)
+		So(s.Servers[1].Draining, ShouldBeTrue)
+		So(s.Jobs, ShouldResemble, []limpetshow.Job{
+			{ID: "j", Account: "acme", Arrived: s.Jobs[0].Arrived, Total: 6, Listed: 3, Errored: 1, Groups: 3, Whole: 1, Stragglers: []string{"j-2", "j-4", "j-5"}},
+			{ID: "k", Account: "acme", Arrived: s.Jobs[1].Arrived, Total: 2, Ended: true},
+		})
+		So(s.Windows, ShouldResemble, []limpetshow.Window{{Number: 42}, {Number: 41, Accounts: 2, Requests: 7}})
+	})
+	Convey("a chunk that is missing is an error, not a shorter list", t, func() {
+		put(t, store, limpetstore.Write{Key: limpetlot.ChunkKey("j", 5), Data: chunk.Encode()})
+		_, err := limpetshow.Read(context.Background(), store, feeds(), epoch)
+		So(err, ShouldNotBeNil)
+	})
+}
+
+func ExamplePrint() {
+	err := limpetshow.Print(os.Stdout, limpetshow.State{
+		Configuration: limpetshow.Configuration{Version: 12, Routes: 4, Services: 2, Accounts: 8, Named: map[string]int{"m": 7}},
+		Director:      limpetshow.Director{VM: "vm-1", Fence: 31, Address: "10.0.0.1:7"},
+		Servers:       []limpetshow.Server{{ID: "e1", Service: "llm", Zone: "a", Slots: 8, Versions: map[string]int{"m": 6}}},
+		Jobs:          []limpetshow.Job{{ID: "j", Account: "acme", Arrived: epoch, Total: 64, Listed: 60, Groups: 16, Whole: 14, Stragglers: []string{"i3", "i9"}}},
+		Windows:       []limpetshow.Window{{Number: 41, Accounts: 2, Requests: 7}},
+	}, epoch.Add(6*time.Second))
+	if err != nil {
+		fmt.Println(err)
+	}
+	// Output:
+	// configuration   version 12  4 routes  2 services  8 client accounts
+	// named versions  m 7
+	// director        vm-1  fence 31  at 10.0.0.1:7
+	//
+	// server  service  zone  slots  state   versions
+	// e1      llm      a     8      in use  m 6
+	//
+	// job  account  age  listed    errored  state  groups    stragglers
+	// j    acme     6s   60 of 64  0        open   14 of 16  i3 i9
+	//
+	// usage window  client accounts  requests
+	// 41            2                7
+}
--- a/internal/limpetwindow/reporter.go
+++ b/internal/limpetwindow/reporter.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -205,3 +206,22 @@
 	c, err := decode(v)
 	return map[string]Counts{name: c}, err
 }
+
+// Frozen returns the figures of the windows that are frozen, by number.
+func Frozen(ctx context.Context, store limpetstore.Store) (map[int64]Counts, error) {
+	l, err := store.Scan(ctx, frozenPrefix, "")
+	if err != nil {
+		return nil, err
+	}
+	windows := map[int64]Counts{}
+	for _, v := range l.Values {
+		number, err := strconv.ParseInt(strings.TrimPrefix(v.Key, frozenPrefix), 10, 64)
+		if err != nil {
+			return nil, limpeterror.Invalid.Wrap(err, "key %s", v.Key)
+		}
+		if windows[number], err = decode(v); err != nil {
+			return nil, err
+		}
+	}
+	return windows, nil
+}
