--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -125,8 +125,13 @@
 	return runs
 }
 
-// usable reports whether an engine may get an item, apart from its load.
+// usable reports whether an engine may get an item now.
 func (g *engine) usable(e *Entry, view *limpetsite.Snapshot, now time.Time) bool {
+	return g.fits(e, view, now) && len(g.runs) < max(g.server.Slots, 1)
+}
+
+// fits reports whether an engine may get an item once it has a place.
+func (g *engine) fits(e *Entry, view *limpetsite.Snapshot, now time.Time) bool {
 	j := e.Job
 	if g.server.Service != j.Rules.Service || !view.Takes(g.server.ID) || now.Before(g.until) {
 		return false
@@ -135,10 +140,7 @@
 	if !serves || version < j.MinVersion || g.loading == j.Model {
 		return false
 	}
-	if j.Rules.OnPolicy && len(e.text.versions) > 0 && version != e.text.version {
-		return false
-	}
-	return len(g.runs) < max(g.server.Slots, 1)
+	return !j.Rules.OnPolicy || len(e.text.versions) == 0 || version == e.text.version
 }
 
 // typicalPace returns the pace of the faster engines that were seen lately: a
@@ -231,6 +233,9 @@
 	full := map[string]bool{}
 	for _, e := range l.ready(now) {
 		key := e.Job.Rules.Service + "/" + e.Job.Model
+		if e.bearsTrial() {
+			key += "/trial"
+		}
 		if full[key] {
 			continue
 		}
@@ -244,24 +249,56 @@
 	return starts
 }
 
+// choose returns the engine for an item; nil when there is none now. An engine
+// in doubt is tried only when no other has a place, and first with an item
+// that can bear the time until it is known to be silent.
 func (l *Ledger) choose(e *Entry, view *limpetsite.Snapshot, typical time.Duration, now time.Time) *engine {
-	var best *engine
-	bestCost := 0.0
+	var best, trial *engine
+	bestCost, trialCost := 0.0, 0.0
+	anyone := e.bearsTrial() || !l.well(e, view, typical, now)
 	for _, g := range l.fleet {
+		doubtful := g.doubtful(typical)
 		if !g.usable(e, view, now) {
 			continue
 		}
-		if g.doubtful(typical) && len(g.runs) > 0 {
-			continue
-		}
 		cost := g.cost(e, typical, now)
-		if best == nil || cost < bestCost || (cost == bestCost && g.server.ID < best.server.ID) {
+		switch {
+		case !doubtful && (best == nil || cost < bestCost):
 			best, bestCost = g, cost
+		case doubtful && len(g.runs) == 0 && (anyone || now.Sub(g.until) > doubtLife) && (trial == nil || cost < trialCost):
+			trial, trialCost = g, cost
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return trial
+}
+
+// well reports whether an engine that is not in doubt fits an item.
+func (l *Ledger) well(e *Entry, view *limpetsite.Snapshot, typical time.Duration, now time.Time) bool {
+	for _, g := range l.fleet {
+		if !g.doubtful(typical) && g.fits(e, view, now) {
+			return true
 		}
 	}
-	return best
+	return false
 }
 
+// bearsTrial reports whether an item may lose the time that it takes to find
+// an engine silent: nothing of its text is there, and it is short or nobody
+// waits for it.
+func (e *Entry) bearsTrial() bool {
+	return e.text.last == 0 && (!e.group.must || e.size() <= trialTokens)
+}
+
+const (
+	// trialTokens is the largest output of an item that may try an engine.
+	trialTokens = 3000
+	// doubtLife is how long after an ejection any item may try an engine.
+	doubtLife = 1500 * time.Millisecond
+)
+
 func (l *Ledger) start(e *Entry, g *engine, now time.Time) *Run {
 	r := &Run{Entry: e, Server: g.server, After: e.text.last, started: now, last: now}
 	if e.Job.Rules.OnPolicy && len(e.text.versions) > 0 {
--- a/internal/limpetbatch/overdue_test.go
+++ b/internal/limpetbatch/overdue_test.go
@@ -117,6 +117,55 @@
 	})
 }
 
+func TestTrialsCostNoLongText(t *testing.T) {
+	Convey("pattern: several engines fall dark; the longest text waits for a place instead of trying them", t, func() {
+		v := view(2, map[string]int{"e1": 1, "e2": 1, "e3": 1})
+		l := ledger(v)
+		l.Add(job("j", 1, []int{9000}), rules, nil, epoch)
+		long := l.Dispatch(v, epoch)[0]
+		l.Head(long, 1, epoch)
+		feed(l, long, 1, 100, 1, epoch)
+		l.Add(job("k", 9, []int{100}, []int{100}, []int{100}, []int{100}, []int{100}), rules, nil, epoch)
+		others := l.Dispatch(v, epoch)
+		So(len(others), ShouldEqual, 5)
+		// Two engines are silent: the one with the long text, and another.
+		dark := map[string]bool{long.Server.ID: true}
+		for _, r := range others {
+			dark[r.Server.ID] = dark[r.Server.ID] || len(dark) < 2
+		}
+		for _, r := range append(others, long) {
+			if dark[r.Server.ID] {
+				l.Ended(r, limpetbatch.Broken, at(time.Second))
+			}
+		}
+		l.Add(job("m", 1, []int{100}), rules, nil, epoch)
+		again := l.Dispatch(v, at(1800*time.Millisecond))
+		So(len(again), ShouldEqual, 2)
+		for _, r := range again {
+			So(r.Entry.Item.ID, ShouldNotEqual, "j-g0-0")
+		}
+		for _, r := range others {
+			if !dark[r.Server.ID] {
+				finish(l, r, 2, 1, at(1800*time.Millisecond))
+				break
+			}
+		}
+		next := l.Dispatch(v, at(1800*time.Millisecond))
+		So(itemIDs(next), ShouldResemble, []string{"j-g0-0"})
+		So(dark[next[0].Server.ID], ShouldBeFalse)
+	})
+	Convey("when no engine is well, the longest text tries one, too", t, func() {
+		v := view(2, map[string]int{"e1": 1})
+		l := ledger(v)
+		l.Add(job("j", 1, []int{9000}), rules, nil, epoch)
+		run := l.Dispatch(v, epoch)[0]
+		l.Head(run, 1, epoch)
+		feed(l, run, 1, 100, 1, epoch)
+		l.Ended(run, limpetbatch.Broken, at(time.Second))
+		So(len(l.Dispatch(v, at(2*time.Second))), ShouldEqual, 1)
+	})
+}
+
 func TestEvacuate(t *testing.T) {
 	Convey("the longest runs of those that are needed leave an engine first, as far as others have places", t, func() {
 		v := view(4, map[string]int{"e1": 1})
