Weights for as many engines as jobs need; changes of the deployment are told together

It moved a fifth of the fleet to new weights at a time, 1,793 orders for jobs of some 64 items; each change of an entry went to 290 VMs by itself, and each VM built a new view for it. On the sites of today nothing is cut: shares are below that bound (tests).

--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -138,13 +138,13 @@
 	earlier map[string]*kept
 	stale   bool
 	queue   []*Entry
-	// work is the usual work of a model's jobs, in tokens.
-	work map[string]int
+	// work is the usual work of a model's jobs.
+	work map[string]Work
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{jobs: map[string]*Job{}, engines: map[string]*engine{}, earlier: map[string]*kept{}, work: map[string]int{}}
+	return &Ledger{jobs: map[string]*Job{}, engines: map[string]*engine{}, earlier: map[string]*kept{}, work: map[string]Work{}}
 }
 
 // Jobs returns the jobs that are not over, by ID.
--- a/internal/limpetdirector/orders.go
+++ b/internal/limpetdirector/orders.go
@@ -13,7 +13,10 @@
 )
 
 const (
-	planPeriod = 50 * time.Millisecond
+	// planPeriod is the time between plans of weight changes; it grows by
+	// itself with each planEngines servers.
+	planPeriod  = 50 * time.Millisecond
+	planEngines = 150
 	// orderTime bounds one call to an engine.
 	orderTime = 800 * time.Millisecond
 	// sureFor is how long the lease must last at least when an order is sent.
@@ -36,7 +39,7 @@
 
 // swap orders engines to newer weights.
 func (d *Director) swap(now time.Time) {
-	if now.Sub(d.planned) < planPeriod || !d.lead.entered || now.Before(d.lead.actAfter) {
+	if now.Sub(d.planned) < planPeriod*time.Duration(1+len(d.view.All())/planEngines) || !d.lead.entered || now.Before(d.lead.actAfter) {
 		return
 	}
 	d.planned = now
@@ -56,7 +59,7 @@
 	interval := d.rhythm.interval(d.view.Named, d.Now())
 	work := map[string]int{}
 	for name := range d.view.Named {
-		work[name] = d.ledger.Work(name)
+		work[name] = d.ledger.Work(name).Tokens
 	}
 	parts := limpetswap.Parts(work)
 	parallel := limpetswap.Parallel(limpetswap.Lasting(engines))
@@ -65,7 +68,8 @@
 		models = append(models, limpetswap.Model{
 			Name: name, Named: version, Need: need[name], Waiting: d.ledger.Waiting(name),
 			Loads: d.loads[load{name, version}], Free: len(engines) / max(len(d.view.Named), 1),
-			Share: limpetswap.Share(len(engines), parallel, parts[name], interval, d.rhythm.change()),
+			Share: min(limpetswap.Enough(d.ledger.Work(name).Items, d.ledger.Places()),
+				limpetswap.Share(len(engines), parallel, parts[name], interval, d.rhythm.change())),
 		})
 	}
 	return models
--- a/internal/limpethost/site.go
+++ b/internal/limpethost/site.go
@@ -42,7 +42,7 @@
 		case <-ctx.Done():
 			return nil
 		case m := <-h.inbox:
-			changes = h.take(state, m)
+			changes = append(h.take(state, m), h.takeAll(state)...)
 		case <-ticker.C:
 			changes, _ = state.Expire(h.deps.Now())
 		}
@@ -62,6 +62,21 @@
 	}
 }
 
+// takeAll applies the messages that are there already, so that one view answers
+// for many.
+func (h *Host) takeAll(state *limpetsite.State) []limpetsite.Change {
+	var changes []limpetsite.Change
+	for range siteInbox {
+		select {
+		case m := <-h.inbox:
+			changes = append(changes, h.take(state, m)...)
+		default:
+			return changes
+		}
+	}
+	return changes
+}
+
 // take applies one message to the state.
 func (h *Host) take(state *limpetsite.State, m siteMessage) []limpetsite.Change {
 	now := h.deps.Now()
--- a/internal/limpetrelay/limpetrelay.go
+++ b/internal/limpetrelay/limpetrelay.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpettask"
 )
 
 // tombstones is the number of deletions that a board remembers.
@@ -27,6 +29,9 @@
 	epoch string
 	now   func() time.Time
 
+	// waiting counts the VMs that wait for changes.
+	waiting atomic.Int64
+
 	mu       sync.Mutex
 	position uint64
 	values   map[string]held
@@ -130,13 +135,21 @@
 func (b *Board) Since(ctx context.Context, epoch string, position uint64, wait time.Duration) Update {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	b.waiting.Add(1)
+	defer b.waiting.Add(-1)
+	gathered := false
 	for {
 		b.mu.Lock()
 		u, changed := b.since(epoch, position), b.changed
 		b.mu.Unlock()
-		if u.Full || len(u.Changes) > 0 {
+		if u.Full || (len(u.Changes) > 0 && gathered) {
 			return u
 		}
+		if len(u.Changes) > 0 {
+			limpettask.Sleep(ctx, b.gather())
+			gathered = true
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return u
@@ -148,6 +161,20 @@
 	}
 }
 
+const (
+	// gatherEach is how long a change waits for others, for each VM beyond
+	// gatherFree that is to be told, and gatherLongest the bound of it.
+	gatherFree    = 8
+	gatherEach    = 500 * time.Microsecond
+	gatherLongest = 120 * time.Millisecond
+)
+
+// gather returns how long a change waits for others: each answer goes to every
+// VM.
+func (b *Board) gather() time.Duration {
+	return min(gatherLongest, max(0, time.Duration(b.waiting.Load()-gatherFree)*gatherEach))
+}
+
 func (b *Board) age() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/limpetrelay/limpetrelay_test.go
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +18,7 @@
 	"limpetmount.org/internal/limpetrelay"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetupstream"
 	"limpetmount.org/internal/limpetwindow"
 )
@@ -96,6 +99,43 @@
 	})
 }
 
+func TestBoardGathers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 100
+		b := limpetrelay.NewBoard("e1", time.Now)
+		b.Changed("x/", []limpetstore.Value{value("x/1", 1)})
+		position := b.Since(context.Background(), "", 0, 0).Position
+		group := limpettask.New(context.Background())
+		var answers, changes atomic.Int64
+		for range vms {
+			group.Go(func(ctx context.Context) error {
+				at := position
+				for limpettask.Sleep(ctx, time.Microsecond) {
+					u := b.Since(ctx, "e1", at, time.Second)
+					at = u.Position
+					answers.Add(1)
+					changes.Add(int64(len(u.Changes)))
+				}
+				return nil
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		for n := range 30 {
+			b.Changed("x/", []limpetstore.Value{value(fmt.Sprint("x/n", n), uint64(10+n))})
+			time.Sleep(33 * time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond)
+		heard := changes.Load()
+		if err := group.Stop(); err != nil {
+			t.Error(err)
+		}
+		Convey("pattern: thirty changes a second before a hundred VMs; each hears all of them, in fewer answers", t, func() {
+			So(heard, ShouldEqual, 30*vms)
+			So(answers.Load(), ShouldBeLessThan, 20*vms)
+		})
+	})
+}
+
 func TestOffice(t *testing.T) {
 	ctx := context.Background()
 	held := map[int64]limpetwindow.Counts{}
--- a/internal/limpetswap/limpetswap.go
+++ b/internal/limpetswap/limpetswap.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -87,6 +88,20 @@
 	mostPart  = 1.4
 )
 
+// Enough returns how many engines are enough for jobs of so many items, when
+// two jobs overlap and half of the engines fit each at once. Jobs that are not
+// known need all.
+func Enough(items, places int) int {
+	if items == 0 {
+		return math.MaxInt
+	}
+	return leastShare + (enoughJobs*items+places-1)/places
+}
+
+// enoughJobs is how many usual jobs the engines that keep up with a model have
+// places for.
+const enoughJobs = 3
+
 // Parts divides the changes of weights among models by the work of their steps.
 // No model gets much more or less than an even part: small steps have trainers
 // that wait, too.
--- a/internal/limpetswap/limpetswap_test.go
+++ b/internal/limpetswap/limpetswap_test.go
@@ -234,3 +234,14 @@
 		So(limpetswap.Parts(nil), ShouldBeEmpty)
 	})
 }
+
+func TestEnough(t *testing.T) {
+	Convey("a large fleet does not keep up for a small job", t, func() {
+		So(limpetswap.Enough(64, 8), ShouldEqual, 26)
+		So(limpetswap.Enough(0, 8), ShouldBeGreaterThan, 12_000)
+	})
+	Convey("the share of a fleet that is as large as its jobs is not cut", t, func() {
+		So(limpetswap.Enough(104, 6), ShouldBeGreaterThan, limpetswap.Share(36, limpetswap.Parallel(36), 0.41, 4*time.Second, time.Second))
+		So(limpetswap.Enough(40, 8), ShouldBeGreaterThan, 8)
+	})
+}
