--- a/internal/limpetwindow/limpetwindow_test.go
+++ b/internal/limpetwindow/limpetwindow_test.go
@@ -172,7 +172,7 @@
 				stub, i, held := limpetstub.NewStore(), &intake{}, limpetwindow.NewHeld()
 				window := limpetwindow.WindowOf(time.Now(), length)
 				end := limpetwindow.EndOf(window, length)
-				time.Sleep(end.Add(c.after).Sub(time.Now()))
+				time.Sleep(time.Until(end.Add(c.after)))
 				g := limpettask.New(context.Background())
 				g.Go(reporter(stub, i, held).Run)
 				// VMs find the new director within some seconds.
