Carriers drop orders that come after their VM stood still

Found in reading: a VM that was frozen reads what waited in its connection before it notices, and would send items of jobs that ended meanwhile. The time since the last batch is looked at first. Test red before (the run begins), green after.

--- a/internal/limpetcarry/limpetcarry_test.go
+++ b/internal/limpetcarry/limpetcarry_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,6 +83,8 @@
 	down     bool
 	openings []limpetcarry.Opening
 	brought  []limpetcarry.Delivery
+	// stood is how long the carrier's VM stood still, which its clock shows.
+	stood atomic.Int64
 }
 
 func (d *director) link() limpetcarry.Link {
@@ -150,7 +153,8 @@
 // carry starts a carrier and its seeker for one director.
 func carry(d *director, last int) (*limpetcarry.Seeker, *limpettask.Group) {
 	g := limpettask.New(context.Background())
-	c := limpetcarry.New(g, "vm", "a", time.Now, limpetlog.Discard())
+	now := func() time.Time { return time.Now().Round(0).Add(time.Duration(d.stood.Load())) }
+	c := limpetcarry.New(g, "vm", "a", now, limpetlog.Discard())
 	c.Send, c.Refuses = stream(last), func(server string) bool { return server != "e" }
 	s := &limpetcarry.Seeker{
 		Carrier: c, Session: "vm", Able: func() bool { return true }, Link: func(string) limpetcarry.Link { return d.link() },
@@ -254,6 +258,19 @@
 			stop(t, g)
 		})
 	})
+	t.Run("orders that come after the VM stood still are not carried out", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := &director{batches: make(chan limpetcarry.Batch, 4)}
+			s, g := carry(d, 60)
+			d.batches <- limpetcarry.Batch{}
+			time.Sleep(300 * time.Millisecond)
+			d.stood.Store(int64(5 * time.Second))
+			d.batches <- limpetcarry.Batch{Orders: []limpetcarry.Order{order("r", begun)}}
+			time.Sleep(100 * time.Millisecond)
+			check(t, s.Carrier.Busy(), ShouldBeFalse)
+			stop(t, g)
+		})
+	})
 	t.Run("a VM that leaves gives its runs back with all that there is of them", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			d := &director{batches: make(chan limpetcarry.Batch, 4)}
--- a/internal/limpetcarry/session.go
+++ b/internal/limpetcarry/session.go
@@ -24,7 +24,13 @@
 	over, accepted := make(chan error, 1), make(chan struct{}, 1)
 	group.Go(func(ctx context.Context) error {
 		over <- link.Carry(ctx, opening, func(b Batch) {
-			beat.Store(c.Now().UnixNano())
+			now := c.Now()
+			if now.Sub(time.Unix(0, beat.Load())) > beatLife {
+				// It was on its way while this VM stood still or was cut off: what
+				// it orders may be over.
+				return
+			}
+			beat.Store(now.UnixNano())
 			signal(accepted)
 			c.take(session, b)
 		})
