Large answers of the relay go out a few at a time

After a start or takeover 290 VMs ask for all 3,300 values at once, about a megabyte each. Now 24 such answers are under way at a time; up to 200 values, or 24 VMs, nothing waits. Load test: 300 VMs have 3,000 values each within 0.7 s, 24 at a time (300 at a time before).

--- a/internal/limpetrelay/limpetrelay.go
+++ b/internal/limpetrelay/limpetrelay.go
@@ -31,6 +31,8 @@
 
 	// waiting counts the VMs that wait for changes.
 	waiting atomic.Int64
+	// whole bounds the answers under way that hold all that there is.
+	whole chan struct{}
 
 	mu       sync.Mutex
 	position uint64
@@ -46,7 +48,7 @@
 
 // NewBoard returns an empty board. The epoch tells it from other boards.
 func NewBoard(epoch string, now func() time.Time) *Board {
-	return &Board{epoch: epoch, now: now, values: map[string]held{}, feeds: map[string]uint64{}, changed: make(chan struct{})}
+	return &Board{epoch: epoch, now: now, values: map[string]held{}, feeds: map[string]uint64{}, changed: make(chan struct{}), whole: make(chan struct{}, wholeMost)}
 }
 
 // Listed takes a complete listing of a feed.
@@ -142,6 +144,10 @@
 		b.mu.Lock()
 		u, changed := b.since(epoch, position), b.changed
 		b.mu.Unlock()
+		if u.Full && len(u.Changes) > wholeSmall {
+			b.pace(ctx)
+			return u
+		}
 		if u.Full || (len(u.Changes) > 0 && gathered) {
 			return u
 		}
@@ -169,6 +175,25 @@
 	gatherLongest = 120 * time.Millisecond
 )
 
+const (
+	// wholeSmall is the number of values up to which an answer with all of them
+	// is small, wholeMost how many larger ones are under way at a time, and
+	// wholeTime how long one is, about.
+	wholeSmall = 200
+	wholeMost  = 24
+	wholeTime  = 40 * time.Millisecond
+)
+
+// pace waits for the turn of a large answer: after a change of directors every
+// VM asks for one, and all of them at once would not fit into memory.
+func (b *Board) pace(ctx context.Context) {
+	select {
+	case b.whole <- struct{}{}:
+		time.AfterFunc(wholeTime, func() { <-b.whole })
+	case <-ctx.Done():
+	}
+}
+
 // gather returns how long a change waits for others: each answer goes to every
 // VM.
 func (b *Board) gather() time.Duration {
--- a/internal/limpetrelay/limpetrelay_test.go
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -136,6 +137,46 @@
 	})
 }
 
+func TestBoardPacesLargeAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 300
+		b := limpetrelay.NewBoard("e1", time.Now)
+		var values []limpetstore.Value
+		for n := range 3000 {
+			values = append(values, value(fmt.Sprint("servers/", n), uint64(n+1)))
+		}
+		b.Changed("servers/", values)
+		group := limpettask.New(context.Background())
+		began := time.Now()
+		var mu sync.Mutex
+		at := map[time.Duration]int{}
+		for range vms {
+			group.Go(func(ctx context.Context) error {
+				u := b.Since(ctx, "", 0, time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				if len(u.Changes) == len(values) {
+					at[time.Since(began)]++
+				}
+				return nil
+			})
+		}
+		time.Sleep(time.Second)
+		if err := group.Stop(); err != nil {
+			t.Error(err)
+		}
+		Convey("pattern: 300 VMs ask a new director for 3,000 values; all have them within 0.7 s, and few at a time", t, func() {
+			answered := 0
+			for passed, n := range at {
+				So(n, ShouldBeLessThanOrEqualTo, 24)
+				So(passed, ShouldBeLessThan, 700*time.Millisecond)
+				answered += n
+			}
+			So(answered, ShouldEqual, vms)
+		})
+	})
+}
+
 func TestOffice(t *testing.T) {
 	ctx := context.Background()
 	held := map[int64]limpetwindow.Counts{}
