--- a/internal/limpetrelay/limpetrelay_test.go
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -143,9 +143,9 @@
 		b := limpetrelay.NewBoard("e1", time.Now)
 		var values []limpetstore.Value
 		for n := range 3000 {
-			values = append(values, value(fmt.Sprint("servers/", n), uint64(n+1)))
+			values = append(values, value(fmt.Sprint("engines/", n), uint64(n+1)))
 		}
-		b.Changed("servers/", values)
+		b.Changed("engines/", values)
 		group := limpettask.New(context.Background())
 		began := time.Now()
 		var mu sync.Mutex
--- a/internal/limpetshow/limpetshow_test.go
+++ b/internal/limpetshow/limpetshow_test.go
@@ -43,8 +43,8 @@
 
 // feeds decode keys that this test writes.
 func feeds() []limpethost.Feed {
-	return []limpethost.Feed{{Prefix: "servers/", Servers: true, Decode: func(v limpetstore.Value) limpetsite.Record {
-		id := strings.TrimPrefix(v.Key, "servers/")
+	return []limpethost.Feed{{Prefix: "engines/", Servers: true, Decode: func(v limpetstore.Value) limpetsite.Record {
+		id := strings.TrimPrefix(v.Key, "engines/")
 		return limpetsite.Record{Key: limpetsite.ServerKey + id, Revision: v.Revision, Server: &limpetsite.Server{
 			ID: id, Service: "llm", Zone: "a", Slots: 4, Draining: id == "e2", Models: map[string]int{"m": 3},
 		}}
@@ -65,7 +65,7 @@
 	}}
 	put(t, store,
 		limpetstore.Write{Key: limpetlot.ChunkKey("j", 0), Data: chunk.Encode()},
-		limpetstore.Write{Key: "servers/e1", Data: []byte("{}")}, limpetstore.Write{Key: "servers/e2", Data: []byte("{}")},
+		limpetstore.Write{Key: "engines/e1", Data: []byte("{}")}, limpetstore.Write{Key: "engines/e2", Data: []byte("{}")},
 		limpetstore.Write{Key: "frozen/41", Data: []byte(`{"acme":3,"other":4}`)}, limpetstore.Write{Key: "frozen/42", Data: []byte(`{}`)},
 		limpetstore.Write{Key: limpetdirector.TermKey, Data: []byte(`{"vm":"vm-1","address":"10.0.0.1:1"}`)},
 	)
