A successor sends nothing before it knows which jobs have ended

A fault that does the same was found by reading and shown by a test: a director that takes over lists ended and open jobs at the same time, and sends items of an ended job when the first listing comes later (12 of 12 items sent again in the test, none now). Ruled out: orders that wait at a carrier (dropped after 1.4 s without a batch).

--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -53,6 +53,9 @@
 	if d.lead != n.lead {
 		return
 	}
+	if n.prefix == limpetlot.EndPrefix && n.complete {
+		d.lead.endsKnown = true
+	}
 	now := d.Now()
 	for _, v := range n.values {
 		id := strings.TrimPrefix(v.Key, n.prefix)
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -143,15 +143,21 @@
 	// gatherUntil is when items begin to be sent: until then carriers tell
 	// what they hold for an earlier director.
 	gatherUntil time.Time
-	group       *limpettask.Group
-	committing  bool
-	committed   time.Time
-	drafting    bool
-	drafted     time.Time
-	renewing    bool
-	renewed     time.Time
+	// endsKnown is set once the ended jobs are listed: before, any job may be
+	// one of them.
+	endsKnown  bool
+	group      *limpettask.Group
+	committing bool
+	committed  time.Time
+	drafting   bool
+	drafted    time.Time
+	renewing   bool
+	renewed    time.Time
 }
 
+// mayBegin reports whether items may be sent.
+func (l *lead) mayBegin(now time.Time) bool { return l.endsKnown && !now.Before(l.gatherUntil) }
+
 // A message changes the state of the loop.
 type message interface{ apply(d *Director) }
 
@@ -264,7 +270,7 @@
 	overdue := d.ledger.Overdue(d.view, now.Add(-d.lag))
 	d.blame(overdue, now)
 	d.cut(overdue, "overdue")
-	if d.lead == nil || !now.Before(d.lead.gatherUntil) {
+	if d.lead == nil || d.lead.mayBegin(now) {
 		for _, r := range d.ledger.Dispatch(d.view, now) {
 			d.begin(r)
 		}
--- a/internal/limpetdirector/limpetdirector_test.go
+++ b/internal/limpetdirector/limpetdirector_test.go
@@ -220,6 +220,33 @@
 	})
 }
 
+func TestSuccessorLearnsOfEndsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4)
+		a, b := w.candidate("a", 0), w.candidate("b", 100*time.Millisecond)
+		b.mu.Lock()
+		b.lateEnds = 3 * time.Second
+		b.mu.Unlock()
+		time.Sleep(time.Second)
+		w.submit(t, "ended", 12, 1)
+		w.submit(t, "open", 4, 1)
+		time.Sleep(300 * time.Millisecond)
+		if err := limpetlot.End(context.Background(), w.store.Client(), "ended"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		a.stop(t)
+		before := w.sentOf("ended")
+		time.Sleep(10 * time.Second)
+		after := w.sentOf("ended")
+		Convey("no item of an ended job is sent by a successor that hears of the end late, and open jobs go on", t, func() {
+			So(after, ShouldEqual, before)
+			So(len(w.results(t, "open")), ShouldEqual, 4)
+		})
+		b.stop(t)
+	})
+}
+
 func TestOrdersHaveOneHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(6)
--- a/internal/limpetdirector/world_test.go
+++ b/internal/limpetdirector/world_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -46,7 +47,9 @@
 	orders []order
 	runs   int
 	events int
-	view   *limpetsite.Snapshot
+	// sent holds the items in the order in which runs began.
+	sent []string
+	view *limpetsite.Snapshot
 }
 
 type order struct {
@@ -108,6 +111,7 @@
 func (w *world) send(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
 	w.mu.Lock()
 	w.runs++
+	w.sent = append(w.sent, c.ID)
 	w.settle(c.Server.ID)
 	version := w.version[c.Server.ID]
 	w.mu.Unlock()
@@ -145,6 +149,19 @@
 	return nil
 }
 
+// sentOf returns the number of runs of a job's items so far.
+func (w *world) sentOf(job string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, id := range w.sent {
+		if strings.HasPrefix(id, job+"-") {
+			n++
+		}
+	}
+	return n
+}
+
 // counts returns the runs and events so far.
 func (w *world) counts() (runs, events int) {
 	w.mu.Lock()
@@ -176,6 +193,8 @@
 	hung time.Duration
 	// late is how long a listing of the store is on its way back.
 	late time.Duration
+	// lateEnds is how long the listing of ended jobs is on its way back.
+	lateEnds time.Duration
 	// slow is how long a write of the store is on its way there.
 	slow time.Duration
 	// elsewhere is what other VMs say of the store.
@@ -246,6 +265,9 @@
 		l, err := inner.Scan(ctx, prefix, after)
 		c.mu.Lock()
 		late := c.late
+		if prefix == limpetlot.EndPrefix {
+			late += c.lateEnds
+		}
 		c.mu.Unlock()
 		limpettask.Sleep(ctx, late)
 		return l, err
