What no engine answered yet ends with the carrier's director, and after 2 s in any case

Found by reading: a carrier goes on for 10 s without a director, also with a run whose connection has not come about; engines drop opening packets when their queue is full, and these come again after 1 and 3 s. Nobody tells the carrier of the end meanwhile. Now what has no answer yet ends with the session, and an engine must answer within 2 s. Tests red before (the item reaches the engine; no end of the call).

--- a/internal/limpetcarry/limpetcarry_test.go
+++ b/internal/limpetcarry/limpetcarry_test.go
@@ -271,6 +271,45 @@
 			stop(t, g)
 		})
 	})
+	t.Run("a run that no engine answered yet ends with its director", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := &director{batches: make(chan limpetcarry.Batch, 4)}
+			s, g := carry(d, 60)
+			send := s.Carrier.Send
+			reached := atomic.Int64{}
+			s.Carrier.Send = func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
+				// The connection comes about only after a while.
+				if !limpettask.Sleep(ctx, 1500*time.Millisecond) {
+					return nil, ctx.Err()
+				}
+				reached.Add(1)
+				return send(ctx, c)
+			}
+			time.Sleep(100 * time.Millisecond)
+			d.batches <- limpetcarry.Batch{Orders: []limpetcarry.Order{order("r", begun)}}
+			time.Sleep(100 * time.Millisecond)
+			d.set(func() { d.down = true })
+			time.Sleep(4 * time.Second)
+			check(t, reached.Load(), ShouldEqual, int64(0))
+			stop(t, g)
+		})
+	})
+	t.Run("a connection that does not come about is given up", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			var ends []limpetcarry.End
+			began := time.Now()
+			hang := func(ctx context.Context, _ limpetupstream.Call) (*limpetupstream.Reply, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			limpetcarry.Read(context.Background(), hang, limpetupstream.Call{}, limpetcarry.Sink{
+				Head: func(int) {}, Event: func(limpetupstream.Event, int) {}, End: func(e limpetcarry.End) { ends = append(ends, e) },
+			})
+			check(t, len(ends), ShouldEqual, 1)
+			check(t, ends[0].Ending, ShouldEqual, limpetbatch.Broken)
+			check(t, time.Since(began), ShouldBeLessThan, 2500*time.Millisecond)
+		})
+	})
 	t.Run("a VM that leaves gives its runs back with all that there is of them", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			d := &director{batches: make(chan limpetcarry.Batch, 4)}
--- a/internal/limpetcarry/read.go
+++ b/internal/limpetcarry/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"limpetmount.org/internal/limpetbatch"
 	"limpetmount.org/internal/limpetupstream"
@@ -28,10 +29,19 @@
 	End   func(e End)
 }
 
+// headTime bounds the time until an engine answers at all. A connection that
+// comes about late must not bring an item to an engine whose job has ended
+// meanwhile.
+const headTime = 2 * time.Second
+
 // Read sends a call to an engine and hands on what comes of it until the run
 // ends.
 func Read(ctx context.Context, send func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error), call limpetupstream.Call, to Sink) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	late := time.AfterFunc(headTime, cancel)
 	reply, err := send(ctx, call)
+	late.Stop()
 	if err != nil {
 		to.End(End{Ending: limpetbatch.Broken, Cause: err.Error()})
 		return
--- a/internal/limpetcarry/session.go
+++ b/internal/limpetcarry/session.go
@@ -84,8 +84,16 @@
 func (c *Carrier) close(session string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.session == session {
-		c.session, c.lost = "", c.Now()
+	if c.session != session {
+		return
+	}
+	c.session, c.lost = "", c.Now()
+	for id, r := range c.runs {
+		// What no engine answered yet may be of a job that ends while nobody can
+		// tell this VM.
+		if r.version == 0 && !r.ended {
+			c.drop(id, r)
+		}
 	}
 }
 
