--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -63,11 +63,11 @@
 type Host struct {
 	Settings  Settings
 	Forwarder *limpetforward.Forwarder
-	Reader    *limpetlot.Reader
 	Log       *limpetlog.Logger
 	Metrics   *limpetmetric.Set
 
 	deps     Deps
+	reader   *limpetlot.Reader
 	group    *limpettask.Group
 	view     atomic.Pointer[limpetsite.Snapshot]
 	inbox    chan siteMessage
@@ -125,7 +125,7 @@
 	h.view.Store(limpetsite.Empty())
 	meter := limpetstore.NewMeter(metrics.Registry)
 	h.counter = limpetwindow.NewCounter(meter.Wrap(deps.Store, "usage"), settings.VM+"."+deps.Incarnation, settings.Bounds.UsageWindow, deps.Now, log)
-	h.Reader = limpetlot.NewReader(meter.Wrap(deps.Store, "read"), deps.Now)
+	h.reader = limpetlot.NewReader(meter.Wrap(deps.Store, "read"), deps.Now)
 	h.Forwarder = &limpetforward.Forwarder{
 		Zone: settings.Zone, View: h.View, Peer: deps.Peer, Tracker: limpetbalance.New(),
 		Log: log, Metrics: metrics, Began: h.counter.Began, Now: deps.Now,
@@ -154,9 +154,6 @@
 // View returns the newest view of the deployment.
 func (h *Host) View() *limpetsite.Snapshot { return h.view.Load() }
 
-// Store returns the store as callers' requests use it.
-func (h *Host) Store() limpetstore.Store { return h.deps.Store }
-
 // Ready reports whether the balancer may send new callers: a configuration is
 // known, the store answers, and no shutdown has begun.
 func (h *Host) Ready() bool {
--- a/internal/limpethost/source.go
+++ b/internal/limpethost/source.go
@@ -162,9 +162,9 @@
 	*from = relayed{address: address, client: limpetrelay.NewClient(shared, address, h.Settings.ReadyAddress)}
 }
 
-// Read returns the listed results of an account's job: from the director while
+// read returns the listed results of an account's job: from the director while
 // it speaks for the job, and from the store otherwise.
-func (h *Host) Read(ctx context.Context, job, account string, after int, wait time.Duration) (limpetlot.Page, error) {
+func (h *Host) read(ctx context.Context, job, account string, after int, wait time.Duration) (limpetlot.Page, error) {
 	began := h.deps.Now()
 	page, denied, known := h.ask(ctx, job, account, after, wait)
 	if known && denied {
@@ -173,7 +173,7 @@
 	if known {
 		return page, nil
 	}
-	return h.Reader.Read(ctx, job, account, after, max(0, wait-h.deps.Now().Sub(began)))
+	return h.reader.Read(ctx, job, account, after, max(0, wait-h.deps.Now().Sub(began)))
 }
 
 func (h *Host) ask(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetlot.Page, denied, known bool) {
@@ -188,13 +188,13 @@
 	return page, denied, known && err == nil
 }
 
-// Owned returns nil when the account has a job of this ID, NotFound when not,
+// owned returns nil when the account has a job of this ID, NotFound when not,
 // and another error when it cannot be told now.
-func (h *Host) Owned(ctx context.Context, job, account string) error {
+func (h *Host) owned(ctx context.Context, job, account string) error {
 	if _, denied, known := h.ask(ctx, job, account, 0, 0); known && !denied {
 		return nil
 	}
-	return h.Reader.Owned(ctx, job, account)
+	return h.reader.Owned(ctx, job, account)
 }
 
 // handCounts gives usage counts to the director.
