No unreadable value becomes a zero, and no failure goes by, without a line

The term's value, the duty's record, jobs that the store does not give, a retirement that the operator was not told of and the last report of an order have their lines. Loading and reading again what is listed of a job share one loop.

--- a/internal/limpetdirector/carriers_test.go
+++ b/internal/limpetdirector/carriers_test.go
@@ -84,8 +84,8 @@
 	h.seeker = &limpetcarry.Seeker{
 		Carrier: c, Session: name, Able: func() bool { return true },
 		Term: func(ctx context.Context) (string, error) {
-			v, err := w.store.Client().Get(ctx, limpetdirector.TermKey)
-			return limpetdirector.DecodeTerm(v).VM, err
+			term, err := limpetdirector.ReadTerm(ctx, w.store.Client())
+			return term.VM, err
 		},
 		Link: func(address string) limpetcarry.Link {
 			d := candidates[address]
--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -59,7 +59,7 @@
 			r := dutyRecord{Vacant: true, Revision: l.Revision}
 			for _, v := range l.Values {
 				if v.Key == limpetlease.Prefix+Duty {
-					r = dutyOf(v)
+					r = d.dutyOf(v)
 				}
 			}
 			d.post(group.Context(), r)
@@ -67,7 +67,7 @@
 		Changed: func(values []limpetstore.Value) {
 			for _, v := range values {
 				if v.Key == limpetlease.Prefix+Duty {
-					d.post(group.Context(), dutyOf(v))
+					d.post(group.Context(), d.dutyOf(v))
 				}
 			}
 		},
@@ -76,12 +76,15 @@
 	group.Go(f.Run)
 }
 
-func dutyOf(v limpetstore.Value) dutyRecord {
+// dutyOf reads who has the duty; a value that cannot be read names nobody, but
+// is no vacancy.
+func (d *Director) dutyOf(v limpetstore.Value) dutyRecord {
 	if v.Deleted {
 		return dutyRecord{Vacant: true, Revision: v.Revision}
 	}
 	var r limpetlease.Record
-	if json.Unmarshal(v.Data, &r) != nil {
+	if err := json.Unmarshal(v.Data, &r); err != nil {
+		d.Log.Emit(limpetlog.ValueIgnored, limpetlog.Value("key", v.Key), limpetlog.Error(err))
 		return dutyRecord{Revision: v.Revision}
 	}
 	return dutyRecord{VM: r.Holder, Revision: v.Revision}
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -110,26 +110,40 @@
 	d.loading[s.ID] = true
 	l := d.lead
 	l.group.Go(func(ctx context.Context) error {
-		for ctx.Err() == nil {
-			job, err := limpetlot.Load(ctx, d.Store, s)
-			var done []limpetlot.Result
-			var drafts []limpetlot.Draft
-			if err == nil {
-				done, err = limpetlot.Listed(ctx, d.Store, s.ID)
+		m := loaded{lead: l, id: s.ID}
+		m.err = d.untilRead(ctx, s.ID, func() error {
+			var err error
+			if m.job, err = limpetlot.Load(ctx, d.Store, s); err != nil {
+				return err
 			}
-			if err == nil && d.Now().Sub(s.Arrived) > draftPeriod {
-				drafts, err = limpetlot.LoadDrafts(ctx, d.Store, s.ID)
+			if m.done, err = limpetlot.Listed(ctx, d.Store, s.ID); err != nil {
+				return err
 			}
-			if err == nil || limpeterror.Is(err, limpeterror.Invalid) {
-				d.post(ctx, loaded{lead: l, id: s.ID, job: job, done: done, drafts: drafts, err: err})
-				return nil
+			if d.Now().Sub(s.Arrived) > draftPeriod {
+				m.drafts, err = limpetlot.LoadDrafts(ctx, d.Store, s.ID)
 			}
-			limpettask.Sleep(ctx, limpettask.Jitter(loadPause))
-		}
+			return err
+		})
+		d.post(ctx, m)
 		return nil
 	})
 }
 
+// untilRead repeats reading something of a job until the store gives it, what
+// it gives cannot be read, or ctx ends.
+func (d *Director) untilRead(ctx context.Context, job string, read func() error) error {
+	for told := false; ; told = true {
+		err := read()
+		if err == nil || limpeterror.Is(err, limpeterror.Invalid) || ctx.Err() != nil {
+			return err
+		}
+		if !told {
+			d.Log.Emit(limpetlog.JobNotRead, limpetlog.Job(job), limpetlog.Error(err))
+		}
+		limpettask.Sleep(ctx, limpettask.Jitter(loadPause))
+	}
+}
+
 // loaded is a job with what is listed of it.
 type loaded struct {
 	lead *lead
@@ -212,14 +226,12 @@
 	}
 	d.ledger.Unsure(j)
 	l.group.Go(func(ctx context.Context) error {
-		for ctx.Err() == nil {
-			done, err := limpetlot.Listed(ctx, d.Store, id)
-			if err == nil {
-				d.post(ctx, resynced{lead: l, id: id, done: done})
-				return nil
-			}
-			limpettask.Sleep(ctx, limpettask.Jitter(loadPause))
-		}
+		m := resynced{lead: l, id: id}
+		m.err = d.untilRead(ctx, id, func() (err error) {
+			m.done, err = limpetlot.Listed(ctx, d.Store, id)
+			return err
+		})
+		d.post(ctx, m)
 		return nil
 	})
 }
@@ -228,6 +240,7 @@
 	lead *lead
 	id   string
 	done []limpetlot.Result
+	err  error
 }
 
 func (m resynced) apply(d *Director) {
@@ -235,6 +248,11 @@
 	if d.lead != m.lead || j == nil {
 		return
 	}
+	if m.err != nil {
+		// Nothing more is listed of the job: its positions are not known.
+		d.Log.Emit(limpetlog.JobUnreadable, limpetlog.Job(m.id), limpetlog.Error(m.err))
+		return
+	}
 	d.cut(d.ledger.Adopt(j, m.done), "listed already")
 	d.shelf.set(m.id, j.Account, len(j.Items), 0, m.done)
 }
--- a/internal/limpetdirector/orders.go
+++ b/internal/limpetdirector/orders.go
@@ -156,9 +156,11 @@
 // await polls an engine until an order is carried out.
 func (d *Director) await(ctx context.Context, server *limpetsite.Server, c limpetswap.Choice, accepted int) (map[string]int, error) {
 	began := d.Now()
+	var last error
 	for pause := reportFirst; limpettask.Sleep(ctx, pause); pause = reportPoll {
 		r, err := d.report(ctx, server)
 		if err != nil {
+			last = err
 			continue
 		}
 		if r.Versions[c.Model] >= c.Version {
@@ -168,7 +170,7 @@
 			return r.Versions, limpeterror.Unknown.New("no trace of the order")
 		}
 	}
-	return nil, limpeterror.Unknown.New("the order was not seen to be carried out")
+	return nil, limpeterror.Unknown.New("the order was not seen to be carried out, last report: %v", last)
 }
 
 func (m swapped) apply(d *Director) {
--- a/internal/limpetdirector/retire.go
+++ b/internal/limpetdirector/retire.go
@@ -31,6 +31,7 @@
 					d.Log.Emit(limpetlog.RetireDone, limpetlog.Value("retired", vm))
 					return nil
 				}
+				d.Log.Emit(limpetlog.RetireUntold, limpetlog.Value("retired", vm), limpetlog.Error(err))
 				limpettask.Sleep(ctx, limpettask.Jitter(retirePause))
 			}
 			return nil
--- a/internal/limpetdirector/term.go
+++ b/internal/limpetdirector/term.go
@@ -28,13 +28,21 @@
 	return data
 }
 
-// DecodeTerm reads the value of TermKey; one that cannot be read names nobody.
-func DecodeTerm(v limpetstore.Value) Term {
+// ReadTerm returns who was the director last; its zero value when nobody was.
+// The error has type Invalid when what is stored cannot be read.
+func ReadTerm(ctx context.Context, store limpetstore.Store) (Term, error) {
+	v, err := store.Get(ctx, TermKey)
+	if limpeterror.Is(err, limpeterror.NotFound) {
+		return Term{}, nil
+	}
+	if err != nil {
+		return Term{}, err
+	}
 	var t Term
-	if json.Unmarshal(v.Data, &t) != nil {
-		return Term{}
+	if err := json.Unmarshal(v.Data, &t); err != nil {
+		return Term{}, limpeterror.Invalid.Wrap(err, "value of %s", TermKey)
 	}
-	return t
+	return t, nil
 }
 
 // enterTerm records this VM as the director, and learns who was before. Until
@@ -57,11 +65,13 @@
 }
 
 func (d *Director) writeTerm(ctx context.Context, fence uint64) (previous string, err error) {
-	v, err := d.Store.Get(ctx, TermKey)
-	if err != nil && !limpeterror.Is(err, limpeterror.NotFound) {
+	before, err := ReadTerm(ctx, d.Store)
+	if limpeterror.Is(err, limpeterror.Invalid) {
+		// It is written over; the one before counts as unknown.
+		d.Log.Emit(limpetlog.ValueIgnored, limpetlog.Value("key", TermKey), limpetlog.Error(err))
+	} else if err != nil {
 		return "", err
 	}
-	before := DecodeTerm(v)
 	own := Term{VM: d.VM, Address: d.RelayAddress}
 	if before == own {
 		return before.VM, nil
--- a/internal/limpethost/carry.go
+++ b/internal/limpethost/carry.go
@@ -5,6 +5,7 @@
 
 	"limpetmount.org/internal/limpetcarry"
 	"limpetmount.org/internal/limpetdirector"
+	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetrelay"
 )
 
@@ -24,14 +25,15 @@
 
 // term reads where the director is; empty when it is this VM or nobody.
 func (h *Host) term(ctx context.Context) (string, error) {
-	v, err := h.deps.Store.Get(ctx, limpetdirector.TermKey)
+	t, err := limpetdirector.ReadTerm(ctx, h.deps.Store)
 	if err != nil {
+		h.Log.Emit(limpetlog.TermNotRead, limpetlog.Error(err))
 		return "", err
 	}
-	if t := limpetdirector.DecodeTerm(v); t.VM != h.Settings.VM {
-		return t.Address, nil
+	if t.VM == h.Settings.VM {
+		return "", nil
 	}
-	return "", nil
+	return t.Address, nil
 }
 
 // refuses reports whether this VM knows that a server must get no work.
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -55,6 +55,8 @@
 	Quarantined            = define(1306, logrus.ErrorLevel, "request quarantined", "The request crashed two distinct backend servers and is refused on all VMs.")
 	RequestRefusedOrFailed = define(1308, logrus.InfoLevel, "request not served", "A caller's request got an answer of the system's own, or a failure of its server. The reason says whether it may have run.")
 	StreamResumed          = define(1309, logrus.InfoLevel, "stream resumed", "A broken stream goes on at another backend server after the given event.")
+	HeaderIgnored          = define(1310, logrus.InfoLevel, "header ignored", "A header cannot be read and counts as missing.")
+	ServerFault            = define(1311, logrus.WarnLevel, "connection failed", "The HTTP server of this VM could not serve a connection or a request.")
 	QuarantineEnded        = define(1307, logrus.InfoLevel, "quarantine released", "An operator released the request.")
 )
 
@@ -76,6 +78,7 @@
 	JobTaken        = define(1703, logrus.InfoLevel, "job taken", "The director carries out the job's items that are not listed yet.")
 	JobEnded        = define(1704, logrus.InfoLevel, "job ended", "The trainer ended the job; its runs were broken off.")
 	JobUnreadable   = define(1705, logrus.ErrorLevel, "job unreadable", "A value of the job cannot be decoded. Update this VM.")
+	JobNotRead      = define(1707, logrus.InfoLevel, "job not read yet", "The store did not give a job or its results; they are asked for again until it does.")
 	JobWithoutRoute = define(1706, logrus.WarnLevel, "job without route", "No route of the configuration in force leads to the job's service; it is tried again.")
 	RunStarted      = define(1711, logrus.DebugLevel, "run started", "An item was sent to an engine, from the given event on.")
 	RunFailed       = define(1712, logrus.InfoLevel, "run failed", "An engine refused an item or broke its stream; it goes on elsewhere unless it is settled.")
@@ -97,9 +100,11 @@
 
 // What a VM believes of the deployment.
 var (
+	TermNotRead  = define(1814, logrus.DebugLevel, "director not looked up", "The store did not tell who the director is, or what it holds cannot be read; it is asked again.")
 	SiteChanged  = define(1801, logrus.InfoLevel, "deployment changed", "The VM took over a change of the configuration, a backend server or a named version.")
 	SettingsRead = define(1802, logrus.InfoLevel, "settings read", "The settings file was read at the start or after a change.")
 	SettingsBad  = define(1803, logrus.ErrorLevel, "settings not taken over", "The settings file changed and cannot be used; the former settings stay in use.")
+	RetireUntold = define(1808, logrus.InfoLevel, "VM emptied, operator not told", "The store did not take the word that a VM may be removed; it is written again.")
 	RetireDone   = define(1804, logrus.InfoLevel, "VM emptied", "The VM keeps nothing any more and may be removed.")
 	ValueIgnored = define(1805, logrus.WarnLevel, "value ignored", "A value of the store cannot be read and names nothing to use.")
 	LinesDropped = define(1806, logrus.WarnLevel, "log lines dropped", "The reader of the log was too slow; so many lines are missing.")
--- a/internal/limpetshow/limpetshow.go
+++ b/internal/limpetshow/limpetshow.go
@@ -138,11 +138,10 @@
 		}
 		s.Director.VM, s.Director.Fence = r.Holder, v.Revision
 	}
-	v, err = store.Get(ctx, limpetdirector.TermKey)
-	if err != nil && !limpeterror.Is(err, limpeterror.NotFound) {
+	term, err := limpetdirector.ReadTerm(ctx, store)
+	if err != nil {
 		return err
 	}
-	term := limpetdirector.DecodeTerm(v)
 	s.Director.Last, s.Director.Address = term.VM, term.Address
 	return nil
 }
