One exchange of JSON over HTTP for the calls of limpethttp, the platform's store, duties and engines

The same steps stood four times (marshal, request, read whole, tell what the error proves). A failed read is Unavailable everywhere now, as it was for the platform's store: it had no effect.

--- a/internal/limpethttp/limpethttp.go
+++ b/internal/limpethttp/limpethttp.go
@@ -90,31 +90,52 @@
 	return limpeterror.Unknown.Wrap(err, "%s", peer)
 }
 
-// Call sends body as JSON and decodes the answer into reply. Either may be
-// nil.
-func Call(ctx context.Context, client *http.Client, method, url string, body, reply any) error {
+// Exchange sends body as JSON, unless it is nil, and returns the status and the
+// whole answer. The error has type Invalid when nothing was sent, Unavailable
+// when the call had no effect, and Unknown otherwise. A read has none.
+func Exchange(ctx context.Context, client *http.Client, method, url string, header http.Header, body any) (status int, answer []byte, err error) {
 	var data []byte
 	if body != nil {
-		var err error
 		if data, err = json.Marshal(body); err != nil {
-			return limpeterror.Invalid.Wrap(err, "request to %s", url)
+			return 0, nil, limpeterror.Invalid.Wrap(err, "request to %s", url)
 		}
 	}
 	request, err := NewRequest(ctx, method, url, data)
 	if err != nil {
-		return err
+		return 0, nil, err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
 	}
-	request.Header.Set("Content-Type", "application/json")
 	response, err := client.Do(request)
 	if err != nil {
-		return Classify(err, url)
+		return 0, nil, classify(method, err, url)
 	}
 	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if answer, err = io.ReadAll(io.LimitReader(response.Body, maxReply)); err != nil {
+		return 0, nil, classify(method, err, url)
+	}
+	return response.StatusCode, answer, nil
+}
+
+func classify(method string, err error, peer string) error {
+	if method == http.MethodGet {
+		return limpeterror.Unavailable.Wrap(err, "%s", peer)
+	}
+	return Classify(err, peer)
+}
+
+// Call sends body as JSON and decodes the answer into reply. Either may be
+// nil.
+func Call(ctx context.Context, client *http.Client, method, url string, body, reply any) error {
+	status, answer, err := Exchange(ctx, client, method, url, nil, body)
 	if err != nil {
-		return limpeterror.Unknown.Wrap(err, "%s", url)
+		return err
 	}
-	if err := statusError(response.StatusCode, url, answer); err != nil {
+	if err := statusError(status, url, answer); err != nil {
 		return err
 	}
 	if reply == nil {
