A paused loop, an answered run and sorts of items are told by fields, not by sentinels or text; one release, one pause

d.checked repeated what the loop knows of itself; a run without an answer was known by its version being 0; Dispatch joined strings for a key. The release of the lease stood three times, the wait of a session twice.

--- a/internal/limpetbatch/choose.go
+++ b/internal/limpetbatch/choose.go
@@ -6,17 +6,20 @@
 	"limpetmount.org/internal/limpetsite"
 )
 
+// A sort of items has the same engines to choose from.
+type sort struct {
+	service, model string
+	trial          bool
+}
+
 // Dispatch chooses engines for the items that wait, in their order, until no
 // engine has a place.
 func (l *Ledger) Dispatch(view *limpetsite.Snapshot, now time.Time) []*Run {
 	var starts []*Run
 	typical := l.typicalPace(now)
-	full := map[string]bool{}
+	full := map[sort]bool{}
 	for _, e := range l.ready(now) {
-		key := e.Job.Rules.Service + "/" + e.Job.Model
-		if e.bearsTrial() {
-			key += "/trial"
-		}
+		key := sort{e.Job.Rules.Service, e.Job.Model, e.bearsTrial()}
 		if full[key] {
 			continue
 		}
--- a/internal/limpetcarry/run.go
+++ b/internal/limpetcarry/run.go
@@ -15,8 +15,8 @@
 	job, server string
 	cancel      context.CancelFunc
 	text        limpetlot.Draft
-	// version is that of the events to come; 0 before the engine named it.
-	version int
+	// headed is set once the engine answered.
+	headed  bool
 	ended   bool
 	endedAt time.Time
 	// pending was not delivered to the director of the session yet, and
@@ -67,7 +67,7 @@
 }
 
 func (r *run) head(version int) {
-	r.version = version
+	r.headed = true
 	r.pending.Headed, r.pending.Version = true, version
 }
 
@@ -75,7 +75,6 @@
 	e.Raw = nil
 	r.pending.Events = append(r.pending.Events, Event{Event: e, Under: version})
 	r.arrived = append(r.arrived, now)
-	r.version = version
 	extend(&r.text, e, version)
 }
 
--- a/internal/limpetcarry/session.go
+++ b/internal/limpetcarry/session.go
@@ -91,7 +91,7 @@
 	for id, r := range c.runs {
 		// What no engine answered yet may be of a job that ends while nobody can
 		// tell this VM.
-		if r.version == 0 && !r.ended {
+		if !r.headed && !r.ended {
 			c.drop(id, r)
 		}
 	}
@@ -139,30 +139,29 @@
 // waitForNews returns when there is something to deliver, or it is time for a
 // sign of life.
 func (c *Carrier) waitForNews(ctx context.Context, over chan error) error {
-	idle := time.NewTimer(idlePeriod)
-	defer idle.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case err := <-over:
-		return orEnded(err)
-	case <-c.urgent:
-		return nil
-	case <-idle.C:
-		return nil
-	case <-c.news:
+	woken, err := c.pause(ctx, over, idlePeriod, c.news)
+	if woken && err == nil {
+		_, err = c.pause(ctx, over, deliverPeriod, nil)
 	}
-	gather := time.NewTimer(deliverPeriod)
-	defer gather.Stop()
+	return err
+}
+
+// pause waits for a time, or until something is urgent, and reports whether
+// news ended it. The error says that the session is over.
+func (c *Carrier) pause(ctx context.Context, over chan error, longest time.Duration, news chan struct{}) (woken bool, err error) {
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return ctx.Err()
+		return false, ctx.Err()
 	case err := <-over:
-		return orEnded(err)
+		return false, orEnded(err)
+	case <-news:
+		return true, nil
 	case <-c.urgent:
-	case <-gather.C:
+	case <-timer.C:
 	}
-	return nil
+	return false, nil
 }
 
 // orEnded names the end of an offer that a director did not need.
--- a/internal/limpetdirector/carriers.go
+++ b/internal/limpetdirector/carriers.go
@@ -166,10 +166,8 @@
 
 // tendCarriers drops those that fell silent, and takes over what others held.
 func (d *Director) tendCarriers(now time.Time) {
-	late := now.Sub(d.checked) > loopLate
-	d.checked = now
 	for _, s := range d.sessions {
-		if late {
+		if d.paused > loopLate {
 			s.heard = now
 		}
 		silence := now.Sub(s.heard)
--- a/internal/limpetdirector/lease.go
+++ b/internal/limpetdirector/lease.go
@@ -30,7 +30,7 @@
 	if d.stepped.IsZero() {
 		passed = 0
 	}
-	d.stepped = now
+	d.stepped, d.paused = now, passed
 	fade := float64(passed) / float64(lagHalf)
 	d.lag = time.Duration(float64(d.lag)/(1+fade)) + max(0, passed-lagFree)
 	if d.lead == nil || d.lag < lagMost || now.Sub(d.lead.since) < holdLeast {
@@ -41,12 +41,7 @@
 	d.lag = 0
 	d.standBack = now.Add(standBackFor)
 	d.abandon()
-	d.group.Go(func(ctx context.Context) error {
-		if err := d.holder.Release(ctx); err != nil {
-			d.Log.Emit(limpetlog.LeaseLost, limpetlog.Error(err))
-		}
-		return nil
-	})
+	d.release()
 }
 
 // keepLease renews the lease, and steps down when the belief in it ends.
@@ -87,6 +82,16 @@
 	}
 }
 
+// release ends the lease, so that another VM takes over at once.
+func (d *Director) release() {
+	d.group.Go(func(ctx context.Context) error {
+		if err := d.holder.Release(ctx); err != nil {
+			d.Log.Emit(limpetlog.LeaseLost, limpetlog.Error(err))
+		}
+		return nil
+	})
+}
+
 // letGo gives up the lease that this VM cannot be sure of, as soon as the
 // store takes the call: the lease may have stood still with the store, and
 // keeps everybody waiting otherwise. The VM then competes like others.
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -102,8 +102,10 @@
 	upElsewhere bool
 	// standBack is until when the VM leaves the duty to others.
 	standBack time.Time
-	// stepped is when the loop ran last, and lag what it was late lately.
+	// stepped is when the loop ran last, paused how long it had not run then,
+	// and lag what it was late lately.
 	stepped time.Time
+	paused  time.Duration
 	lag     time.Duration
 	askedAt time.Time
 
@@ -111,7 +113,6 @@
 	// the runs given to them.
 	sessions map[string]*session
 	ordered  int
-	checked  time.Time
 
 	open    map[string]limpetlot.Summary
 	ended   map[string]bool
--- a/internal/limpetdirector/retire.go
+++ b/internal/limpetdirector/retire.go
@@ -46,10 +46,5 @@
 	}
 	d.stepDown("the VM is being emptied")
 	d.abandon()
-	d.group.Go(func(ctx context.Context) error {
-		if err := d.holder.Release(ctx); err != nil {
-			d.Log.Emit(limpetlog.LeaseLost, limpetlog.Error(err))
-		}
-		return nil
-	})
+	d.release()
 }
