--- a/internal/limpetbatch/attach_test.go
+++ b/internal/limpetbatch/attach_test.go
@@ -8,12 +8,12 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"limpetmount.org/internal/limpetbatch"
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 )
 
 // heldText returns the text of an item up to an event.
-func heldText(item string, last, version int) limpetlot.Draft {
-	d := limpetlot.Draft{Item: item, Last: last, Version: version}
+func heldText(item string, last, version int) limpetjob.Draft {
+	d := limpetjob.Draft{Item: item, Last: last, Version: version}
 	for n := 1; n <= last; n++ {
 		d.Pieces = append(d.Pieces, fmt.Sprintf("piece %d", n))
 		d.Versions = []int{version}
--- a/internal/limpetbatch/draft.go
+++ b/internal/limpetbatch/draft.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 )
 
 const (
@@ -18,7 +18,7 @@
 // A DraftSet holds the unfinished texts of one job.
 type DraftSet struct {
 	Job    *Job
-	Drafts []limpetlot.Draft
+	Drafts []limpetjob.Draft
 }
 
 // Drafts returns the unfinished texts that are worth keeping, the longest
@@ -63,7 +63,7 @@
 
 // Resume gives items of a job the texts that another VM kept, where their
 // versions fit.
-func (l *Ledger) Resume(j *Job, drafts []limpetlot.Draft, now time.Time) {
+func (l *Ledger) Resume(j *Job, drafts []limpetjob.Draft, now time.Time) {
 	for _, d := range drafts {
 		e := j.byID[d.Item]
 		if e == nil || e.phase != waiting || e.text.last >= d.Last || !j.allows(d) {
@@ -78,20 +78,20 @@
 }
 
 // Draft returns the entry's text so far.
-func (e *Entry) Draft() limpetlot.Draft {
-	return limpetlot.Draft{
+func (e *Entry) Draft() limpetjob.Draft {
+	return limpetjob.Draft{
 		Item: e.Item.ID, Pieces: slices.Clone(e.text.pieces), Last: e.text.last,
 		Versions: slices.Clone(e.text.versions), Version: e.text.version, Whole: e.text.whole,
 	}
 }
 
 // allows reports whether a job can use a text that is not empty.
-func (j *Job) allows(d limpetlot.Draft) bool {
+func (j *Job) allows(d limpetjob.Draft) bool {
 	return len(d.Versions) > 0 && len(d.Pieces) > 0 &&
 		slices.Min(d.Versions) >= j.MinVersion && (!j.Rules.OnPolicy || len(d.Versions) == 1)
 }
 
-func textOf(d limpetlot.Draft) text {
+func textOf(d limpetjob.Draft) text {
 	t := text{pieces: d.Pieces, last: d.Last, versions: d.Versions, version: d.Version}
 	for _, p := range d.Pieces {
 		t.bytes += len(p)
@@ -103,7 +103,7 @@
 // longer than the entry's, and the run that makes it, when that is not over.
 // It returns the run to go on with, nil when the other VM's is of no use, and
 // the run in whose place it comes, which is to be broken off.
-func (l *Ledger) Attach(j *Job, d limpetlot.Draft, server string, live bool, now time.Time) (run, replaced *Run) {
+func (l *Ledger) Attach(j *Job, d limpetjob.Draft, server string, live bool, now time.Time) (run, replaced *Run) {
 	e := j.byID[d.Item]
 	if e == nil || e.phase > running || (d.Last > 0 && !j.allows(d)) || d.Last < e.text.last {
 		return nil, nil
--- a/internal/limpetbatch/helpers_test.go
+++ b/internal/limpetbatch/helpers_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"limpetmount.org/internal/limpetbatch"
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetupstream"
 )
@@ -33,11 +33,11 @@
 }
 
 // job returns a job whose groups have items of the given expected tokens.
-func job(id string, desired int, groups ...[]int) *limpetlot.Job {
-	j := &limpetlot.Job{ID: id, Account: "acme", Host: "h", Path: "/p/", Model: "m", MinVersion: 1, Desired: desired, Arrived: epoch}
+func job(id string, desired int, groups ...[]int) *limpetjob.Job {
+	j := &limpetjob.Job{ID: id, Account: "acme", Host: "h", Path: "/p/", Model: "m", MinVersion: 1, Desired: desired, Arrived: epoch}
 	for g, sizes := range groups {
 		for n, size := range sizes {
-			j.Items = append(j.Items, limpetlot.Item{
+			j.Items = append(j.Items, limpetjob.Item{
 				ID: fmt.Sprintf("%s-g%d-%d", id, g, n), Path: "/p/1", Group: fmt.Sprintf("g%d", g), Expected: size,
 			})
 		}
@@ -78,8 +78,8 @@
 }
 
 // listed commits all chunks and returns the results in their order.
-func listed(l *limpetbatch.Ledger) []limpetlot.Result {
-	var all []limpetlot.Result
+func listed(l *limpetbatch.Ledger) []limpetjob.Result {
+	var all []limpetjob.Result
 	for {
 		chunks := l.Listings(8)
 		if len(chunks) == 0 {
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetsite"
 )
 
@@ -46,7 +46,7 @@
 // An Entry is one item of a job as the ledger holds it. Its exported fields
 // do not change.
 type Entry struct {
-	Item *limpetlot.Item
+	Item *limpetjob.Item
 	Job  *Job
 
 	group *group
@@ -65,7 +65,7 @@
 	avoid    string
 	rewards  int
 	rewardAt time.Time
-	result   limpetlot.Result
+	result   limpetjob.Result
 }
 
 // A group holds the items that share a prompt and count only together.
@@ -82,7 +82,7 @@
 
 // A Job is an accepted job that is not over.
 type Job struct {
-	*limpetlot.Job
+	*limpetjob.Job
 	Rules Rules
 
 	entries []*Entry
@@ -154,7 +154,7 @@
 func (l *Ledger) Has(id string) bool { return l.jobs[id] != nil }
 
 // Add takes a job of which some results are listed already.
-func (l *Ledger) Add(spec *limpetlot.Job, rules Rules, done []limpetlot.Result, now time.Time) *Job {
+func (l *Ledger) Add(spec *limpetjob.Job, rules Rules, done []limpetjob.Result, now time.Time) *Job {
 	j := &Job{Job: spec, Rules: rules, byID: map[string]*Entry{}, groups: map[string]*group{}}
 	for n := range spec.Items {
 		e := &Entry{Item: &spec.Items[n], Job: j}
@@ -194,7 +194,7 @@
 
 // Adopt takes results that stand in the store, from position 0 on. It returns
 // the runs that are not needed any more.
-func (l *Ledger) Adopt(j *Job, done []limpetlot.Result) []*Run {
+func (l *Ledger) Adopt(j *Job, done []limpetjob.Result) []*Run {
 	var cut []*Run
 	for _, r := range done[min(j.listed, len(done)):] {
 		e := j.byID[r.ID]
--- a/internal/limpetbatch/limpetbatch_test.go
+++ b/internal/limpetbatch/limpetbatch_test.go
@@ -7,7 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"limpetmount.org/internal/limpetbatch"
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -129,10 +129,10 @@
 		name   string
 		ending limpetbatch.Ending
 		runs   int
-		state  limpetlot.State
+		state  limpetjob.State
 	}{
-		{"as many answers of 500 as allowed", limpetbatch.Failed, 3, limpetlot.Errored},
-		{"one answer of 422", limpetbatch.Impossible, 1, limpetlot.Errored},
+		{"as many answers of 500 as allowed", limpetbatch.Failed, 3, limpetjob.Errored},
+		{"one answer of 422", limpetbatch.Impossible, 1, limpetjob.Errored},
 	} {
 		Convey(c.name+" end an item", t, func() {
 			l := ledger(v)
@@ -181,7 +181,7 @@
 		So(given, ShouldBeEmpty)
 		given, _ = l.GiveUp(at(41 * time.Second))
 		So(len(given), ShouldEqual, 1)
-		So(listed(l)[0].State, ShouldEqual, limpetlot.Errored)
+		So(listed(l)[0].State, ShouldEqual, limpetjob.Errored)
 	})
 }
 
@@ -190,7 +190,7 @@
 		v := view(4, map[string]int{"e1": 1})
 		l := ledger(v)
 		j := job("j", 1, []int{1})
-		j.Items[0].Scorer = &limpetlot.Scorer{ID: "s", Host: "h", Path: "/s"}
+		j.Items[0].Scorer = &limpetjob.Scorer{ID: "s", Host: "h", Path: "/s"}
 		l.Add(j, rules, nil, epoch)
 		finish(l, l.Dispatch(v, epoch)[0], 2, 1, epoch)
 		return l, l.Rewards(epoch)[0]
@@ -208,7 +208,7 @@
 		again := l.Rewards(at(time.Second))
 		So(len(again), ShouldEqual, 1)
 		l.Scored(again[0].Entry, "", 1, 4, at(time.Second))
-		So(listed(l)[0].State, ShouldEqual, limpetlot.Errored)
+		So(listed(l)[0].State, ShouldEqual, limpetjob.Errored)
 	})
 	Convey("a call without an answer is repeated and ends nothing", t, func() {
 		l, r := scored()
@@ -224,7 +224,7 @@
 	v := view(4, map[string]int{"e1": 3})
 	Convey("listed results keep their places and are not made again", t, func() {
 		l := ledger(v)
-		j := l.Add(job("j", 2, []int{1}, []int{1}), rules, []limpetlot.Result{{ID: "j-g1-0", State: limpetlot.Completed}}, epoch)
+		j := l.Add(job("j", 2, []int{1}, []int{1}), rules, []limpetjob.Result{{ID: "j-g1-0", State: limpetjob.Completed}}, epoch)
 		So(itemIDs(l.Dispatch(v, epoch)), ShouldResemble, []string{"j-g0-0"})
 		So(j.Listed(), ShouldEqual, 1)
 	})
@@ -234,7 +234,7 @@
 			spec := job("j", 1, []int{1})
 			spec.MinVersion = min
 			j := l.Add(spec, rules, nil, epoch)
-			l.Resume(j, []limpetlot.Draft{{Item: "j-g0-0", Pieces: make([]string, 20), Last: 20, Versions: []int{2}, Version: 2}}, epoch)
+			l.Resume(j, []limpetjob.Draft{{Item: "j-g0-0", Pieces: make([]string, 20), Last: 20, Versions: []int{2}, Version: 2}}, epoch)
 			So(l.Dispatch(v, epoch)[0].After, ShouldEqual, after)
 		}
 	})
@@ -256,7 +256,7 @@
 		l := ledger(v)
 		j := l.Add(job("j", 1, []int{1}), rules, nil, epoch)
 		run := l.Dispatch(v, epoch)[0]
-		cut := l.Adopt(j, []limpetlot.Result{{ID: "j-g0-0", State: limpetlot.Completed}})
+		cut := l.Adopt(j, []limpetjob.Result{{ID: "j-g0-0", State: limpetjob.Completed}})
 		So(cut, ShouldResemble, []*limpetbatch.Run{run})
 		So(l.Ended(run, limpetbatch.Whole, epoch), ShouldBeFalse)
 		So(listed(l), ShouldBeEmpty)
--- a/internal/limpetbatch/listing.go
+++ b/internal/limpetbatch/listing.go
@@ -1,6 +1,6 @@
 package limpetbatch
 
-import "limpetmount.org/internal/limpetlot"
+import "limpetmount.org/internal/limpetjob"
 
 // chunkBytes bounds the texts of one chunk.
 const chunkBytes = 400 << 10
@@ -8,7 +8,7 @@
 // A Listing is a chunk of a job's results that is to be written.
 type Listing struct {
 	Job   *Job
-	Chunk limpetlot.Chunk
+	Chunk limpetjob.Chunk
 }
 
 // Listings returns the next chunk of each job that has settled items, at most
@@ -24,7 +24,7 @@
 		if j.unsure || j.committing > 0 || len(j.unlisted) == 0 {
 			continue
 		}
-		c := limpetlot.Chunk{First: j.listed}
+		c := limpetjob.Chunk{First: j.listed}
 		for _, e := range j.unlisted {
 			if bytes += len(e.result.Text); bytes > chunkBytes && len(c.Results) > 0 {
 				break
--- a/internal/limpetbatch/load_test.go
+++ b/internal/limpetbatch/load_test.go
@@ -11,7 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"limpetmount.org/internal/limpetbatch"
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetsite"
 )
 
@@ -27,7 +27,7 @@
 	// strike is told after a second of each engine that makes a long text.
 	strike func(id string)
 	// later holds jobs that arrive during the play.
-	later []*limpetlot.Job
+	later []*limpetjob.Job
 	// crowding is what each neighbour adds to the time between events.
 	crowding time.Duration
 	// context is what each event of the texts at an engine adds to the time
@@ -210,7 +210,7 @@
 			for n := range 18 {
 				id := fmt.Sprintf("k%d-%d", wave, n)
 				f.lengths[id] = 20
-				other.Items = append(other.Items, limpetlot.Item{ID: id, Path: "/p/1", Group: id, Expected: 20 * 64})
+				other.Items = append(other.Items, limpetjob.Item{ID: id, Path: "/p/1", Group: id, Expected: 20 * 64})
 			}
 			f.later = append(f.later, other)
 		}
@@ -235,7 +235,7 @@
 		for n := range 300 {
 			id := fmt.Sprintf("k-%d", n)
 			f.lengths[id] = 60
-			other.Items = append(other.Items, limpetlot.Item{ID: id, Path: "/p/1", Group: id, Expected: 60 * 64})
+			other.Items = append(other.Items, limpetjob.Item{ID: id, Path: "/p/1", Group: id, Expected: 60 * 64})
 		}
 		other.Arrived = at(time.Second)
 		f.ledger.Add(other, rules, nil, epoch)
@@ -259,7 +259,7 @@
 			for n := range 10 {
 				id := fmt.Sprintf("k%d-%d", wave, n)
 				f.lengths[id] = 25
-				other.Items = append(other.Items, limpetlot.Item{ID: id, Path: "/p/1", Group: id, Expected: 25 * 64})
+				other.Items = append(other.Items, limpetjob.Item{ID: id, Path: "/p/1", Group: id, Expected: 25 * 64})
 			}
 			f.later = append(f.later, other)
 		}
--- a/internal/limpetbatch/reward.go
+++ b/internal/limpetbatch/reward.go
@@ -4,13 +4,13 @@
 	"slices"
 	"time"
 
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 )
 
 // A Reward is a reward call that is due.
 type Reward struct {
 	Entry  *Entry
-	Scorer *limpetlot.Scorer
+	Scorer *limpetjob.Scorer
 }
 
 const (
@@ -32,16 +32,16 @@
 	return due
 }
 
-// Scored takes the end of a reward call: the seal of a good answer, or the
+// Scored takes the end of a reward call: the signature of a good answer, or the
 // number of failing ones. An entry whose calls failed as often as allowed is
 // errored; Scored reports whether it is.
-func (l *Ledger) Scored(e *Entry, seal string, failures, allowed int, now time.Time) bool {
+func (l *Ledger) Scored(e *Entry, signature string, failures, allowed int, now time.Time) bool {
 	if e.phase != scoring {
 		return false
 	}
-	if seal != "" {
-		e.text.score = seal
-		l.settle(e, limpetlot.Completed)
+	if signature != "" {
+		e.text.score = signature
+		l.settle(e, limpetjob.Completed)
 		return false
 	}
 	e.rewards += failures
--- a/internal/limpetbatch/run.go
+++ b/internal/limpetbatch/run.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetupstream"
 )
 
-const errored = limpetlot.Errored
+const errored = limpetjob.Errored
 
 // Head takes the version that an engine names at the start of a run. It
 // reports whether the run may go on; otherwise it is to be broken off.
--- a/internal/limpetbatch/text.go
+++ b/internal/limpetbatch/text.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -41,7 +41,7 @@
 type kept struct {
 	account, model, path string
 	text                 text
-	scorer               *limpetlot.Scorer
+	scorer               *limpetjob.Scorer
 	at                   time.Time
 }
 
@@ -54,7 +54,7 @@
 
 // keep stores what is generated of an item for a later job that asks again.
 func (l *Ledger) keep(e *Entry, now time.Time) {
-	if e.phase == listed && e.result.State != limpetlot.Completed || len(e.text.versions) == 0 {
+	if e.phase == listed && e.result.State != limpetjob.Completed || len(e.text.versions) == 0 {
 		return
 	}
 	l.earlier[e.Item.ID] = &kept{
@@ -108,7 +108,7 @@
 	}
 }
 
-func sameScorer(a, b *limpetlot.Scorer) bool {
+func sameScorer(a, b *limpetjob.Scorer) bool {
 	if a == nil || b == nil {
 		return a == b
 	}
@@ -124,15 +124,15 @@
 		e.rewardAt = now
 		return
 	}
-	l.settle(e, limpetlot.Completed)
+	l.settle(e, limpetjob.Completed)
 }
 
 // settle gives an entry its result.
-func (l *Ledger) settle(e *Entry, state limpetlot.State) {
+func (l *Ledger) settle(e *Entry, state limpetjob.State) {
 	e.phase = settled
 	e.group.open--
-	e.result = limpetlot.Result{ID: e.Item.ID, State: state}
-	if state == limpetlot.Completed {
+	e.result = limpetjob.Result{ID: e.Item.ID, State: state}
+	if state == limpetjob.Completed {
 		e.result.Text, e.result.Versions, e.result.Score = e.text.join(), e.text.versions, e.text.score
 	}
 	e.Job.unlisted = append(e.Job.unlisted, e)
--- a/internal/limpetcarry/limpetcarry.go
+++ b/internal/limpetcarry/limpetcarry.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetupstream"
 )
@@ -23,7 +23,7 @@
 	Job  string
 	Call limpetupstream.Call
 	// Begun is the text that the run goes on from.
-	Begun limpetlot.Draft
+	Begun limpetjob.Draft
 }
 
 // A Batch is what a director tells a carrier at once.
@@ -42,7 +42,7 @@
 	Server string
 	// Running is set while more of the text may come.
 	Running bool
-	Text    limpetlot.Draft
+	Text    limpetjob.Draft
 }
 
 // An Opening offers a VM to a director.
--- a/internal/limpetcarry/limpetcarry_test.go
+++ b/internal/limpetcarry/limpetcarry_test.go
@@ -16,8 +16,8 @@
 	"limpetmount.org/internal/limpetbatch"
 	"limpetmount.org/internal/limpetcarry"
 	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetupstream"
@@ -144,7 +144,7 @@
 	return d.openings, events, ends
 }
 
-func order(run string, begun limpetlot.Draft) limpetcarry.Order {
+func order(run string, begun limpetjob.Draft) limpetcarry.Order {
 	return limpetcarry.Order{Run: run, Job: "j", Begun: begun, Call: limpetupstream.Call{
 		Server: &limpetsite.Server{ID: "e"}, ID: "i", After: begun.Last,
 	}}
@@ -193,7 +193,7 @@
 }
 
 func TestCarrier(t *testing.T) {
-	begun := limpetlot.Draft{Pieces: []string{"a", "b"}, Last: 2, Versions: []int{2}, Version: 2}
+	begun := limpetjob.Draft{Pieces: []string{"a", "b"}, Last: 2, Versions: []int{2}, Version: 2}
 	bubble(t, "progress comes once and in order, the end of a run at once", 6, func(t *testing.T, d *director, _ *limpetcarry.Seeker) {
 		d.batches <- limpetcarry.Batch{Orders: []limpetcarry.Order{order("r", begun)}}
 		time.Sleep(4*pace + 600*time.Millisecond)
@@ -235,7 +235,7 @@
 		check(t, len(openings), ShouldEqual, 2)
 	})
 	bubble(t, "a run that is cut ends, and one for a server that must get no work does not begin", 60, func(t *testing.T, d *director, s *limpetcarry.Seeker) {
-		other := order("q", limpetlot.Draft{})
+		other := order("q", limpetjob.Draft{})
 		other.Call.Server = &limpetsite.Server{ID: "draining"}
 		d.batches <- limpetcarry.Batch{Orders: []limpetcarry.Order{order("r", begun), other}}
 		time.Sleep(700 * time.Millisecond)
--- a/internal/limpetcarry/run.go
+++ b/internal/limpetcarry/run.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"limpetmount.org/internal/limpetbatch"
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -14,7 +14,7 @@
 type run struct {
 	job, server string
 	cancel      context.CancelFunc
-	text        limpetlot.Draft
+	text        limpetjob.Draft
 	// headed is set once the engine answered.
 	headed  bool
 	ended   bool
@@ -80,7 +80,7 @@
 
 // extend adds the event that follows on a text. The director decides about a
 // stream with a gap; the text ends before it.
-func extend(text *limpetlot.Draft, e limpetupstream.Event, version int) {
+func extend(text *limpetjob.Draft, e limpetupstream.Event, version int) {
 	if e.ID != text.Last+1 {
 		return
 	}
--- a/internal/limpetdirector/carriers.go
+++ b/internal/limpetdirector/carriers.go
@@ -25,8 +25,8 @@
 	// loopLate is a pause of the loop after which the silence of carriers
 	// proves nothing.
 	loopLate = 200 * time.Millisecond
-	// strayLife is how long a run is kept whose job is not known.
-	strayLife = 5 * time.Second
+	// unmatchedLife is how long a run is kept whose job is not known.
+	unmatchedLife = 5 * time.Second
 	// serverPatience is how long a run waits until its engine is known here.
 	serverPatience = 1500 * time.Millisecond
 	// faultLife is how long a carrier sends nothing to an engine that it heard
@@ -70,7 +70,7 @@
 	d.offers.Store(s.id, s)
 	d.Log.Emit(limpetlog.CarrierJoined, limpetlog.Value("carrier", s.vm), limpetlog.Value("held", len(m.held)))
 	for _, h := range m.held {
-		s.strays[h.Run] = &h
+		s.unmatched[h.Run] = &h
 	}
 }
 
@@ -175,9 +175,9 @@
 			d.dropCarrier(s, "it is silent")
 			continue
 		}
-		for id, h := range s.strays {
+		for id, h := range s.unmatched {
 			if d.takeHeld(s, h, now) {
-				delete(s.strays, id)
+				delete(s.unmatched, id)
 			}
 		}
 	}
@@ -188,7 +188,7 @@
 func (d *Director) takeHeld(s *session, h *limpetcarry.Held, now time.Time) bool {
 	age := now.Sub(s.opened)
 	j := d.ledger.Jobs()[h.Job]
-	if j == nil && !d.ended[h.Job] && !d.whole[h.Job] && age < strayLife {
+	if j == nil && !d.ended[h.Job] && !d.whole[h.Job] && age < unmatchedLife {
 		return false
 	}
 	if j != nil && h.Running && d.view.Server(h.Server) == nil && age < serverPatience {
@@ -241,7 +241,7 @@
 func (d *Director) advance(s *session, p limpetcarry.Progress, at time.Time) {
 	r := s.runs[p.Run]
 	if r == nil {
-		if h := s.strays[p.Run]; h != nil {
+		if h := s.unmatched[p.Run]; h != nil {
 			h.Take(p)
 		}
 		return
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -8,9 +8,9 @@
 	"limpetmount.org/internal/limpetbatch"
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetfollow"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlease"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpettask"
@@ -37,8 +37,8 @@
 		}
 		l.group.Go(f.Run)
 	}
-	follow(limpetlot.EndPrefix)
-	follow(limpetlot.OpenPrefix)
+	follow(limpetjob.EndPrefix)
+	follow(limpetjob.OpenPrefix)
 }
 
 // news holds changes of one of the job prefixes.
@@ -53,13 +53,13 @@
 	if d.lead != n.lead {
 		return
 	}
-	if n.prefix == limpetlot.EndPrefix && n.complete {
+	if n.prefix == limpetjob.EndPrefix && n.complete {
 		d.lead.endsKnown = true
 	}
 	now := d.Now()
 	for _, v := range n.values {
 		id := strings.TrimPrefix(v.Key, n.prefix)
-		if n.prefix == limpetlot.EndPrefix {
+		if n.prefix == limpetjob.EndPrefix {
 			d.endJob(id, v.Deleted, now)
 			continue
 		}
@@ -90,7 +90,7 @@
 		delete(d.whole, id)
 		return
 	}
-	s, err := limpetlot.DecodeSummary(v)
+	s, err := limpetjob.DecodeSummary(v)
 	if err != nil {
 		d.Log.Emit(limpetlog.JobUnreadable, limpetlog.Job(id), limpetlog.Error(err))
 		return
@@ -103,7 +103,7 @@
 }
 
 // load reads a job and what is listed of it.
-func (d *Director) load(s limpetlot.Summary) {
+func (d *Director) load(s limpetjob.Summary) {
 	if d.loading[s.ID] || d.lead == nil {
 		return
 	}
@@ -113,14 +113,14 @@
 		m := loaded{lead: l, id: s.ID}
 		m.err = d.untilRead(ctx, s.ID, func() error {
 			var err error
-			if m.job, err = limpetlot.Load(ctx, d.Store, s); err != nil {
+			if m.job, err = limpetjob.Load(ctx, d.Store, s); err != nil {
 				return err
 			}
-			if m.done, err = limpetlot.Listed(ctx, d.Store, s.ID); err != nil {
+			if m.done, err = limpetjob.Listed(ctx, d.Store, s.ID); err != nil {
 				return err
 			}
 			if d.Now().Sub(s.Arrived) > draftPeriod {
-				m.drafts, err = limpetlot.LoadDrafts(ctx, d.Store, s.ID)
+				m.drafts, err = limpetjob.LoadDrafts(ctx, d.Store, s.ID)
 			}
 			return err
 		})
@@ -148,10 +148,10 @@
 type loaded struct {
 	lead *lead
 	id   string
-	job  *limpetlot.Job
-	done []limpetlot.Result
+	job  *limpetjob.Job
+	done []limpetjob.Result
 	// drafts are texts that a former director kept.
-	drafts []limpetlot.Draft
+	drafts []limpetjob.Draft
 	err    error
 }
 
@@ -187,7 +187,7 @@
 	now := d.Now()
 	j := d.ledger.Add(m.job, rules, m.done, now)
 	d.ledger.Resume(j, m.drafts, now)
-	d.shelf.set(m.id, j.Account, len(j.Items), 0, m.done)
+	d.listed.set(m.id, j.Account, len(j.Items), 0, m.done)
 	d.Log.Emit(limpetlog.JobTaken, limpetlog.Job(m.id), limpetlog.Account(j.Account), limpetlog.Value("items", len(j.Items)),
 		limpetlog.Value("listed", len(m.done)), limpetlog.Value("drafts", len(m.drafts)), limpetlog.Value("step", j.Step), limpetlog.Value("min_version", j.MinVersion),
 		limpetlog.Value("engines", d.ledger.Usable(j)), limpetlog.Value("named", d.view.Named[j.Model]),
@@ -197,7 +197,7 @@
 // reload asks for a job again.
 type reload struct {
 	lead    *lead
-	summary limpetlot.Summary
+	summary limpetjob.Summary
 }
 
 func (m reload) apply(d *Director) {
@@ -207,7 +207,7 @@
 }
 
 // rulesOf returns what the routes say about a job.
-func rulesOf(view *limpetsite.Snapshot, j *limpetlot.Job) (limpetbatch.Rules, bool) {
+func rulesOf(view *limpetsite.Snapshot, j *limpetjob.Job) (limpetbatch.Rules, bool) {
 	route := view.Route(j.Host, j.Path)
 	if route == nil || len(route.Targets) == 0 {
 		return limpetbatch.Rules{}, false
@@ -228,7 +228,7 @@
 	l.group.Go(func(ctx context.Context) error {
 		m := resynced{lead: l, id: id}
 		m.err = d.untilRead(ctx, id, func() (err error) {
-			m.done, err = limpetlot.Listed(ctx, d.Store, id)
+			m.done, err = limpetjob.Listed(ctx, d.Store, id)
 			return err
 		})
 		d.post(ctx, m)
@@ -239,7 +239,7 @@
 type resynced struct {
 	lead *lead
 	id   string
-	done []limpetlot.Result
+	done []limpetjob.Result
 	err  error
 }
 
@@ -254,7 +254,7 @@
 		return
 	}
 	d.cut(d.ledger.Adopt(j, m.done), "listed already")
-	d.shelf.set(m.id, j.Account, len(j.Items), 0, m.done)
+	d.listed.set(m.id, j.Account, len(j.Items), 0, m.done)
 }
 
 // list writes settled results. One write is under way at a time; it has its
@@ -274,10 +274,10 @@
 	}
 	t := limpetstore.Transaction{Checks: []limpetstore.Check{{Key: limpetlease.Prefix + Duty, Revision: l.fence}}}
 	for _, c := range chunks {
-		key := limpetlot.ChunkKey(c.Job.ID, c.Chunk.First)
+		key := limpetjob.ChunkKey(c.Job.ID, c.Chunk.First)
 		t.Checks = append(t.Checks, limpetstore.Check{Key: key})
 		t.Writes = append(t.Writes, limpetstore.Write{Key: key, Data: c.Chunk.Encode()})
-		d.shelf.write(c.Job.ID, now)
+		d.listed.write(c.Job.ID, now)
 	}
 	l.committing = true
 	l.group.Go(func(ctx context.Context) error {
@@ -311,7 +311,7 @@
 	sets := d.ledger.Drafts(limpetstore.MaxEntries - 1)
 	t := limpetstore.Transaction{Checks: []limpetstore.Check{{Key: limpetlease.Prefix + Duty, Revision: l.fence}}}
 	for _, s := range sets {
-		t.Writes = append(t.Writes, limpetstore.Write{Key: limpetlot.DraftKey(s.Job.ID), Data: limpetlot.EncodeDrafts(s.Drafts)})
+		t.Writes = append(t.Writes, limpetstore.Write{Key: limpetjob.DraftKey(s.Job.ID), Data: limpetjob.EncodeDrafts(s.Drafts)})
 	}
 	return t, len(sets) > 0
 }
@@ -373,17 +373,17 @@
 	for _, c := range m.chunks {
 		if m.err == nil {
 			// Also for a job that ended meanwhile: the store holds its results.
-			d.shelf.set(c.Job.ID, c.Job.Account, len(c.Job.Items), c.Chunk.First, c.Chunk.Results)
+			d.listed.set(c.Job.ID, c.Job.Account, len(c.Job.Items), c.Chunk.First, c.Chunk.Results)
 		}
 		if !d.ledger.Has(c.Job.ID) {
 			if m.err != nil {
-				d.shelf.drop(c.Job.ID)
+				d.listed.drop(c.Job.ID)
 			}
 			continue
 		}
 		if m.err != nil {
 			d.Log.Emit(limpetlog.ListingFailed, limpetlog.Job(c.Job.ID), limpetlog.Value("first", c.Chunk.First), limpetlog.Error(m.err))
-			d.shelf.drop(c.Job.ID)
+			d.listed.drop(c.Job.ID)
 			d.resync(c.Job.ID)
 			continue
 		}
--- a/internal/limpetdirector/lease.go
+++ b/internal/limpetdirector/lease.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpettask"
 )
 
@@ -129,7 +129,7 @@
 	d.doubtful(true)
 	d.upElsewhere = false
 	// A write that is under way may still add to what the store holds.
-	d.shelf.clear()
+	d.listed.clear()
 	d.swaps = map[string]time.Time{}
 	d.vacantAt = d.Now()
 	d.group.Go(func(context.Context) error { return l.group.Stop() })
@@ -143,10 +143,10 @@
 	for id := range d.ledger.Jobs() {
 		d.cut(d.ledger.End(id, now), "another VM took over")
 	}
-	d.open = map[string]limpetlot.Summary{}
+	d.open = map[string]limpetjob.Summary{}
 	d.loading = map[string]bool{}
 	d.whole = map[string]bool{}
-	d.shelf.clear()
+	d.listed.clear()
 	d.Wake(false)
 }
 
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -12,9 +12,9 @@
 
 	"limpetmount.org/internal/limpetbatch"
 	"limpetmount.org/internal/limpetforward"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlease"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
@@ -74,7 +74,7 @@
 	holder *limpetlease.Holder
 	ledger *limpetbatch.Ledger
 	inbox  chan message
-	shelf  *shelf
+	listed *resultCache
 	// candidate is what Compete was told last.
 	candidate atomic.Bool
 
@@ -114,7 +114,7 @@
 	sessions map[string]*session
 	ordered  int
 
-	open    map[string]limpetlot.Summary
+	open    map[string]limpetjob.Summary
 	ended   map[string]bool
 	loading map[string]bool
 	whole   map[string]bool
@@ -182,10 +182,10 @@
 func New(deps Deps) *Director {
 	ttl := max(leaseTime, deps.LeaseLeast)
 	return &Director{
-		Deps: deps, ledger: limpetbatch.New(), inbox: make(chan message, inboxSize), over: make(chan struct{}), sessions: map[string]*session{}, shelf: newShelf(),
+		Deps: deps, ledger: limpetbatch.New(), inbox: make(chan message, inboxSize), over: make(chan struct{}), sessions: map[string]*session{}, listed: newResultCache(),
 		holder:  limpetlease.New(deps.Store, deps.VM, deps.Incarnation, ttl, deps.Now),
 		cancels: map[*limpetbatch.Run]context.CancelFunc{}, view: limpetsite.Empty(),
-		open: map[string]limpetlot.Summary{}, ended: map[string]bool{}, loading: map[string]bool{}, whole: map[string]bool{},
+		open: map[string]limpetjob.Summary{}, ended: map[string]bool{}, loading: map[string]bool{}, whole: map[string]bool{},
 		swaps: map[string]time.Time{}, held: map[string]time.Time{}, loads: map[load]int{}, emptied: map[string]bool{},
 	}
 }
--- a/internal/limpetdirector/limpetdirector_test.go
+++ b/internal/limpetdirector/limpetdirector_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetstub"
 )
 
@@ -122,7 +122,7 @@
 		defer a.silence(300 * time.Millisecond)()
 		// The texts are whole after 1.4 s; the write is under way at the end.
 		time.Sleep(550 * time.Millisecond)
-		if err := limpetlot.End(context.Background(), w.store.Client(), "j"); err != nil {
+		if err := limpetjob.End(context.Background(), w.store.Client(), "j"); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(time.Second)
@@ -197,7 +197,7 @@
 		time.Sleep(time.Second)
 		w.submit(t, "j", 8, 1)
 		time.Sleep(500 * time.Millisecond)
-		if err := limpetlot.End(context.Background(), w.store.Client(), "j"); err != nil {
+		if err := limpetjob.End(context.Background(), w.store.Client(), "j"); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(500 * time.Millisecond)
@@ -223,7 +223,7 @@
 		w.submit(t, "ended", 12, 1)
 		w.submit(t, "open", 4, 1)
 		time.Sleep(300 * time.Millisecond)
-		if err := limpetlot.End(context.Background(), w.store.Client(), "ended"); err != nil {
+		if err := limpetjob.End(context.Background(), w.store.Client(), "ended"); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/internal/limpetdirector/results.go
+++ b/internal/limpetdirector/results.go
@@ -5,28 +5,28 @@
 	"sync"
 	"time"
 
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 )
 
-// shelfBytes bounds the texts that are kept for readers.
-const shelfBytes = 40 << 20
+// cacheBytes bounds the texts that are kept for readers.
+const cacheBytes = 40 << 20
 
 // pageBytes bounds the texts of one page of results.
 const pageBytes = 900 << 10
 
-// A shelf holds the listed results of the jobs that this VM carries out, for
+// A resultCache holds the listed results of the jobs that this VM carries out, for
 // readers on other VMs. It is safe for use by several goroutines.
-type shelf struct {
+type resultCache struct {
 	mu    sync.Mutex
-	jobs  map[string]*shelved
+	jobs  map[string]*cachedJob
 	order []string
 	bytes int
 }
 
-type shelved struct {
+type cachedJob struct {
 	account string
 	total   int
-	results []limpetlot.Result
+	results []limpetjob.Result
 	bytes   int
 	changed chan struct{}
 	// writing is when a write of results began whose outcome is not known yet;
@@ -39,7 +39,7 @@
 const doubtAfter = 250 * time.Millisecond
 
 // write records that a write of a job's results began.
-func (s *shelf) write(job string, now time.Time) {
+func (s *resultCache) write(job string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if j := s.jobs[job]; j != nil {
@@ -49,23 +49,23 @@
 
 // doubtful reports whether the store may hold more results of a job than are
 // known here.
-func (s *shelf) doubtful(job string, now time.Time) bool {
+func (s *resultCache) doubtful(job string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j := s.jobs[job]
 	return j == nil || (!j.writing.IsZero() && now.Sub(j.writing) > doubtAfter)
 }
 
-func newShelf() *shelf { return &shelf{jobs: map[string]*shelved{}} }
+func newResultCache() *resultCache { return &resultCache{jobs: map[string]*cachedJob{}} }
 
 // set takes the results of a job from position first on. A gap makes the job
 // unknown.
-func (s *shelf) set(job, account string, total, first int, results []limpetlot.Result) {
+func (s *resultCache) set(job, account string, total, first int, results []limpetjob.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j := s.jobs[job]
 	if j == nil {
-		j = &shelved{account: account, total: total, changed: make(chan struct{})}
+		j = &cachedJob{account: account, total: total, changed: make(chan struct{})}
 		s.jobs[job] = j
 		s.order = append(s.order, job)
 	}
@@ -81,19 +81,19 @@
 	j.writing = time.Time{}
 	close(j.changed)
 	j.changed = make(chan struct{})
-	for s.bytes > shelfBytes && len(s.order) > 1 {
+	for s.bytes > cacheBytes && len(s.order) > 1 {
 		s.remove(s.order[0])
 	}
 }
 
 // drop forgets a job.
-func (s *shelf) drop(job string) {
+func (s *resultCache) drop(job string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.remove(job)
 }
 
-func (s *shelf) remove(job string) {
+func (s *resultCache) remove(job string) {
 	j := s.jobs[job]
 	if j == nil {
 		return
@@ -110,7 +110,7 @@
 }
 
 // clear forgets all jobs.
-func (s *shelf) clear() {
+func (s *resultCache) clear() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.order) > 0 {
@@ -120,14 +120,14 @@
 
 // page returns the results of a job from a position on, and a channel that
 // is closed when there are more.
-func (s *shelf) page(job string, after int) (limpetlot.Page, string, <-chan struct{}) {
+func (s *resultCache) page(job string, after int) (limpetjob.Page, string, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j := s.jobs[job]
 	if j == nil {
-		return limpetlot.Page{}, "", nil
+		return limpetjob.Page{}, "", nil
 	}
-	p := limpetlot.Page{Total: j.total, Next: after}
+	p := limpetjob.Page{Total: j.total, Next: after}
 	size := 0
 	for n := after; n < len(j.results); n++ {
 		if size += len(j.results[n].Text); size > pageBytes && len(p.Results) > 0 {
@@ -142,16 +142,16 @@
 // Results returns the listed results of a job from a position on, and waits
 // for some up to the given time. Known is false when this VM may not speak for
 // the job: it does not carry it out, or may have been superseded.
-func (d *Director) Results(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetlot.Page, denied, known bool) {
+func (d *Director) Results(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetjob.Page, denied, known bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		page, owner, changed := d.shelf.page(job, after)
+		page, owner, changed := d.listed.page(job, after)
 		if changed == nil || !d.Directing() {
-			return limpetlot.Page{}, false, false
+			return limpetjob.Page{}, false, false
 		}
 		if owner != account {
-			return limpetlot.Page{}, true, true
+			return limpetjob.Page{}, true, true
 		}
 		if len(page.Results) > 0 || after >= page.Total {
 			return page, false, true
@@ -160,9 +160,9 @@
 		case <-changed:
 		case <-timer.C:
 			// Nothing is said only when it is sure that there is nothing.
-			return page, false, d.Directing() && !d.shelf.doubtful(job, d.Now())
+			return page, false, d.Directing() && !d.listed.doubtful(job, d.Now())
 		case <-ctx.Done():
-			return limpetlot.Page{}, false, false
+			return limpetjob.Page{}, false, false
 		}
 	}
 }
--- a/internal/limpetdirector/runs.go
+++ b/internal/limpetdirector/runs.go
@@ -135,7 +135,7 @@
 		m := scored{entry: r.Entry, failures: answer.Failures, allowed: allowed, reason: answer.Reason}
 		if answer.Reply != nil {
 			if answer.Reply.Status/100 == 2 {
-				m.seal = answer.Reply.Seal
+				m.signature = answer.Reply.Signature
 			}
 			answer.Reply.Close()
 		}
@@ -146,17 +146,17 @@
 
 type scored struct {
 	entry             *limpetbatch.Entry
-	seal              string
+	signature         string
 	failures, allowed int
 	reason            limpetforward.Reason
 }
 
 func (m scored) apply(d *Director) {
 	e := m.entry
-	if d.ledger.Scored(e, m.seal, m.failures, max(m.allowed, e.Job.Rules.Attempts), d.Now()) {
+	if d.ledger.Scored(e, m.signature, m.failures, max(m.allowed, e.Job.Rules.Attempts), d.Now()) {
 		d.gaveUp(e, "its reward call failed as often as allowed")
 	}
-	if m.seal == "" {
+	if m.signature == "" {
 		d.Log.Emit(limpetlog.RewardFailed, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID),
 			limpetlog.Request(e.Item.Scorer.ID), limpetlog.Value("failures", m.failures), limpetlog.Value("reason", m.reason.String()))
 	}
--- a/internal/limpetdirector/session.go
+++ b/internal/limpetdirector/session.go
@@ -17,10 +17,10 @@
 
 	// Owned by the loop.
 	runs map[string]*limpetbatch.Run
-	// strays are runs of jobs or engines that are not known here yet.
-	strays map[string]*limpetcarry.Held
-	opened time.Time
-	heard  time.Time
+	// unmatched are runs of jobs or engines that are not known here yet.
+	unmatched map[string]*limpetcarry.Held
+	opened    time.Time
+	heard     time.Time
 	// faults holds when an engine was silent to this VM.
 	faults map[string]time.Time
 	// doubted is until when the VM itself is taken for the cause.
@@ -119,7 +119,7 @@
 func (d *Director) Carry(ctx context.Context, o limpetcarry.Opening, send func(limpetcarry.Batch) error) error {
 	s := &session{
 		id: o.Session, vm: o.VM, zone: o.Zone, out: newOutbox(),
-		runs: map[string]*limpetbatch.Run{}, strays: map[string]*limpetcarry.Held{}, faults: map[string]time.Time{},
+		runs: map[string]*limpetbatch.Run{}, unmatched: map[string]*limpetcarry.Held{}, faults: map[string]time.Time{},
 	}
 	d.post(ctx, opened{session: s, held: o.Held})
 	// The end must be told although ctx ended.
--- a/internal/limpetdirector/world_test.go
+++ b/internal/limpetdirector/world_test.go
@@ -18,8 +18,8 @@
 	"limpetmount.org/internal/limpetdirector"
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetforward"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
@@ -116,7 +116,7 @@
 	version := w.version[c.Server.ID]
 	w.mu.Unlock()
 	n := c.After
-	return &limpetupstream.Reply{Status: http.StatusOK, Seal: "s", Version: version, Close: func() {}, Events: func() (limpetupstream.Event, error) {
+	return &limpetupstream.Reply{Status: http.StatusOK, Signature: "s", Version: version, Close: func() {}, Events: func() (limpetupstream.Event, error) {
 		if n == events {
 			return limpetupstream.Event{}, io.EOF
 		}
@@ -265,7 +265,7 @@
 		l, err := inner.Scan(ctx, prefix, after)
 		c.mu.Lock()
 		late := c.late
-		if prefix == limpetlot.EndPrefix {
+		if prefix == limpetjob.EndPrefix {
 			late += c.lateEnds
 		}
 		c.mu.Unlock()
@@ -319,25 +319,25 @@
 
 // submit accepts a job of so many items.
 func (w *world) submit(t *testing.T, id string, items, min int) {
-	j := &limpetlot.Job{ID: id, Account: "acme", Host: "h", Path: "/p/", Model: "m", MinVersion: min, Desired: items, Arrived: time.Now()}
+	j := &limpetjob.Job{ID: id, Account: "acme", Host: "h", Path: "/p/", Model: "m", MinVersion: min, Desired: items, Arrived: time.Now()}
 	for n := range items {
-		j.Items = append(j.Items, limpetlot.Item{ID: fmt.Sprintf("%s-%d", id, n), Path: "/p/1", Group: fmt.Sprint(n), Expected: 64 * events})
+		j.Items = append(j.Items, limpetjob.Item{ID: fmt.Sprintf("%s-%d", id, n), Path: "/p/1", Group: fmt.Sprint(n), Expected: 64 * events})
 	}
-	if err := limpetlot.Accept(context.Background(), w.store.Client(), j); err != nil {
+	if err := limpetjob.Accept(context.Background(), w.store.Client(), j); err != nil {
 		t.Fatal(err)
 	}
 }
 
 // results returns what stands of a job, checked for order and wholeness.
-func (w *world) results(t *testing.T, id string) []limpetlot.Result {
-	l, err := w.store.Client().Scan(context.Background(), limpetlot.ResultPrefix(id), "")
+func (w *world) results(t *testing.T, id string) []limpetjob.Result {
+	l, err := w.store.Client().Scan(context.Background(), limpetjob.ResultPrefix(id), "")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var all []limpetlot.Result
+	var all []limpetjob.Result
 	seen := map[string]bool{}
 	for _, v := range l.Values {
-		c, err := limpetlot.DecodeChunk(v)
+		c, err := limpetjob.DecodeChunk(v)
 		if err != nil || c.First != len(all) {
 			t.Fatalf("chunk at %d after %d results: %v", c.First, len(all), err)
 		}
@@ -363,7 +363,7 @@
 	return stored
 }
 
-func wantWhole(t *testing.T, results []limpetlot.Result, items int) {
+func wantWhole(t *testing.T, results []limpetjob.Result, items int) {
 	Convey("every item is listed once, with its whole text", t, func() {
 		So(len(results), ShouldEqual, items)
 		for _, r := range results {
@@ -375,7 +375,7 @@
 				text += fmt.Sprintf("%s.%d", r.ID, n)
 			}
 			So(r.Text, ShouldEqual, text)
-			So(r.State, ShouldEqual, limpetlot.Completed)
+			So(r.State, ShouldEqual, limpetjob.Completed)
 		}
 	})
 }
--- a/internal/limpetforward/limpetforward_test.go
+++ b/internal/limpetforward/limpetforward_test.go
@@ -27,7 +27,7 @@
 
 func answers(status int) reaction {
 	return func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error) {
-		return &limpetupstream.Reply{Status: status, Seal: "seal", Close: func() {}}, nil
+		return &limpetupstream.Reply{Status: status, Signature: "seal", Close: func() {}}, nil
 	}
 }
 
@@ -213,7 +213,7 @@
 func stream(from, to int, err error) reaction {
 	return func(_ context.Context, _ limpetupstream.Call) (*limpetupstream.Reply, error) {
 		n := from - 1
-		return &limpetupstream.Reply{Status: 200, Seal: "seal", Close: func() {}, Events: func() (limpetupstream.Event, error) {
+		return &limpetupstream.Reply{Status: 200, Signature: "seal", Close: func() {}, Events: func() (limpetupstream.Event, error) {
 			if n == to {
 				return limpetupstream.Event{}, err
 			}
--- a/internal/limpethost/jobs.go
+++ b/internal/limpethost/jobs.go
@@ -6,8 +6,8 @@
 
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetforward"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetsite"
 )
 
@@ -94,7 +94,7 @@
 
 // Submit accepts a batch job for the account of a key. Malformed is why the
 // job could not be read; nil when it was.
-func (h *Host) Submit(ctx context.Context, key string, job *limpetlot.Job, malformed error) Refusal {
+func (h *Host) Submit(ctx context.Context, key string, job *limpetjob.Job, malformed error) Refusal {
 	account, refusal := h.account(job.ID, key)
 	if refusal.Cause != NoCause {
 		return refusal
@@ -107,7 +107,7 @@
 	// The caller may leave; what is stored then is still decided here.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTime)
 	defer cancel()
-	err := limpetlot.Accept(ctx, h.deps.Store, job)
+	err := limpetjob.Accept(ctx, h.deps.Store, job)
 	took := limpetlog.Value("ms", h.deps.Now().Sub(job.Arrived).Milliseconds())
 	if err != nil {
 		h.Log.Emit(limpetlog.JobRefused, limpetlog.Job(job.ID), limpetlog.Account(account), limpetlog.Error(err), took)
@@ -133,10 +133,10 @@
 
 // ReadJob returns a page of a job's results for the account of a key, and
 // waits up to the given time for one that is not empty.
-func (h *Host) ReadJob(ctx context.Context, key, id string, after int, wait time.Duration) (limpetlot.Page, Refusal) {
+func (h *Host) ReadJob(ctx context.Context, key, id string, after int, wait time.Duration) (limpetjob.Page, Refusal) {
 	account, refusal := h.account(id, key)
 	if refusal.Cause != NoCause {
-		return limpetlot.Page{}, refusal
+		return limpetjob.Page{}, refusal
 	}
 	wait = min(max(wait, 0), waitLongest)
 	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
@@ -155,7 +155,7 @@
 	defer cancel()
 	err := h.owned(ctx, id, account)
 	if err == nil {
-		err = limpetlot.End(ctx, h.deps.Store, id)
+		err = limpetjob.End(ctx, h.deps.Store, id)
 	}
 	return h.unread(id, err)
 }
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -18,8 +18,8 @@
 	"limpetmount.org/internal/limpetfollow"
 	"limpetmount.org/internal/limpetforward"
 	"limpetmount.org/internal/limpetgrow"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetrelay"
 	"limpetmount.org/internal/limpetsite"
@@ -67,7 +67,7 @@
 	Metrics   *limpetmetric.Set
 
 	deps     Deps
-	reader   *limpetlot.Reader
+	reader   *limpetjob.Reader
 	group    *limpettask.Group
 	view     atomic.Pointer[limpetsite.Snapshot]
 	inbox    chan siteMessage
@@ -82,8 +82,8 @@
 	// seeker offers this VM to directors as a sender of runs.
 	seeker *limpetcarry.Seeker
 
-	board *limpetrelay.Board
-	held  *limpetwindow.Held
+	mirror *limpetrelay.Mirror
+	held   *limpetwindow.Held
 	// relay is the director that this VM follows; nil when there is none.
 	relay   atomic.Pointer[limpetrelay.Client]
 	peersMu sync.Mutex
@@ -120,12 +120,12 @@
 		Settings: settings, Log: log, Metrics: metrics, deps: deps,
 		group: limpettask.New(parent), inbox: make(chan siteMessage, siteInbox),
 		directing: limpettask.New(parent),
-		board:     limpetrelay.NewBoard(deps.Incarnation, deps.Now), held: limpetwindow.NewHeld(), peers: map[string]time.Time{},
+		mirror:    limpetrelay.NewMirror(deps.Incarnation, deps.Now), held: limpetwindow.NewHeld(), peers: map[string]time.Time{},
 	}
 	h.view.Store(limpetsite.Empty())
 	meter := limpetstore.NewMeter(metrics.Registry)
 	h.counter = limpetwindow.NewCounter(meter.Wrap(deps.Store, "usage"), settings.VM+"."+deps.Incarnation, settings.Bounds.UsageWindow, deps.Now, log)
-	h.reader = limpetlot.NewReader(meter.Wrap(deps.Store, "read"), deps.Now)
+	h.reader = limpetjob.NewReader(meter.Wrap(deps.Store, "read"), deps.Now)
 	h.Forwarder = &limpetforward.Forwarder{
 		Zone: settings.Zone, View: h.View, Peer: deps.Peer, Tracker: limpetbalance.New(),
 		Log: log, Metrics: metrics, Began: h.counter.Began, Now: deps.Now,
@@ -251,11 +251,11 @@
 		f := &limpetfollow.Follower{
 			Store: store, Prefix: feed.Prefix, Wait: watchWait,
 			Listed: func(l limpetstore.Listing) {
-				h.board.Listed(feed.Prefix, l)
+				h.mirror.Listed(feed.Prefix, l)
 				h.tell(siteMessage{records: decodeAll(feed, l.Values), listed: true, revision: l.Revision, feed: feed.Prefix})
 			},
 			Changed: func(values []limpetstore.Value) {
-				h.board.Changed(feed.Prefix, values)
+				h.mirror.Changed(feed.Prefix, values)
 				h.tell(siteMessage{records: decodeAll(feed, values), feed: feed.Prefix})
 			},
 			Lost: func(err error) {
@@ -312,7 +312,7 @@
 				}
 			}
 			failed = false
-			h.board.Confirmed(sent)
+			h.mirror.Confirmed(sent)
 			h.contact.Store(true)
 		}
 		if !limpettask.Sleep(ctx, probePeriod) {
--- a/internal/limpethost/limpethost_test.go
+++ b/internal/limpethost/limpethost_test.go
@@ -10,8 +10,8 @@
 
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpethost"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
@@ -85,8 +85,8 @@
 	}
 }
 
-func job(id string) *limpetlot.Job {
-	return &limpetlot.Job{ID: id, Host: "h", Path: "/jobs/", Model: "m", Arrived: time.Now(), Items: []limpetlot.Item{{ID: id + "-1", Path: "/p", Body: []byte("body")}}}
+func job(id string) *limpetjob.Job {
+	return &limpetjob.Job{ID: id, Host: "h", Path: "/jobs/", Model: "m", Arrived: time.Now(), Items: []limpetjob.Item{{ID: id + "-1", Path: "/p", Body: []byte("body")}}}
 }
 
 func TestJobsOfCallers(t *testing.T) {
--- a/internal/limpethost/source.go
+++ b/internal/limpethost/source.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetrelay"
 	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetwindow"
@@ -164,11 +164,11 @@
 
 // read returns the listed results of an account's job: from the director while
 // it speaks for the job, and from the store otherwise.
-func (h *Host) read(ctx context.Context, job, account string, after int, wait time.Duration) (limpetlot.Page, error) {
+func (h *Host) read(ctx context.Context, job, account string, after int, wait time.Duration) (limpetjob.Page, error) {
 	began := h.deps.Now()
 	page, denied, known := h.ask(ctx, job, account, after, wait)
 	if known && denied {
-		return limpetlot.Page{}, limpetlot.NoJob(job)
+		return limpetjob.Page{}, limpetjob.NoJob(job)
 	}
 	if known {
 		return page, nil
@@ -176,13 +176,13 @@
 	return h.reader.Read(ctx, job, account, after, max(0, wait-h.deps.Now().Sub(began)))
 }
 
-func (h *Host) ask(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetlot.Page, denied, known bool) {
+func (h *Host) ask(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetjob.Page, denied, known bool) {
 	if h.director.Directing() {
 		return h.director.Results(ctx, job, account, after, wait)
 	}
 	client := h.relay.Load()
 	if client == nil {
-		return limpetlot.Page{}, false, false
+		return limpetjob.Page{}, false, false
 	}
 	page, denied, known, err := client.Results(ctx, job, account, after, wait)
 	return page, denied, known && err == nil
@@ -211,10 +211,10 @@
 	return taken && err == nil
 }
 
-// office returns what this VM answers others while it is the director.
-func (h *Host) office() *limpetrelay.Office {
-	return &limpetrelay.Office{
-		Board: h.board, Met: h.met, Directing: h.director.Directing, Results: h.director.Results,
+// handlers returns what this VM answers others while it is the director.
+func (h *Host) handlers() *limpetrelay.Handlers {
+	return &limpetrelay.Handlers{
+		Mirror: h.mirror, Met: h.met, Directing: h.director.Directing, Results: h.director.Results,
 		Count: func(counter string, windows map[int64]limpetwindow.Counts) bool {
 			if !h.director.Directing() {
 				return false
@@ -227,4 +227,4 @@
 }
 
 // RelayHandler serves other VMs.
-func (h *Host) RelayHandler() http.Handler { return h.office().Handler() }
+func (h *Host) RelayHandler() http.Handler { return h.handlers().Handler() }
--- a/internal/limpetlot/limpetlot.go
+++ b/internal/limpetjob/limpetjob.go
@@ -1,8 +1,8 @@
-// Package limpetlot owns batch jobs as they stand in the platform's store: a
+// Package limpetjob owns batch jobs as they stand in the platform's store: a
 // job is accepted by one transaction, its results are appended in immutable
 // chunks, and its end is a mark. Any VM can accept, read and end any job; which
 // VM runs the items is not decided here.
-package limpetlot
+package limpetjob
 
 import (
 	"encoding/json"
--- a/internal/limpetlot/limpetlot_test.go
+++ b/internal/limpetjob/limpetjob_test.go
@@ -1,4 +1,4 @@
-package limpetlot_test
+package limpetjob_test
 
 import (
 	"bytes"
@@ -11,23 +11,23 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"limpetmount.org/internal/limpeterror"
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpetstub"
 )
 
-func job(id, account string) *limpetlot.Job {
-	return &limpetlot.Job{ID: id, Account: account, Model: "m", Arrived: time.Now(), Items: []limpetlot.Item{
+func job(id, account string) *limpetjob.Job {
+	return &limpetjob.Job{ID: id, Account: account, Model: "m", Arrived: time.Now(), Items: []limpetjob.Item{
 		{ID: "i1", Path: "/p/1", Body: []byte("one")}, {ID: "i2", Path: "/p/2", Body: []byte("two")},
 	}}
 }
 
 func chunk(store limpetstore.Store, id string, first int, items ...string) error {
-	c := limpetlot.Chunk{First: first}
+	c := limpetjob.Chunk{First: first}
 	for _, i := range items {
-		c.Results = append(c.Results, limpetlot.Result{ID: i, State: limpetlot.Completed, Text: "text of " + i})
+		c.Results = append(c.Results, limpetjob.Result{ID: i, State: limpetjob.Completed, Text: "text of " + i})
 	}
-	_, err := store.Commit(context.Background(), limpetstore.Transaction{Writes: []limpetstore.Write{{Key: limpetlot.ChunkKey(id, first), Data: c.Encode()}}})
+	_, err := store.Commit(context.Background(), limpetstore.Transaction{Writes: []limpetstore.Write{{Key: limpetjob.ChunkKey(id, first), Data: c.Encode()}}})
 	return err
 }
 
@@ -58,8 +58,8 @@
 				}
 				within, cancel := context.WithTimeout(ctx, time.Second)
 				defer cancel()
-				err := limpetlot.Accept(within, stub.Client(), job("j", "acme"))
-				_, stored := limpetlot.Stored(ctx, stub.Client(), "j")
+				err := limpetjob.Accept(within, stub.Client(), job("j", "acme"))
+				_, stored := limpetjob.Stored(ctx, stub.Client(), "j")
 				Convey(c.name, t, func() {
 					So(c.check(err), ShouldBeTrue)
 					So(stored == nil, ShouldEqual, c.stored)
@@ -72,22 +72,22 @@
 		stub.Fault = func(string, string) limpetstub.Fault { return limpetstub.LostBefore }
 		within, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 		defer cancel()
-		So(limpeterror.Is(limpetlot.Accept(within, stub.Client(), job("j", "acme")), limpeterror.Unknown), ShouldBeTrue)
+		So(limpeterror.Is(limpetjob.Accept(within, stub.Client(), job("j", "acme")), limpeterror.Unknown), ShouldBeTrue)
 	})
 	Convey("a job is accepted once, again for its account and for no other", t, func() {
 		stub := limpetstub.NewStore()
-		So(limpetlot.Accept(ctx, stub.Client(), job("j", "acme")), ShouldBeNil)
-		So(limpetlot.Accept(ctx, stub.Client(), job("j", "acme")), ShouldBeNil)
-		So(limpeterror.Is(limpetlot.Accept(ctx, stub.Client(), job("j", "other")), limpeterror.Denied), ShouldBeTrue)
+		So(limpetjob.Accept(ctx, stub.Client(), job("j", "acme")), ShouldBeNil)
+		So(limpetjob.Accept(ctx, stub.Client(), job("j", "acme")), ShouldBeNil)
+		So(limpeterror.Is(limpetjob.Accept(ctx, stub.Client(), job("j", "other")), limpeterror.Denied), ShouldBeTrue)
 	})
 	Convey("a job larger than one value is stored whole", t, func() {
 		stub := limpetstub.NewStore()
 		j := job("j", "acme")
 		j.Items[0].Body = bytes.Repeat([]byte("x"), 3<<20)
-		So(limpetlot.Accept(ctx, stub.Client(), j), ShouldBeNil)
-		s, err := limpetlot.Stored(ctx, stub.Client(), "j")
+		So(limpetjob.Accept(ctx, stub.Client(), j), ShouldBeNil)
+		s, err := limpetjob.Stored(ctx, stub.Client(), "j")
 		So(err, ShouldBeNil)
-		read, err := limpetlot.Load(ctx, stub.Client(), s)
+		read, err := limpetjob.Load(ctx, stub.Client(), s)
 		So(err, ShouldBeNil)
 		So(len(read.Items[0].Body), ShouldEqual, 3<<20)
 	})
@@ -102,12 +102,12 @@
 
 func TestRead(t *testing.T) {
 	ctx := context.Background()
-	open := func() (*limpetstub.Store, *limpetlot.Reader) {
+	open := func() (*limpetstub.Store, *limpetjob.Reader) {
 		stub := limpetstub.NewStore()
-		if err := limpetlot.Accept(ctx, stub.Client(), job("j", "acme")); err != nil {
+		if err := limpetjob.Accept(ctx, stub.Client(), job("j", "acme")); err != nil {
 			panic(fmt.Sprintf("a calm store refuses a job: %v", err))
 		}
-		return stub, limpetlot.NewReader(stub.Client(), time.Now)
+		return stub, limpetjob.NewReader(stub.Client(), time.Now)
 	}
 	Convey("a reader is given what stands from its position on", t, func() {
 		stub, r := open()
@@ -148,7 +148,7 @@
 			<-time.After(wait)
 			return limpetstore.Listing{Revision: after + 1000}, nil
 		}
-		r := limpetlot.NewReader(silent, time.Now)
+		r := limpetjob.NewReader(silent, time.Now)
 		So(chunk(store, "j", 0, "i1"), ShouldBeNil)
 		_, err := r.Read(ctx, "j", "acme", 0, 10*time.Millisecond)
 		So(err, ShouldBeNil)
@@ -169,8 +169,8 @@
 	})
 	Convey("an end may be repeated", t, func() {
 		stub, _ := open()
-		So(limpetlot.End(ctx, stub.Client(), "j"), ShouldBeNil)
-		So(limpetlot.End(ctx, stub.Client(), "j"), ShouldBeNil)
+		So(limpetjob.End(ctx, stub.Client(), "j"), ShouldBeNil)
+		So(limpetjob.End(ctx, stub.Client(), "j"), ShouldBeNil)
 	})
 }
 
@@ -178,10 +178,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
 		stub := limpetstub.NewStore()
-		if err := limpetlot.Accept(ctx, stub.Client(), job("j", "acme")); err != nil {
+		if err := limpetjob.Accept(ctx, stub.Client(), job("j", "acme")); err != nil {
 			t.Fatal(err)
 		}
-		r := limpetlot.NewReader(stub.Client(), time.Now)
+		r := limpetjob.NewReader(stub.Client(), time.Now)
 		time.AfterFunc(300*time.Millisecond, func() {
 			if err := chunk(stub.Client(), "j", 0, "i1"); err != nil {
 				t.Error(err)
--- a/internal/limpetlot/reader.go
+++ b/internal/limpetjob/reader.go
@@ -1,4 +1,4 @@
-package limpetlot
+package limpetjob
 
 import (
 	"context"
--- a/internal/limpetrelay/carry.go
+++ b/internal/limpetrelay/carry.go
@@ -9,7 +9,7 @@
 
 	"limpetmount.org/internal/limpetbatch"
 	"limpetmount.org/internal/limpetcarry"
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetupstream"
 	"limpetmount.org/internal/limpetwire"
@@ -58,7 +58,7 @@
 	for _, h := range r.Msg.Held {
 		o.Held = append(o.Held, limpetcarry.Held{Run: h.Run, Job: h.Job, Server: h.Server, Running: h.Running, Text: textOf(h.Text)})
 	}
-	return s.office.Carry(ctx, o, func(b limpetcarry.Batch) error { return stream.Send(batchMessage(b)) })
+	return s.handlers.Carry(ctx, o, func(b limpetcarry.Batch) error { return stream.Send(batchMessage(b)) })
 }
 
 // Deliver implements limpetwire.RelayHandler.
@@ -67,7 +67,7 @@
 	for _, p := range r.Msg.Progress {
 		d.Progress = append(d.Progress, progressOf(p))
 	}
-	return connect.NewResponse(&limpetwire.DeliverReply{Known: s.office.Deliver(ctx, d)}), nil
+	return connect.NewResponse(&limpetwire.DeliverReply{Known: s.handlers.Deliver(ctx, d)}), nil
 }
 
 func batchMessage(b limpetcarry.Batch) *limpetwire.CarryReply {
@@ -103,14 +103,14 @@
 	return b
 }
 
-func textMessage(d limpetlot.Draft) *limpetwire.CarriedText {
+func textMessage(d limpetjob.Draft) *limpetwire.CarriedText {
 	return &limpetwire.CarriedText{
 		Item: d.Item, Pieces: d.Pieces, Last: int64(d.Last), Versions: int64s(d.Versions), Version: int64(d.Version), Whole: d.Whole,
 	}
 }
 
-func textOf(m *limpetwire.CarriedText) limpetlot.Draft {
-	return limpetlot.Draft{
+func textOf(m *limpetwire.CarriedText) limpetjob.Draft {
+	return limpetjob.Draft{
 		Item: m.GetItem(), Pieces: m.GetPieces(), Last: int(m.GetLast()), Versions: ints(m.GetVersions()), Version: int(m.GetVersion()), Whole: m.GetWhole(),
 	}
 }
--- a/internal/limpetrelay/client.go
+++ b/internal/limpetrelay/client.go
@@ -8,7 +8,7 @@
 	"connectrpc.com/connect"
 
 	"limpetmount.org/internal/limpethttp"
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpetwindow"
 	"limpetmount.org/internal/limpetwire"
@@ -20,7 +20,7 @@
 	relayIdle  = 16
 )
 
-// A Client calls the office of another VM.
+// A Client calls the handlers of another VM.
 type Client struct {
 	relay limpetwire.RelayClient
 	// ready is where this VM says whether it is ready.
@@ -63,17 +63,17 @@
 }
 
 // Results returns a job's results from a position on, if the VM knows the job.
-func (c *Client) Results(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetlot.Page, denied, known bool, err error) {
+func (c *Client) Results(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetjob.Page, denied, known bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
 	r, err := c.relay.Results(ctx, connect.NewRequest(&limpetwire.ResultsRequest{Job: job, Account: account, After: int64(after), WaitMs: wait.Milliseconds()}))
 	if err != nil {
-		return limpetlot.Page{}, false, false, err
+		return limpetjob.Page{}, false, false, err
 	}
-	page = limpetlot.Page{Total: int(r.Msg.Total), Next: after + len(r.Msg.Results)}
+	page = limpetjob.Page{Total: int(r.Msg.Total), Next: after + len(r.Msg.Results)}
 	for _, x := range r.Msg.Results {
-		page.Results = append(page.Results, limpetlot.Result{
-			ID: x.Id, State: limpetlot.State(x.State), Text: x.Text, Versions: ints(x.Versions), Score: x.Score,
+		page.Results = append(page.Results, limpetjob.Result{
+			ID: x.Id, State: limpetjob.State(x.State), Text: x.Text, Versions: ints(x.Versions), Score: x.Score,
 		})
 	}
 	return page, r.Msg.Denied, r.Msg.Known, nil
--- a/internal/limpetrelay/limpetrelay.go
+++ b/internal/limpetrelay/limpetrelay.go
@@ -14,7 +14,7 @@
 	"limpetmount.org/internal/limpettask"
 )
 
-// tombstones is the number of deletions that a board remembers.
+// tombstones is the number of deletions that a mirror remembers.
 const tombstones = 4096
 
 type held struct {
@@ -23,9 +23,9 @@
 	position uint64
 }
 
-// A Board holds the feeds of the store that a VM follows, for others to read.
+// A Mirror holds the feeds of the store that a VM follows, for others to read.
 // It is safe for use by several goroutines.
-type Board struct {
+type Mirror struct {
 	epoch string
 	now   func() time.Time
 
@@ -46,71 +46,71 @@
 	changed   chan struct{}
 }
 
-// NewBoard returns an empty board. The epoch tells it from other boards.
-func NewBoard(epoch string, now func() time.Time) *Board {
-	return &Board{epoch: epoch, now: now, values: map[string]held{}, feeds: map[string]uint64{}, changed: make(chan struct{}), whole: make(chan struct{}, wholeMost)}
+// NewMirror returns an empty mirror. The epoch tells it from other mirrors.
+func NewMirror(epoch string, now func() time.Time) *Mirror {
+	return &Mirror{epoch: epoch, now: now, values: map[string]held{}, feeds: map[string]uint64{}, changed: make(chan struct{}), whole: make(chan struct{}, wholeMost)}
 }
 
 // Listed takes a complete listing of a feed.
-func (b *Board) Listed(feed string, l limpetstore.Listing) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (m *Mirror) Listed(feed string, l limpetstore.Listing) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	present := map[string]bool{}
 	for _, v := range l.Values {
 		present[v.Key] = true
-		b.put(feed, v)
+		m.put(feed, v)
 	}
-	for key, h := range b.values {
+	for key, h := range m.values {
 		if h.feed == feed && !present[key] && h.value.Revision <= l.Revision {
-			b.put(feed, limpetstore.Value{Key: key, Revision: l.Revision, Deleted: true})
+			m.put(feed, limpetstore.Value{Key: key, Revision: l.Revision, Deleted: true})
 		}
 	}
-	b.feeds[feed] = max(b.feeds[feed], l.Revision)
-	b.wake()
+	m.feeds[feed] = max(m.feeds[feed], l.Revision)
+	m.wake()
 }
 
 // Changed takes changes of a feed.
-func (b *Board) Changed(feed string, values []limpetstore.Value) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (m *Mirror) Changed(feed string, values []limpetstore.Value) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, v := range values {
-		b.put(feed, v)
-		b.feeds[feed] = max(b.feeds[feed], v.Revision)
+		m.put(feed, v)
+		m.feeds[feed] = max(m.feeds[feed], v.Revision)
 	}
-	b.wake()
+	m.wake()
 }
 
 // Confirmed records that the store answered a question that was sent at a
 // time.
-func (b *Board) Confirmed(at time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if at.After(b.confirmed) {
-		b.confirmed = at
+func (m *Mirror) Confirmed(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at.After(m.confirmed) {
+		m.confirmed = at
 	}
 }
 
-func (b *Board) put(feed string, v limpetstore.Value) {
-	known, ok := b.values[v.Key]
+func (m *Mirror) put(feed string, v limpetstore.Value) {
+	known, ok := m.values[v.Key]
 	if ok && v.Revision <= known.value.Revision {
 		return
 	}
-	b.position++
-	h := held{feed: feed, value: v, position: b.position}
+	m.position++
+	h := held{feed: feed, value: v, position: m.position}
 	if !v.Deleted {
-		b.values[v.Key] = h
+		m.values[v.Key] = h
 		return
 	}
-	delete(b.values, v.Key)
-	if b.deleted = append(b.deleted, h); len(b.deleted) > tombstones {
-		b.pruned = b.deleted[0].position
-		b.deleted = b.deleted[1:]
+	delete(m.values, v.Key)
+	if m.deleted = append(m.deleted, h); len(m.deleted) > tombstones {
+		m.pruned = m.deleted[0].position
+		m.deleted = m.deleted[1:]
 	}
 }
 
-func (b *Board) wake() {
-	close(b.changed)
-	b.changed = make(chan struct{})
+func (m *Mirror) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 // A Change is a value of a feed.
@@ -119,7 +119,7 @@
 	Value limpetstore.Value
 }
 
-// An Update is what a board tells of what changed since a position.
+// An Update is what a mirror tells of what changed since a position.
 type Update struct {
 	Epoch    string
 	Position uint64
@@ -134,25 +134,25 @@
 
 // Since returns what changed since the position of an epoch's update. It waits
 // up to the given time for a change.
-func (b *Board) Since(ctx context.Context, epoch string, position uint64, wait time.Duration) Update {
+func (m *Mirror) Since(ctx context.Context, epoch string, position uint64, wait time.Duration) Update {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	b.waiting.Add(1)
-	defer b.waiting.Add(-1)
+	m.waiting.Add(1)
+	defer m.waiting.Add(-1)
 	gathered := false
 	for {
-		b.mu.Lock()
-		u, changed := b.since(epoch, position), b.changed
-		b.mu.Unlock()
+		m.mu.Lock()
+		u, changed := m.since(epoch, position), m.changed
+		m.mu.Unlock()
 		if u.Full && len(u.Changes) > wholeSmall {
-			b.pace(ctx)
+			m.pace(ctx)
 			return u
 		}
 		if u.Full || (len(u.Changes) > 0 && gathered) {
 			return u
 		}
 		if len(u.Changes) > 0 {
-			limpettask.Sleep(ctx, b.gather())
+			limpettask.Sleep(ctx, m.gather())
 			gathered = true
 			continue
 		}
@@ -160,7 +160,7 @@
 		case <-ctx.Done():
 			return u
 		case <-timer.C:
-			u.Age = b.age()
+			u.Age = m.age()
 			return u
 		case <-changed:
 		}
@@ -186,36 +186,36 @@
 
 // pace waits for the turn of a large answer: after a change of directors every
 // VM asks for one, and all of them at once would not fit into memory.
-func (b *Board) pace(ctx context.Context) {
+func (m *Mirror) pace(ctx context.Context) {
 	select {
-	case b.whole <- struct{}{}:
-		time.AfterFunc(wholeTime, func() { <-b.whole })
+	case m.whole <- struct{}{}:
+		time.AfterFunc(wholeTime, func() { <-m.whole })
 	case <-ctx.Done():
 	}
 }
 
 // gather returns how long a change waits for others: each answer goes to every
 // VM.
-func (b *Board) gather() time.Duration {
-	return min(gatherLongest, max(0, time.Duration(b.waiting.Load()-gatherFree)*gatherEach))
+func (m *Mirror) gather() time.Duration {
+	return min(gatherLongest, max(0, time.Duration(m.waiting.Load()-gatherFree)*gatherEach))
 }
 
-func (b *Board) age() time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.now().Sub(b.confirmed)
+func (m *Mirror) age() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now().Sub(m.confirmed)
 }
 
-func (b *Board) since(epoch string, position uint64) Update {
-	u := Update{Epoch: b.epoch, Position: b.position, Feeds: map[string]uint64{}, Age: b.now().Sub(b.confirmed)}
-	u.Full = epoch != b.epoch || position < b.pruned
-	for feed, revision := range b.feeds {
+func (m *Mirror) since(epoch string, position uint64) Update {
+	u := Update{Epoch: m.epoch, Position: m.position, Feeds: map[string]uint64{}, Age: m.now().Sub(m.confirmed)}
+	u.Full = epoch != m.epoch || position < m.pruned
+	for feed, revision := range m.feeds {
 		u.Feeds[feed] = revision
 	}
-	if !u.Full && position == b.position {
+	if !u.Full && position == m.position {
 		return u
 	}
-	for _, h := range b.values {
+	for _, h := range m.values {
 		if u.Full || h.position > position {
 			u.Changes = append(u.Changes, Change{Feed: h.feed, Value: h.value})
 		}
@@ -223,7 +223,7 @@
 	if u.Full {
 		return u
 	}
-	for _, h := range b.deleted {
+	for _, h := range m.deleted {
 		if h.position > position {
 			u.Changes = append(u.Changes, Change{Feed: h.feed, Value: h.value})
 		}
--- a/internal/limpetrelay/limpetrelay_test.go
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -15,7 +15,7 @@
 
 	"limpetmount.org/internal/limpetbatch"
 	"limpetmount.org/internal/limpetcarry"
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetrelay"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
@@ -28,14 +28,14 @@
 	return limpetstore.Value{Key: key, Data: []byte(key), Revision: revision}
 }
 
-// A mirror applies updates as another VM does.
-type mirror struct {
+// A follower applies updates as another VM does.
+type follower struct {
 	epoch    string
 	position uint64
 	values   map[string]uint64
 }
 
-func (m *mirror) take(u limpetrelay.Update) {
+func (m *follower) take(u limpetrelay.Update) {
 	if u.Full {
 		m.values = map[string]uint64{}
 	}
@@ -51,9 +51,9 @@
 
 func TestBoard(t *testing.T) {
 	ctx := context.Background()
-	Convey("a mirror follows listings, changes and deletions of several feeds", t, func() {
-		b := limpetrelay.NewBoard("e1", time.Now)
-		m := &mirror{}
+	Convey("a follower takes listings, changes and deletions of several feeds", t, func() {
+		b := limpetrelay.NewMirror("e1", time.Now)
+		m := &follower{}
 		b.Listed("x/", limpetstore.Listing{Values: []limpetstore.Value{value("x/1", 1), value("x/2", 2)}, Revision: 3})
 		m.take(b.Since(ctx, m.epoch, m.position, 0))
 		So(m.values, ShouldResemble, map[string]uint64{"x/1": 1, "x/2": 2})
@@ -66,15 +66,15 @@
 		So(m.values, ShouldResemble, map[string]uint64{"x/3": 11, "y/1": 9})
 	})
 	Convey("a late change does not go back", t, func() {
-		b := limpetrelay.NewBoard("e1", time.Now)
-		m := &mirror{}
+		b := limpetrelay.NewMirror("e1", time.Now)
+		m := &follower{}
 		b.Changed("x/", []limpetstore.Value{value("x/1", 5)})
 		b.Changed("x/", []limpetstore.Value{value("x/1", 4)})
 		m.take(b.Since(ctx, "", 0, 0))
 		So(m.values["x/1"], ShouldEqual, 5)
 	})
-	Convey("a mirror of another board is told all", t, func() {
-		b := limpetrelay.NewBoard("e2", time.Now)
+	Convey("a follower of another mirror is told all", t, func() {
+		b := limpetrelay.NewMirror("e2", time.Now)
 		b.Changed("x/", []limpetstore.Value{value("x/1", 5)})
 		So(b.Since(ctx, "e1", 1, 0).Full, ShouldBeTrue)
 	})
@@ -82,7 +82,7 @@
 
 func TestBoardWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := limpetrelay.NewBoard("e1", time.Now)
+		b := limpetrelay.NewMirror("e1", time.Now)
 		b.Changed("x/", []limpetstore.Value{value("x/1", 1)})
 		b.Confirmed(time.Now())
 		position := b.Since(context.Background(), "", 0, 0).Position
@@ -103,7 +103,7 @@
 func TestBoardGathers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const vms = 100
-		b := limpetrelay.NewBoard("e1", time.Now)
+		b := limpetrelay.NewMirror("e1", time.Now)
 		b.Changed("x/", []limpetstore.Value{value("x/1", 1)})
 		position := b.Since(context.Background(), "", 0, 0).Position
 		group := limpettask.New(context.Background())
@@ -140,7 +140,7 @@
 func TestBoardPacesLargeAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const vms = 300
-		b := limpetrelay.NewBoard("e1", time.Now)
+		b := limpetrelay.NewMirror("e1", time.Now)
 		var values []limpetstore.Value
 		for n := range 3000 {
 			values = append(values, value(fmt.Sprint("engines/", n), uint64(n+1)))
@@ -181,17 +181,17 @@
 	ctx := context.Background()
 	held := map[int64]limpetwindow.Counts{}
 	met := ""
-	office := &limpetrelay.Office{
-		Board: limpetrelay.NewBoard("e1", time.Now), Directing: func() bool { return true }, Met: func(a string) { met = a },
-		Results: func(_ context.Context, job, account string, after int, _ time.Duration) (limpetlot.Page, bool, bool) {
+	handlers := &limpetrelay.Handlers{
+		Mirror: limpetrelay.NewMirror("e1", time.Now), Directing: func() bool { return true }, Met: func(a string) { met = a },
+		Results: func(_ context.Context, job, account string, after int, _ time.Duration) (limpetjob.Page, bool, bool) {
 			if job != "j" {
-				return limpetlot.Page{}, false, false
+				return limpetjob.Page{}, false, false
 			}
 			if account != "acme" {
-				return limpetlot.Page{}, true, true
+				return limpetjob.Page{}, true, true
 			}
-			return limpetlot.Page{Total: 3, Next: after + 1, Results: []limpetlot.Result{
-				{ID: "i", State: limpetlot.Completed, Text: "a\nb", Versions: []int{2, 3}, Score: "s"},
+			return limpetjob.Page{Total: 3, Next: after + 1, Results: []limpetjob.Result{
+				{ID: "i", State: limpetjob.Completed, Text: "a\nb", Versions: []int{2, 3}, Score: "s"},
 			}}, false, true
 		},
 		Count: func(_ string, windows map[int64]limpetwindow.Counts) bool {
@@ -201,11 +201,11 @@
 			return true
 		},
 	}
-	server := httptest.NewServer(office.Handler())
+	server := httptest.NewServer(handlers.Handler())
 	t.Cleanup(server.Close)
 	c := limpetrelay.NewClient(limpetrelay.NewHTTP(), server.Listener.Addr().String(), "10.0.0.9:1")
 	Convey("what the director says arrives as it was said", t, func() {
-		office.Board.Changed("x/", []limpetstore.Value{value("x/1", 7)})
+		handlers.Mirror.Changed("x/", []limpetstore.Value{value("x/1", 7)})
 		u, directing, err := c.Follow(ctx, "", 0, 0)
 		So(err, ShouldBeNil)
 		So(directing, ShouldBeTrue)
@@ -215,8 +215,8 @@
 		page, denied, known, err := c.Results(ctx, "j", "acme", 1, 0)
 		So(err, ShouldBeNil)
 		So(known && !denied, ShouldBeTrue)
-		So(page, ShouldResemble, limpetlot.Page{Total: 3, Next: 2, Results: []limpetlot.Result{
-			{ID: "i", State: limpetlot.Completed, Text: "a\nb", Versions: []int{2, 3}, Score: "s"},
+		So(page, ShouldResemble, limpetjob.Page{Total: 3, Next: 2, Results: []limpetjob.Result{
+			{ID: "i", State: limpetjob.Completed, Text: "a\nb", Versions: []int{2, 3}, Score: "s"},
 		}})
 		_, denied, _, err = c.Results(ctx, "j", "other", 1, 0)
 		So(err, ShouldBeNil)
@@ -232,7 +232,7 @@
 }
 
 func TestCarrying(t *testing.T) {
-	text := limpetlot.Draft{Item: "i", Pieces: []string{"a", "b"}, Last: 2, Versions: []int{3, 4}, Version: 4}
+	text := limpetjob.Draft{Item: "i", Pieces: []string{"a", "b"}, Last: 2, Versions: []int{3, 4}, Version: 4}
 	batch := limpetcarry.Batch{Cuts: []string{"old"}, Unsure: true, Orders: []limpetcarry.Order{{
 		Run: "r", Job: "j", Begun: text, Call: limpetupstream.Call{
 			Server: &limpetsite.Server{ID: "e", Address: "10.0.0.1:1"}, ID: "i", Method: http.MethodPost, Target: "/p?x=1", Host: "h",
@@ -246,8 +246,8 @@
 	}}}
 	var offered limpetcarry.Opening
 	var brought limpetcarry.Delivery
-	office := &limpetrelay.Office{
-		Board: limpetrelay.NewBoard("e1", time.Now),
+	handlers := &limpetrelay.Handlers{
+		Mirror: limpetrelay.NewMirror("e1", time.Now),
 		Carry: func(_ context.Context, o limpetcarry.Opening, send func(limpetcarry.Batch) error) error {
 			offered = o
 			return send(batch)
@@ -257,7 +257,7 @@
 			return true
 		},
 	}
-	server := httptest.NewServer(office.Handler())
+	server := httptest.NewServer(handlers.Handler())
 	t.Cleanup(server.Close)
 	link := limpetrelay.NewClient(limpetrelay.NewHTTP(), server.Listener.Addr().String(), "").Link()
 	Convey("orders, held texts and progress arrive as they were sent", t, func() {
--- a/internal/limpetrelay/serve.go
+++ b/internal/limpetrelay/serve.go
@@ -8,7 +8,7 @@
 	"connectrpc.com/connect"
 
 	"limpetmount.org/internal/limpetcarry"
-	"limpetmount.org/internal/limpetlot"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetwindow"
 	"limpetmount.org/internal/limpetwire"
 )
@@ -16,16 +16,16 @@
 // longestWait bounds the time that a caller is kept waiting.
 const longestWait = 2 * time.Second
 
-// An Office holds what the director answers other VMs.
-type Office struct {
-	Board *Board
+// An Handlers holds what the director answers other VMs.
+type Handlers struct {
+	Mirror *Mirror
 	// Met is told the address at which an asking VM says whether it is ready.
 	Met func(address string)
 	// Directing reports whether the VM is the director at this moment.
 	Directing func() bool
 	// Results returns the listed results of a job. Known is false when the VM
 	// may not speak for the job.
-	Results func(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetlot.Page, denied, known bool)
+	Results func(ctx context.Context, job, account string, after int, wait time.Duration) (page limpetjob.Page, denied, known bool)
 	// Count takes another VM's usage counts.
 	Count func(counter string, windows map[int64]limpetwindow.Counts) bool
 	// Carry takes a VM's offer to send runs, and hands it batches until the
@@ -36,14 +36,14 @@
 	Deliver func(ctx context.Context, d limpetcarry.Delivery) bool
 }
 
-// Handler serves the office to other VMs.
-func (o *Office) Handler() http.Handler {
+// Handler serves the handlers to other VMs.
+func (o *Handlers) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(limpetwire.NewRelayHandler(server{o}))
 	return mux
 }
 
-type server struct{ office *Office }
+type server struct{ handlers *Handlers }
 
 func waitOf(millis int64) time.Duration {
 	return min(longestWait, max(0, time.Duration(millis)*time.Millisecond))
@@ -52,11 +52,11 @@
 // Follow implements limpetwire.RelayHandler.
 func (s server) Follow(ctx context.Context, r *connect.Request[limpetwire.FollowRequest]) (*connect.Response[limpetwire.FollowReply], error) {
 	if r.Msg.Ready != "" {
-		s.office.Met(r.Msg.Ready)
+		s.handlers.Met(r.Msg.Ready)
 	}
-	u := s.office.Board.Since(ctx, r.Msg.Epoch, r.Msg.Position, waitOf(r.Msg.WaitMs))
+	u := s.handlers.Mirror.Since(ctx, r.Msg.Epoch, r.Msg.Position, waitOf(r.Msg.WaitMs))
 	reply := &limpetwire.FollowReply{
-		Epoch: u.Epoch, Position: u.Position, Full: u.Full, AgeMs: u.Age.Milliseconds(), Directing: s.office.Directing(),
+		Epoch: u.Epoch, Position: u.Position, Full: u.Full, AgeMs: u.Age.Milliseconds(), Directing: s.handlers.Directing(),
 	}
 	for _, c := range u.Changes {
 		reply.Values = append(reply.Values, &limpetwire.RelayedValue{
@@ -71,7 +71,7 @@
 
 // Results implements limpetwire.RelayHandler.
 func (s server) Results(ctx context.Context, r *connect.Request[limpetwire.ResultsRequest]) (*connect.Response[limpetwire.ResultsReply], error) {
-	page, denied, known := s.office.Results(ctx, r.Msg.Job, r.Msg.Account, int(r.Msg.After), waitOf(r.Msg.WaitMs))
+	page, denied, known := s.handlers.Results(ctx, r.Msg.Job, r.Msg.Account, int(r.Msg.After), waitOf(r.Msg.WaitMs))
 	reply := &limpetwire.ResultsReply{Known: known, Denied: denied, Total: int64(page.Total)}
 	for _, x := range page.Results {
 		reply.Results = append(reply.Results, &limpetwire.RelayedResult{
@@ -91,5 +91,5 @@
 		}
 		windows[w.Window] = counts
 	}
-	return connect.NewResponse(&limpetwire.CountReply{Taken: s.office.Count(r.Msg.Counter, windows)}), nil
+	return connect.NewResponse(&limpetwire.CountReply{Taken: s.handlers.Count(r.Msg.Counter, windows)}), nil
 }
--- a/internal/limpetshow/limpetshow.go
+++ b/internal/limpetshow/limpetshow.go
@@ -16,8 +16,8 @@
 	"limpetmount.org/internal/limpetdirector"
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpethost"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlease"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpetwindow"
@@ -148,18 +148,18 @@
 
 func (s *State) jobs(ctx context.Context, store limpetstore.Store) error {
 	ended := map[string]bool{}
-	l, err := store.Scan(ctx, limpetlot.EndPrefix, "")
+	l, err := store.Scan(ctx, limpetjob.EndPrefix, "")
 	if err != nil {
 		return err
 	}
 	for _, v := range l.Values {
-		ended[strings.TrimPrefix(v.Key, limpetlot.EndPrefix)] = true
+		ended[strings.TrimPrefix(v.Key, limpetjob.EndPrefix)] = true
 	}
-	if l, err = store.Scan(ctx, limpetlot.OpenPrefix, ""); err != nil {
+	if l, err = store.Scan(ctx, limpetjob.OpenPrefix, ""); err != nil {
 		return err
 	}
 	for _, v := range l.Values {
-		summary, err := limpetlot.DecodeSummary(v)
+		summary, err := limpetjob.DecodeSummary(v)
 		if err != nil {
 			return err
 		}
@@ -174,15 +174,15 @@
 }
 
 // read takes the listed results, and the groups of a job that is not over.
-func (j *Job) read(ctx context.Context, store limpetstore.Store, summary limpetlot.Summary) error {
-	results, err := limpetlot.Listed(ctx, store, summary.ID)
+func (j *Job) read(ctx context.Context, store limpetstore.Store, summary limpetjob.Summary) error {
+	results, err := limpetjob.Listed(ctx, store, summary.ID)
 	if err != nil {
 		return err
 	}
 	listed := map[string]bool{}
 	for _, r := range results {
 		listed[r.ID] = true
-		if r.State == limpetlot.Errored {
+		if r.State == limpetjob.Errored {
 			j.Errored++
 		}
 	}
@@ -190,7 +190,7 @@
 	if j.Ended || j.Listed >= j.Total {
 		return nil
 	}
-	job, err := limpetlot.Load(ctx, store, summary)
+	job, err := limpetjob.Load(ctx, store, summary)
 	if err != nil {
 		return err
 	}
--- a/internal/limpetshow/limpetshow_test.go
+++ b/internal/limpetshow/limpetshow_test.go
@@ -12,8 +12,8 @@
 
 	"limpetmount.org/internal/limpetdirector"
 	"limpetmount.org/internal/limpethost"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlease"
-	"limpetmount.org/internal/limpetlot"
 	"limpetmount.org/internal/limpetshow"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
@@ -32,11 +32,11 @@
 
 func accept(t *testing.T, store limpetstore.Store, id string, groups int) {
 	t.Helper()
-	j := &limpetlot.Job{ID: id, Account: "acme", Host: "h", Path: "/p/", Model: "m", Arrived: epoch}
+	j := &limpetjob.Job{ID: id, Account: "acme", Host: "h", Path: "/p/", Model: "m", Arrived: epoch}
 	for n := range 2 * groups {
-		j.Items = append(j.Items, limpetlot.Item{ID: fmt.Sprintf("%s-%d", id, n), Path: "/p/1", Group: fmt.Sprint(n / 2)})
+		j.Items = append(j.Items, limpetjob.Item{ID: fmt.Sprintf("%s-%d", id, n), Path: "/p/1", Group: fmt.Sprint(n / 2)})
 	}
-	if err := limpetlot.Accept(context.Background(), store, j); err != nil {
+	if err := limpetjob.Accept(context.Background(), store, j); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -60,16 +60,16 @@
 	}
 	accept(t, store, "j", 3)
 	accept(t, store, "k", 1)
-	chunk := limpetlot.Chunk{Results: []limpetlot.Result{
-		{ID: "j-0", State: limpetlot.Completed}, {ID: "j-1", State: limpetlot.Errored}, {ID: "j-3", State: limpetlot.Completed},
+	chunk := limpetjob.Chunk{Results: []limpetjob.Result{
+		{ID: "j-0", State: limpetjob.Completed}, {ID: "j-1", State: limpetjob.Errored}, {ID: "j-3", State: limpetjob.Completed},
 	}}
 	put(t, store,
-		limpetstore.Write{Key: limpetlot.ChunkKey("j", 0), Data: chunk.Encode()},
+		limpetstore.Write{Key: limpetjob.ChunkKey("j", 0), Data: chunk.Encode()},
 		limpetstore.Write{Key: "engines/e1", Data: []byte("{}")}, limpetstore.Write{Key: "engines/e2", Data: []byte("{}")},
 		limpetstore.Write{Key: "frozen/41", Data: []byte(`{"acme":3,"other":4}`)}, limpetstore.Write{Key: "frozen/42", Data: []byte(`{}`)},
 		limpetstore.Write{Key: limpetdirector.TermKey, Data: []byte(`{"vm":"vm-1","address":"10.0.0.1:1"}`)},
 	)
-	if err := limpetlot.End(context.Background(), store, "k"); err != nil {
+	if err := limpetjob.End(context.Background(), store, "k"); err != nil {
 		t.Fatal(err)
 	}
 	s, err := limpetshow.Read(context.Background(), store, feeds(), epoch)
@@ -85,7 +85,7 @@
 		So(s.Windows, ShouldResemble, []limpetshow.Window{{Number: 42}, {Number: 41, Accounts: 2, Requests: 7}})
 	})
 	Convey("a chunk that is missing is an error, not a shorter list", t, func() {
-		put(t, store, limpetstore.Write{Key: limpetlot.ChunkKey("j", 5), Data: chunk.Encode()})
+		put(t, store, limpetstore.Write{Key: limpetjob.ChunkKey("j", 5), Data: chunk.Encode()})
 		_, err := limpetshow.Read(context.Background(), store, feeds(), epoch)
 		So(err, ShouldNotBeNil)
 	})
--- a/internal/limpetupstream/limpetupstream.go
+++ b/internal/limpetupstream/limpetupstream.go
@@ -66,10 +66,10 @@
 	// Misdirected reports that another server, or one with other weights, has
 	// the address.
 	Misdirected bool
-	// Seal is the server's signature; empty when there is none.
-	Seal  string
-	Load  *Load
-	Close func()
+	// Signature is the server's signature; empty when there is none.
+	Signature string
+	Load      *Load
+	Close     func()
 }
 
 // An Order asks an engine to change a model's weight version.
--- a/limpetsoak/internal/limpetrig/callers.go
+++ b/limpetsoak/internal/limpetrig/callers.go
@@ -58,7 +58,7 @@
 			r.fault("a planned stop of %s cut request %s off: %v", v.Name, id, x.Err)
 		}
 	case x.Status == http.StatusOK:
-		if string(x.Body) != "answer to "+id || !r.record.Sealed(id, x.Seal) {
+		if string(x.Body) != "answer to "+id || !r.record.Sealed(id, x.Signature) {
 			r.fault("request %s got an answer that is not its own", id)
 		}
 		r.mu.Lock()
