Ended jobs are removed from the store; an account's rank orders its jobs; fields that nobody read are gone

Found in reading: limpetjob.Clear was never called, so that every job stayed in the store for good; and the rank of an account was decoded and used nowhere. Test for each. Removed: region, memory of engines, health path, connections, header and idle limits, start time and price of spot servers, which were decoded and not used (docs/PLATFORM.md says which limits are enforced).

--- a/internal/limpetbalance/limpetbalance.go
+++ b/internal/limpetbalance/limpetbalance.go
@@ -23,7 +23,7 @@
 	// otherZone is the cost of a server in another availability zone.
 	otherZone = 6 * time.Millisecond
 	// coldConnection is the cost of a server without a recent request of this
-	// VM: it needs a new connection, which is dear to the users' servers.
+	// VM: it needs a new connection, which costs the server more than a request.
 	coldConnection = 20 * time.Millisecond
 	// warmFor is a little shorter than connections are kept.
 	warmFor    = 8500 * time.Millisecond
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -214,7 +214,7 @@
 	}
 	return limpetbatch.Rules{
 		Service: route.Targets[0].Service, RunTarget: route.RunTarget, ItemLife: route.ItemLife,
-		Attempts: route.Attempts, OnPolicy: route.OnPolicy, Priority: route.Priority,
+		Attempts: route.Attempts, OnPolicy: route.OnPolicy, Priority: view.Priority(j.Account, route),
 	}, true
 }
 
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -154,6 +154,8 @@
 	drafted    time.Time
 	renewing   bool
 	renewed    time.Time
+	forgetting bool
+	forgot     time.Time
 }
 
 // mayBegin reports whether items may be sent.
@@ -284,6 +286,7 @@
 		d.keepDrafts(now)
 		d.swap(now)
 		d.retirements()
+		d.forget(now)
 		d.measure(now)
 	}
 }
--- a/internal/limpetdirector/limpetdirector_test.go
+++ b/internal/limpetdirector/limpetdirector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -239,6 +240,44 @@
 	})
 }
 
+func TestEndedJobsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4)
+		a := w.candidate("a", 0)
+		time.Sleep(time.Second)
+		for _, id := range []string{"ended", "also", "open"} {
+			w.submit(t, id, 4, 1)
+		}
+		time.Sleep(5 * time.Second)
+		for _, id := range []string{"ended", "also"} {
+			if err := limpetjob.End(context.Background(), w.store.Client(), id); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Minute)
+		early := len(w.results(t, "ended"))
+		time.Sleep(2 * time.Minute)
+		left := map[string]int{}
+		for _, id := range []string{"ended", "also", "open"} {
+			l, err := w.store.Client().Scan(context.Background(), "", "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range l.Values {
+				if strings.Contains(v.Key, "/"+id) {
+					left[id]++
+				}
+			}
+		}
+		Convey("an ended job stands while it may be read and then not at all; an open one stays", t, func() {
+			So(early, ShouldEqual, 4)
+			So(left["ended"]+left["also"], ShouldEqual, 0)
+			So(left["open"], ShouldBeGreaterThan, 0)
+		})
+		a.stop(t)
+	})
+}
+
 func TestOrdersHaveOneHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(6)
--- a/internal/limpethost/settings.go
+++ b/internal/limpethost/settings.go
@@ -4,9 +4,8 @@
 
 // Settings holds what a process is told of its VM and of the deployment.
 type Settings struct {
-	VM     string
-	Zone   string
-	Region string
+	VM   string
+	Zone string
 	// ReadyAddress is where this VM tells whether it is ready.
 	ReadyAddress string
 	// RelayAddress is where other VMs of the system reach this one.
--- a/internal/limpetjob/accept.go
+++ b/internal/limpetjob/accept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"limpetmount.org/internal/limpeterror"
@@ -120,17 +121,26 @@
 	return err
 }
 
-// Clear returns the transactions that delete a job whose time is over.
-func Clear(s Summary, chunks []string) []limpetstore.Transaction {
-	keys := append([]string{openKey(s.ID), EndKey(s.ID), DraftKey(s.ID)}, chunks...)
+// Clear removes all that stands of a job whose time is over, under a check that
+// the caller may still do so. The job's own key goes last, so that a try that
+// fails can be repeated.
+func Clear(ctx context.Context, store limpetstore.Store, s Summary, check limpetstore.Check) error {
+	l, err := store.Scan(ctx, ResultPrefix(s.ID), "")
+	if err != nil {
+		return err
+	}
+	var keys []string
+	for _, v := range l.Values {
+		keys = append(keys, v.Key)
+	}
 	for n := range s.Parts {
 		keys = append(keys, partKey(s.ID, n))
 	}
-	var all []limpetstore.Transaction
-	for len(keys) > 0 {
-		n := min(len(keys), limpetstore.MaxEntries)
-		all = append(all, limpetstore.Transaction{Removes: keys[:n]})
-		keys = keys[n:]
+	keys = append(keys, DraftKey(s.ID), EndKey(s.ID), openKey(s.ID))
+	for some := range slices.Chunk(keys, limpetstore.MaxEntries-1) {
+		if _, err := store.Commit(ctx, limpetstore.Transaction{Checks: []limpetstore.Check{check}, Removes: some}); err != nil {
+			return err
+		}
 	}
-	return all
+	return nil
 }
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -78,6 +78,8 @@
 	JobTaken        = define(1703, logrus.InfoLevel, "job taken", "The director carries out the job's items that are not listed yet.")
 	JobEnded        = define(1704, logrus.InfoLevel, "job ended", "The trainer ended the job; its runs were broken off.")
 	JobUnreadable   = define(1705, logrus.ErrorLevel, "job unreadable", "A value of the job cannot be decoded. Update this VM.")
+	JobForgotten    = define(1708, logrus.InfoLevel, "job forgotten", "All that stood of an ended job in the store was removed; nobody may read it any more.")
+	JobNotForgotten = define(1709, logrus.InfoLevel, "job not forgotten", "An ended job could not be removed from the store; it is tried again.")
 	JobNotRead      = define(1707, logrus.InfoLevel, "job not read yet", "The store did not give a job or its results; they are asked for again until it does.")
 	JobWithoutRoute = define(1706, logrus.WarnLevel, "job without route", "No route of the configuration in force leads to the job's service; it is tried again.")
 	RunStarted      = define(1711, logrus.DebugLevel, "run started", "An item was sent to an engine, from the given event on.")
--- a/internal/limpetsite/limpetsite.go
+++ b/internal/limpetsite/limpetsite.go
@@ -66,19 +66,14 @@
 // A Fleet holds the bounds within which servers of a service are ordered, for
 // each availability zone.
 type Fleet struct {
-	Min, Max  int
-	Boot      time.Duration
-	SpotPrice float64
+	Min, Max int
 	// Prices holds the price of a server's second by availability zone.
 	Prices map[string]float64
 }
 
 // A Service holds what the operator configured of a service.
 type Service struct {
-	Name   string
-	Health string
-	// Connections is the largest number of connections to one server.
-	Connections int
+	Name string
 	// Fleet is nil when the service's servers are not ordered.
 	Fleet *Fleet
 }
@@ -94,8 +89,7 @@
 
 // Limits bound what a caller may send; 0 stands for no bound.
 type Limits struct {
-	HeaderBytes, BodyBytes int64
-	HeaderTime, Idle       time.Duration
+	BodyBytes int64
 }
 
 // A Config holds one version of the operator's configuration.
@@ -122,8 +116,6 @@
 	Models map[string]int
 	// Born identifies the server's start.
 	Born int64
-	// Memory is the number of tokens that it holds; 0 when not told.
-	Memory int
 }
 
 // A Named holds the newest weight version of a model that a trainer named.
--- a/internal/limpetsite/limpetsite_test.go
+++ b/internal/limpetsite/limpetsite_test.go
@@ -169,3 +169,16 @@
 		So(change(4, leaving).Routine, ShouldBeFalse)
 	})
 }
+
+func TestPriority(t *testing.T) {
+	Convey("an account's rank takes precedence over the route's, also when it is 0", t, func() {
+		s := limpetsite.NewState()
+		c := config(1, "k")
+		c.Accounts = append(c.Accounts, limpetsite.Account{Name: "first", Ranked: true}, limpetsite.Account{Name: "last", Priority: 9, Ranked: true})
+		s.Apply(limpetsite.Record{Key: "c", Revision: 1, Config: c}, epoch)
+		route := &limpetsite.Route{Priority: 4}
+		So(s.Snapshot().Priority("acme", route), ShouldEqual, 4)
+		So(s.Snapshot().Priority("first", route), ShouldEqual, 0)
+		So(s.Snapshot().Priority("last", route), ShouldEqual, 9)
+	})
+}
--- a/internal/limpetsite/snapshot.go
+++ b/internal/limpetsite/snapshot.go
@@ -87,6 +87,19 @@
 	return nil
 }
 
+// Priority returns the rank of an account's requests on a route: the account's
+// own takes precedence.
+func (s *Snapshot) Priority(account string, route *Route) int {
+	if s.Config != nil {
+		for i := range s.Config.Accounts {
+			if a := &s.Config.Accounts[i]; a.Name == account && a.Ranked {
+				return a.Priority
+			}
+		}
+	}
+	return route.Priority
+}
+
 // Service returns a service of the configuration, or nil.
 func (s *Snapshot) Service(name string) *Service { return s.services[name] }
 
