Log how an attempt ended, and name requests by their content

Cause: 1304 named the attempt's ID, which differs with each repetition of a request, and an error text; broken streams and silent attempts were not logged at all. Change: errors of answers are Disconnected, Silent or invalid; 1304 carries the ending, the server's incarnation, the events received, and the request's fingerprint, and is written for broken streams too. The fingerprint is cryptographic, so that no caller can compute one of another account. limpet_broken_attempts_total counts by service and ending.

--- a/internal/limpeterror/limpeterror.go
+++ b/internal/limpeterror/limpeterror.go
@@ -25,6 +25,12 @@
 	Unavailable = namespace.NewType("unavailable")
 	// Unknown reports an operation that may or may not have taken effect.
 	Unknown = namespace.NewType("unknown")
+	// Disconnected is an Unknown outcome: the connection to the peer ended before
+	// its answer was complete.
+	Disconnected = Unknown.NewSubtype("disconnected")
+	// Silent is an Unknown outcome: the peer had not answered when the caller
+	// gave up.
+	Silent = Unknown.NewSubtype("silent")
 	// Denied reports a missing, unknown or withdrawn key, or a key whose role
 	// does not allow the operation.
 	Denied = namespace.NewType("denied")
--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -9,6 +9,7 @@
 	"limpetmount.org/internal/limpetbalancer"
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetquarantine"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetupstream"
@@ -37,6 +38,8 @@
 	results  chan result
 	group    *limpettask.Group
 	cancels  []context.CancelFunc
+	// server is the one whose reply was used last.
+	server *limpetsite.Server
 	// lastFailure is the last reply with a server error, which the caller gets
 	// if no other server does better.
 	lastFailure *limpetupstream.Reply
@@ -76,8 +79,8 @@
 	reply, reason := d.awaitReply(requestCtx)
 	d.finishOpenAttempts(reason)
 	if reply != nil {
-		if reply.Events != nil && d.route.Repeatable() {
-			d.makeResumable(reply)
+		if reply.Events != nil {
+			d.followStream(reply)
 		}
 		return Answer{Reason: Served, Reply: reply, Failures: d.failures}
 	}
@@ -225,7 +228,7 @@
 			d.countUsage(r, now)
 		}
 		f.Tracker.Done(r.server.ID, limpetbalancer.Failed, r.took, nil, now)
-		f.Log.Emit(limpetlog.AttemptFailed, limpetlog.Request(d.request.ID), limpetlog.Server(r.server.ID), limpetlog.Error(r.err))
+		d.recordBroken(r.server, r.err, 0)
 		return nil, notRun || d.route.Repeatable()
 	}
 	if r.reply.NotRun {
@@ -249,9 +252,31 @@
 		return nil, d.route.Repeatable()
 	}
 	f.Tracker.Done(r.server.ID, limpetbalancer.Answered, r.took, r.reply.Load, now)
+	d.server = r.server
 	return r.reply, false
 }
 
+// recordBroken logs and counts an attempt that ended without a complete answer,
+// after the given number of events.
+func (d *dispatch) recordBroken(server *limpetsite.Server, err error, events int) {
+	ending := limpetupstream.EndingOf(err)
+	d.forwarder.Metrics.CountBrokenAttempt(server.Service, ending)
+	d.forwarder.Log.Emit(limpetlog.AttemptFailed, limpetlog.Request(d.request.ID), limpetlog.Server(server.ID),
+		limpetlog.Value("fingerprint", limpetquarantine.Name(d.fingerprint())), limpetlog.Value("ending", ending),
+		limpetlog.Value("incarnation", server.Incarnation), limpetlog.Value("events", events), limpetlog.Error(err))
+}
+
+// fingerprint identifies the request independently of its ID, which differs
+// between the caller's repetitions.
+func (d *dispatch) fingerprint() uint64 {
+	account := ""
+	if d.account != nil {
+		account = d.account.Name
+	}
+	r := d.request
+	return limpetquarantine.Fingerprint(account, r.Method+" "+r.Host+r.Target, r.Body)
+}
+
 // countUsage counts the request once towards its account's usage. The start
 // time is estimated as the time at which the attempt was sent.
 func (d *dispatch) countUsage(r result, now time.Time) {
@@ -281,7 +306,7 @@
 			select {
 			case r := <-d.results:
 				inFlight--
-				d.discard(r)
+				d.discard(r, reason == Served)
 			case <-timer.C:
 				for _, cancel := range d.cancels {
 					cancel()
@@ -292,8 +317,9 @@
 	})
 }
 
-// discard records the outcome of an attempt whose reply is not needed.
-func (d *dispatch) discard(r result) {
+// discard records the outcome of an attempt whose reply is not needed because the
+// request has ended, or was served by another attempt.
+func (d *dispatch) discard(r result, served bool) {
 	now := d.forwarder.Now()
 	outcome, load := limpetbalancer.Failed, (*limpetupstream.Load)(nil)
 	switch {
@@ -303,6 +329,9 @@
 	case r.abandoned:
 		outcome = limpetbalancer.Canceled
 	}
+	if r.err != nil && !served {
+		d.recordBroken(r.server, r.err, 0)
+	}
 	if !limpeterror.Is(r.err, limpeterror.Unavailable) && (r.err != nil || !r.reply.NotRun) {
 		d.countUsage(r, now)
 	}
--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -8,28 +8,33 @@
 	"limpetmount.org/internal/limpetupstream"
 )
 
-// makeResumable lets a stream continue on another server if the connection to
-// its own breaks. The caller sees one response, with the header of the first
-// server.
-func (d *dispatch) makeResumable(first *limpetupstream.Reply) {
+// followStream records how a stream ends. If the request may be repeated, it
+// lets the stream continue on another server when the connection to its own
+// breaks. The caller sees one response, with the header of the first server.
+func (d *dispatch) followStream(first *limpetupstream.Reply) {
 	current := &limpetupstream.Reply{Events: first.Events, Close: first.Close}
-	last := d.request.LastEventID
+	last, events := d.request.LastEventID, 0
 	first.Events = func() (limpetupstream.Event, error) {
 		for {
 			event, err := current.Events()
 			if err == nil {
 				last = event.ID
+				events++
 				return event, nil
 			}
 			if errors.Is(err, io.EOF) {
 				return event, err
 			}
 			current.Close()
+			d.recordBroken(d.server, err, events)
+			if !d.route.Repeatable() {
+				return event, err
+			}
 			next := d.resume(last)
 			if next == nil {
 				return event, err
 			}
-			current = next
+			current, events = next, 0
 		}
 	}
 	first.Close = func() { current.Close() }
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -50,7 +50,7 @@
 	RequestCompleted   = newEvent(1301, logrus.InfoLevel, "request completed", "A request got its complete answer.")
 	RequestFailed      = newEvent(1302, logrus.WarnLevel, "request failed", "A request ended without a complete answer; the outcome says whether it ran.")
 	RequestRefused     = newEvent(1303, logrus.DebugLevel, "request refused", "A request was refused before it ran.")
-	AttemptFailed      = newEvent(1304, logrus.WarnLevel, "attempt failed", "One attempt at a backend server failed; the request may be retried on another server.")
+	AttemptFailed      = newEvent(1304, logrus.WarnLevel, "attempt failed", "One attempt at a backend server failed; the request may be retried on another server. The ending tells what this VM saw of the connection; repetitions of a request share their fingerprint, but not their ID.")
 	CrashSuspected     = newEvent(1305, logrus.WarnLevel, "request suspected of crashing a server", "A backend server died while it ran this request.")
 	RequestQuarantined = newEvent(1306, logrus.ErrorLevel, "request quarantined", "The request crashed two distinct backend servers and is refused on all VMs.")
 	RequestNotServed   = newEvent(1308, logrus.InfoLevel, "request not served", "The system answered a caller's request itself, or the request's server failed. The reason says whether the request may have run.")
--- a/internal/limpetmetric/limpetmetric.go
+++ b/internal/limpetmetric/limpetmetric.go
@@ -22,6 +22,7 @@
 	requests                 *prometheus.CounterVec
 	tokens                   *prometheus.CounterVec
 	retries                  *prometheus.CounterVec
+	brokenAttempts           *prometheus.CounterVec
 	openRequests             prometheus.Gauge
 	configIndex              prometheus.Gauge
 	keysAccepted             prometheus.Gauge
@@ -37,19 +38,22 @@
 		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets}, []string{"account", "class"})
 	}
 	s := &Set{
-		Registry:     prometheus.NewRegistry(),
-		queue:        histogram("limpet_queue_seconds", "Time from arrival to admission."),
-		firstToken:   histogram("limpet_first_token_seconds", "Time from arrival to the first token."),
-		total:        histogram("limpet_request_seconds", "Time from arrival to the end of the answer."),
-		requests:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "limpet_requests_total", Help: "Requests by account, class and outcome."}, []string{"account", "class", "outcome"}),
-		tokens:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "limpet_tokens_total", Help: "Generated tokens by account and service."}, []string{"account", "service"}),
-		retries:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "limpet_retries_total", Help: "Attempts after the first, by service and cause."}, []string{"service", "cause"}),
+		Registry:   prometheus.NewRegistry(),
+		queue:      histogram("limpet_queue_seconds", "Time from arrival to admission."),
+		firstToken: histogram("limpet_first_token_seconds", "Time from arrival to the first token."),
+		total:      histogram("limpet_request_seconds", "Time from arrival to the end of the answer."),
+		requests:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "limpet_requests_total", Help: "Requests by account, class and outcome."}, []string{"account", "class", "outcome"}),
+		tokens:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "limpet_tokens_total", Help: "Generated tokens by account and service."}, []string{"account", "service"}),
+		retries:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "limpet_retries_total", Help: "Attempts after the first, by service and cause."}, []string{"service", "cause"}),
+		brokenAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "limpet_broken_attempts_total", Help: "Attempts without a usable answer, by service and how they ended.",
+		}, []string{"service", "ending"}),
 		openRequests: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_open_requests", Help: "Requests open on this VM."}),
 		configIndex:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_config_index", Help: "Log index of the configuration in force."}),
 		keysAccepted: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_keys_honoured", Help: "1 while this VM accepts keys."}),
 		accounts:     map[string]bool{},
 	}
-	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.openRequests, s.configIndex, s.keysAccepted)
+	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.openRequests, s.configIndex, s.keysAccepted)
 	return s
 }
 
@@ -92,6 +96,11 @@
 // CountRetry counts an attempt after the first.
 func (s *Set) CountRetry(service, cause string) { s.retries.WithLabelValues(service, cause).Inc() }
 
+// CountBrokenAttempt counts an attempt without a usable answer.
+func (s *Set) CountBrokenAttempt(service, ending string) {
+	s.brokenAttempts.WithLabelValues(service, ending).Inc()
+}
+
 // AddOpenRequests adds delta to the number of open requests.
 func (s *Set) AddOpenRequests(delta int) { s.openRequests.Add(float64(delta)) }
 
--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -491,7 +491,7 @@
 
 func (e crashEvent) apply(c *control, now time.Time) {
 	if c.quarantine.Report(now, e.fingerprint, e.account, e.server) {
-		c.node.log.Emit(limpetlog.RequestQuarantined, limpetlog.Account(e.account), limpetlog.Value("fingerprint", formatFingerprint(e.fingerprint)))
+		c.node.log.Emit(limpetlog.RequestQuarantined, limpetlog.Account(e.account), limpetlog.Value("fingerprint", limpetquarantine.Name(e.fingerprint)))
 	}
 }
 
--- a/internal/limpetnode/sync.go
+++ b/internal/limpetnode/sync.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +19,7 @@
 	"limpetmount.org/internal/limpetmember"
 	"limpetmount.org/internal/limpetorder"
 	"limpetmount.org/internal/limpetpeer"
+	"limpetmount.org/internal/limpetquarantine"
 	"limpetmount.org/internal/limpetroute"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpettask"
@@ -541,18 +540,15 @@
 	c.node.log.Emit(limpetlog.SnapshotWritten, limpetlog.Value("index", c.doc.Index))
 }
 
-func formatFingerprint(f uint64) string { return fmt.Sprintf("q%016x", f) }
-
-// releaseQuarantine lets a quarantined request run again. name is its
-// fingerprint as written by formatFingerprint.
+// releaseQuarantine lets the quarantined request of a given name run again.
 func (c *control) releaseQuarantine(name string) {
-	if len(name) < 2 {
+	f, err := limpetquarantine.ParseName(name)
+	if err != nil {
+		c.node.log.Emit(limpetlog.ValueIgnored, limpetlog.Value("key", "release"), limpetlog.Error(err))
 		return
 	}
-	if f, err := strconv.ParseUint(name[1:], 16, 64); err == nil {
-		if _, ok := c.quarantine.View().Quarantined[f]; ok {
-			c.quarantine.Release(f)
-			c.node.log.Emit(limpetlog.QuarantineReleased, limpetlog.Value("fingerprint", name))
-		}
+	if _, ok := c.quarantine.View().Quarantined[f]; ok {
+		c.quarantine.Release(f)
+		c.node.log.Emit(limpetlog.QuarantineReleased, limpetlog.Value("fingerprint", name))
 	}
 }
--- a/internal/limpetnode/tables.go
+++ b/internal/limpetnode/tables.go
@@ -14,6 +14,7 @@
 	"limpetmount.org/internal/limpetfleet"
 	"limpetmount.org/internal/limpetlang"
 	"limpetmount.org/internal/limpetoperator"
+	"limpetmount.org/internal/limpetquarantine"
 	"limpetmount.org/internal/limpetrollout"
 	"limpetmount.org/internal/limpetusage"
 	"limpetmount.org/internal/limpetwire"
@@ -88,7 +89,7 @@
 	t := limpetlang.Table{Columns: []string{"vm", "request", "account", "crashes", "at"}}
 	for f, c := range n.View().Quarantine.Quarantined {
 		t.Rows = append(t.Rows, []limpetlang.Cell{
-			limpetlang.Text(n.self.Name), limpetlang.Text(formatFingerprint(f)), limpetlang.Text(c.Account),
+			limpetlang.Text(n.self.Name), limpetlang.Text(limpetquarantine.Name(f)), limpetlang.Text(c.Account),
 			limpetlang.Number(len(c.Servers)), limpetlang.Text(c.At.UTC().Format(time.RFC3339)),
 		})
 	}
--- a/internal/limpetquarantine/limpetquarantine.go
+++ b/internal/limpetquarantine/limpetquarantine.go
@@ -4,26 +4,53 @@
 package limpetquarantine
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"io"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"limpetmount.org/internal/limpeterror"
 )
 
 // Threshold is the number of distinct servers that a request must have crashed
 // to be quarantined.
 const Threshold = 2
 
-// Fingerprint identifies a request by account, service and body.
-func Fingerprint(account, service string, body []byte) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(account)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(service)
-	_, _ = d.Write([]byte{0})
+// Fingerprint identifies a request by its client account, its target (what is
+// asked of whom, without the body) and its body. Callers cannot compute a
+// request with the fingerprint of another one, since the hash is cryptographic.
+func Fingerprint(account, target string, body []byte) uint64 {
+	d := sha256.New()
+	for _, part := range []string{account, target} {
+		_, _ = io.WriteString(d, part)
+		_, _ = d.Write([]byte{0})
+	}
 	_, _ = d.Write(body)
-	return d.Sum64()
+	return binary.BigEndian.Uint64(d.Sum(nil))
+}
+
+// Name returns the name of a fingerprint in logs, tables and commands.
+func Name(fingerprint uint64) string { return fmt.Sprintf("%s%016x", namePrefix, fingerprint) }
+
+const (
+	namePrefix = "q"
+	// nameDigits is the number of hexadecimal digits after the prefix.
+	nameDigits = 16
+)
+
+// ParseName parses the result of Name. The error has type Invalid.
+func ParseName(name string) (uint64, error) {
+	digits, ok := strings.CutPrefix(name, namePrefix)
+	fingerprint, err := strconv.ParseUint(digits, 16, 64)
+	if !ok || err != nil || len(digits) != nameDigits {
+		return 0, limpeterror.Invalid.New("%q is not the name of a request, such as %s", name, Name(0))
+	}
+	return fingerprint, nil
 }
 
 // Blame returns the requests to report for the crash of a server, given those
--- a/internal/limpetquarantine/limpetquarantine_test.go
+++ b/internal/limpetquarantine/limpetquarantine_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetquarantine"
 )
 
@@ -48,8 +49,21 @@
 }
 
 func TestFingerprint(t *testing.T) {
-	Convey("the fingerprint delimits account, service and body", t, func() {
+	Convey("the fingerprint delimits account, target and body", t, func() {
 		So(limpetquarantine.Fingerprint("a", "b", []byte("c")), ShouldNotEqual, limpetquarantine.Fingerprint("ab", "", []byte("c")))
 		So(limpetquarantine.Fingerprint("a", "b", []byte("c")), ShouldEqual, limpetquarantine.Fingerprint("a", "b", []byte("c")))
 	})
 }
+
+func TestName(t *testing.T) {
+	Convey("a name is parsed back, and other texts are not names", t, func() {
+		f := limpetquarantine.Fingerprint("a", "b", nil)
+		parsed, err := limpetquarantine.ParseName(limpetquarantine.Name(f))
+		So(err, ShouldBeNil)
+		So(parsed, ShouldEqual, f)
+		for _, text := range []string{"", "q", "x0000000000000001", "q00000000000000012", "qzz"} {
+			_, err := limpetquarantine.ParseName(text)
+			So(limpeterror.Is(err, limpeterror.Invalid), ShouldBeTrue)
+		}
+	})
+}
--- a/internal/limpetupstream/limpetupstream.go
+++ b/internal/limpetupstream/limpetupstream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetsite"
 )
 
@@ -107,10 +108,36 @@
 	MemoryUsed, MemoryTotal int
 }
 
+// Endings of attempts that brought no usable answer, as named in logs and
+// metrics.
+const (
+	NotConnected  = "not_connected"
+	Disconnected  = "disconnected"
+	Silent        = "silent"
+	InvalidAnswer = "invalid_answer"
+)
+
+// EndingOf names how an attempt ended whose error is that of Send, or of a
+// reply's Events.
+func EndingOf(err error) string {
+	switch {
+	case limpeterror.Is(err, limpeterror.Unavailable):
+		return NotConnected
+	case limpeterror.Is(err, limpeterror.Disconnected):
+		return Disconnected
+	case limpeterror.Is(err, limpeterror.Silent):
+		return Silent
+	default:
+		return InvalidAnswer
+	}
+}
+
 // A Client holds the calls to backend servers.
 //
 // Send fails with Unavailable when the request was certainly not sent, and with
-// Unknown otherwise. Order fails with Conflict when the engine is executing
+// Unknown otherwise: with Disconnected when the server's side ended the
+// connection, with Silent when the attempt ended first, and with Unknown itself
+// when the answer is invalid. Events of a Reply fail in the same way. Order fails with Conflict when the engine is executing
 // another order or Expected does not match, with Fenced when a later lease
 // holder has already sent an order, with Invalid when the engine rejects the
 // order for good, with Unavailable when the order certainly had no effect, and
