Quarantine requests that crash servers, on all VMs

Callers saw: a request that crashes every server that begins to run it took servers down without end; sound requests beside it found none. Cause: the budget of attempts belonged to one attempt of the caller. With the answer all was forgotten, and no VM told another: knowledge about a request was kept with its identifier, which changes with each repetition. limpetd had a quarantine; the build-up for a prepared platform used none. Change: limpetcrash keeps the crashes of requests by content. An attempt that brought no answer counts only once its server is known to have ended (its address refuses connections, or another incarnation has it), not for resets, lost answers, planned stops, silence. Records are in the store, one key for each request and server, written without conditions so that an unknown outcome is repeated; all VMs follow them like the deployment, through the director or themselves. After three servers the request is refused with 503 and the time until it may run again. A request that a server answers is cleared everywhere. Suspects are not hedged and wait for the verdict before the next attempt. Own requests (reward calls) are owed and never recorded.

--- a/internal/limpetdispatch/bench_test.go
+++ b/internal/limpetdispatch/bench_test.go
@@ -15,7 +15,7 @@
 	for _, tokens := range []int{1, 1001} {
 		b.Run(fmt.Sprint(tokens), func(b *testing.B) {
 			engines := &stubEngines{}
-			dispatcher, _ := newDispatcher(engines, limpetquarantine.New(time.Minute))
+			dispatcher, _ := newDispatcher(engines, limpetquarantine.New(limpetquarantine.Rules{Threshold: 2, SuspectTTL: time.Minute}))
 			middle := []byte(`{"id":"cmpl","choices":[{"text":"w12-3 ","finish_reason":null}],"weights":{"version":1,"incarnation":"e1/1"},"index":3}`)
 			last := []byte(`{"id":"cmpl","choices":[{"text":"w12-3 ","finish_reason":"stop"}],"index":4}`)
 			dispatcher.Engine.Stream = func(_ context.Context, _, _ string, _ []byte, onData func([]byte) error) error {
--- a/internal/limpetdispatch/limpetdispatch_test.go
+++ b/internal/limpetdispatch/limpetdispatch_test.go
@@ -154,7 +154,7 @@
 			engines.mu.Lock()
 			defer engines.mu.Unlock()
 			engines.crashes = append(engines.crashes, fingerprint)
-			state.Report(time.Now(), fingerprint, account, server)
+			state.Report(time.Now(), limpetquarantine.Crash{Fingerprint: fingerprint, Account: account, Server: server})
 		},
 		ReportFailure: func(*limpetroute.Server) {},
 		Tally:         limpetusage.NewTally("vm1", "vm1-1", time.Minute),
@@ -214,7 +214,7 @@
 				Convey("the caller gets each token of its response once, in time", t, func() {
 					engines := &stubEngines{}
 					once := []behaviour{c.first}
-					dispatcher, _ := newDispatcher(engines, limpetquarantine.New(time.Minute))
+					dispatcher, _ := newDispatcher(engines, limpetquarantine.New(limpetquarantine.Rules{Threshold: 2, SuspectTTL: time.Minute}))
 					wrapped := engines.stream
 					dispatcher.Engine.Stream = func(ctx context.Context, address, path string, params []byte, onData func([]byte) error) error {
 						engines.mu.Lock()
@@ -255,7 +255,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				Convey("the error says that the request did not run only if that is certain", t, func() {
 					engines := &stubEngines{}
-					dispatcher, view := newDispatcher(engines, limpetquarantine.New(time.Minute))
+					dispatcher, view := newDispatcher(engines, limpetquarantine.New(limpetquarantine.Rules{Threshold: 2, SuspectTTL: time.Minute}))
 					engines.scripts = sameScript(c.then, c.then, c.then)
 					first := limpetroute.Pick(view.Servers["drafts"], limpetroute.Query{Zone: "a", Prefix: limpetengine.PrefixHash("p")})
 					engines.scripts[view.Servers["drafts"][first].ID][0] = c.first
@@ -275,7 +275,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("a request that crashed two servers is not sent to a third", t, func() {
 			engines := &stubEngines{}
-			dispatcher, _ := newDispatcher(engines, limpetquarantine.New(time.Minute))
+			dispatcher, _ := newDispatcher(engines, limpetquarantine.New(limpetquarantine.Rules{Threshold: 2, SuspectTTL: time.Minute}))
 			engines.scripts = sameScript(crashes, crashes, crashes)
 			var text strings.Builder
 			_, err := dispatcher.Complete(context.Background(), completion("poison", &text))
@@ -297,7 +297,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("the engine's stream is ended and no other attempt is made", t, func() {
 			engines := &stubEngines{}
-			dispatcher, _ := newDispatcher(engines, limpetquarantine.New(time.Minute))
+			dispatcher, _ := newDispatcher(engines, limpetquarantine.New(limpetquarantine.Rules{Threshold: 2, SuspectTTL: time.Minute}))
 			var text strings.Builder
 			c := completion("p", &text)
 			c.OnData = func([]byte) error { return limpeterror.Invalid.New("caller gone") }
@@ -321,7 +321,7 @@
 func newPlainEnv(t *testing.T) *plainEnv {
 	env := &plainEnv{service: &limpetstub.Service{Runs: map[string]int{}}, claims: map[string]limpetclaim.Entry{}}
 	engines := &stubEngines{}
-	dispatcher, view := newDispatcher(engines, limpetquarantine.New(time.Minute))
+	dispatcher, view := newDispatcher(engines, limpetquarantine.New(limpetquarantine.Rules{Threshold: 2, SuspectTTL: time.Minute}))
 	for _, id := range []string{"r1", "r2"} {
 		h := httptest.NewServer(env.service)
 		t.Cleanup(h.Close)
--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -7,9 +7,8 @@
 	"time"
 
 	"limpetmount.org/internal/limpetbalancer"
+	"limpetmount.org/internal/limpetcrash"
 	"limpetmount.org/internal/limpeterror"
-	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetquarantine"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetupstream"
@@ -24,6 +23,15 @@
 	account   *limpetsite.Account
 	service   string
 	deadline  time.Time
+	// crashes knows the requests that crash servers; nil for requests that are
+	// owed whatever crashes under them.
+	crashes *limpetcrash.Book
+	// broken counts the attempts that ended without a complete answer.
+	broken int
+	// quarantined is set once the request was found to be quarantined, until
+	// quarantineEnd.
+	quarantined   bool
+	quarantineEnd time.Time
 
 	tried map[string]bool
 	// sent counts the attempts that may have run; refused counts those that
@@ -80,7 +88,7 @@
 	d.finishOpenAttempts(reason)
 	if reply != nil {
 		if reply.Events != nil {
-			d.followStream(reply)
+			d.followStream(ctx, reply)
 		}
 		return Answer{Reason: Served, Reply: reply, Failures: d.failures}
 	}
@@ -88,10 +96,14 @@
 }
 
 func (d *dispatch) retryAfter(reason Reason) time.Duration {
-	if reason == Busy {
+	switch reason {
+	case Busy:
 		return busyRetryAfter
+	case Quarantined:
+		return d.quarantineEnd.Sub(d.forwarder.Now())
+	default:
+		return noServerRetryAfter
 	}
-	return noServerRetryAfter
 }
 
 // attemptLimit returns the largest number of attempts that may run.
@@ -106,7 +118,7 @@
 // left to try.
 func (d *dispatch) awaitReply(ctx context.Context) (*limpetupstream.Reply, Reason) {
 	if !d.startAttempt() {
-		return nil, NoServer
+		return d.exhausted()
 	}
 	hedge := time.NewTimer(d.hedgeDelay())
 	defer hedge.Stop()
@@ -120,7 +132,7 @@
 			}
 		case r := <-d.results:
 			d.inFlight--
-			reply, retry := d.handleResult(r)
+			reply, retry := d.handleResult(ctx, r)
 			if reply != nil {
 				return reply, Served
 			}
@@ -138,7 +150,7 @@
 
 func (d *dispatch) mayHedge() bool {
 	return d.route.Kind == limpetsite.Idempotent && d.route.LatencyGoal > 0 && d.sent < d.attemptLimit() &&
-		d.forwarder.Now().Add(minHedgeTime).Before(d.deadline)
+		d.forwarder.Now().Add(minHedgeTime).Before(d.deadline) && d.verdict() == limpetcrash.Clear
 }
 
 // expired returns the reason for a request whose context ended: its deadline
@@ -166,6 +178,8 @@
 		return nil, TimedOut
 	case d.sent > 0:
 		return nil, Failed
+	case d.quarantined:
+		return nil, Quarantined
 	case d.refused > 0:
 		return nil, Busy
 	default:
@@ -179,7 +193,7 @@
 	f := d.forwarder
 	now := f.Now()
 	remaining := d.deadline.Sub(now)
-	if d.sent >= d.attemptLimit() || d.refused > maxRefusals || remaining <= 0 {
+	if d.sent >= d.attemptLimit() || d.refused > maxRefusals || remaining <= 0 || d.verdict() == limpetcrash.Quarantined {
 		return false
 	}
 	server := f.Tracker.Choose(f.View().Servers(d.service), f.Zone, func(id string) bool { return d.tried[id] }, now)
@@ -216,7 +230,7 @@
 
 // handleResult processes the outcome of an attempt. It returns the reply for
 // the caller, or reports whether another server may be tried.
-func (d *dispatch) handleResult(r result) (reply *limpetupstream.Reply, retry bool) {
+func (d *dispatch) handleResult(ctx context.Context, r result) (reply *limpetupstream.Reply, retry bool) {
 	f := d.forwarder
 	now := f.Now()
 	if r.err != nil {
@@ -228,7 +242,7 @@
 			d.countUsage(r, now)
 		}
 		f.Tracker.Done(r.server.ID, limpetbalancer.Failed, r.took, nil, now)
-		d.recordBroken(r.server, r.err, 0)
+		d.recordBroken(ctx, r.server, r.err, 0)
 		return nil, notRun || d.route.Repeatable()
 	}
 	if r.reply.NotRun {
@@ -244,6 +258,7 @@
 	}
 	d.countUsage(r, now)
 	if r.reply.Status >= http.StatusInternalServerError {
+		d.recordServed()
 		f.Tracker.Done(r.server.ID, limpetbalancer.Failed, r.took, r.reply.Load, now)
 		d.lastFailure = r.reply
 		if r.reply.Status == http.StatusInternalServerError {
@@ -253,28 +268,10 @@
 	}
 	f.Tracker.Done(r.server.ID, limpetbalancer.Answered, r.took, r.reply.Load, now)
 	d.server = r.server
-	return r.reply, false
-}
-
-// recordBroken logs and counts an attempt that ended without a complete answer,
-// after the given number of events.
-func (d *dispatch) recordBroken(server *limpetsite.Server, err error, events int) {
-	ending := limpetupstream.EndingOf(err)
-	d.forwarder.Metrics.CountBrokenAttempt(server.Service, ending)
-	d.forwarder.Log.Emit(limpetlog.AttemptFailed, limpetlog.Request(d.request.ID), limpetlog.Server(server.ID),
-		limpetlog.Value("fingerprint", limpetquarantine.Name(d.fingerprint())), limpetlog.Value("ending", ending),
-		limpetlog.Value("incarnation", server.Incarnation), limpetlog.Value("events", events), limpetlog.Error(err))
-}
-
-// fingerprint identifies the request independently of its ID, which differs
-// between the caller's repetitions.
-func (d *dispatch) fingerprint() uint64 {
-	account := ""
-	if d.account != nil {
-		account = d.account.Name
+	if r.reply.Events == nil {
+		d.recordServed()
 	}
-	r := d.request
-	return limpetquarantine.Fingerprint(account, r.Method+" "+r.Host+r.Target, r.Body)
+	return r.reply, false
 }
 
 // countUsage counts the request once towards its account's usage. The start
@@ -306,7 +303,7 @@
 			select {
 			case r := <-d.results:
 				inFlight--
-				d.discard(r, reason == Served)
+				d.discard(r, reason)
 			case <-timer.C:
 				for _, cancel := range d.cancels {
 					cancel()
@@ -317,9 +314,9 @@
 	})
 }
 
-// discard records the outcome of an attempt whose reply is not needed because the
-// request has ended, or was served by another attempt.
-func (d *dispatch) discard(r result, served bool) {
+// discard records the outcome of an attempt whose reply is not needed, because the
+// request has ended for the given reason.
+func (d *dispatch) discard(r result, reason Reason) {
 	now := d.forwarder.Now()
 	outcome, load := limpetbalancer.Failed, (*limpetupstream.Load)(nil)
 	switch {
@@ -329,8 +326,8 @@
 	case r.abandoned:
 		outcome = limpetbalancer.Canceled
 	}
-	if r.err != nil && !served {
-		d.recordBroken(r.server, r.err, 0)
+	if r.err != nil && reason != Served && reason != CallerGone {
+		d.recordBroken(d.group.Context(), r.server, r.err, 0)
 	}
 	if !limpeterror.Is(r.err, limpeterror.Unavailable) && (r.err != nil || !r.reply.NotRun) {
 		d.countUsage(r, now)
--- a/internal/limpetforward/limpetforward.go
+++ b/internal/limpetforward/limpetforward.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"limpetmount.org/internal/limpetbalancer"
+	"limpetmount.org/internal/limpetcrash"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetsite"
@@ -64,11 +65,14 @@
 	Expired
 	// CallerGone means that the caller disconnected.
 	CallerGone
+	// Quarantined means that the request crashed several servers and is refused;
+	// this repetition did not run.
+	Quarantined
 )
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"served", "not_configured", "no_route", "no_key", "no_server", "busy", "failed", "timed_out", "expired", "caller_gone"}[r]
+	return [...]string{"served", "not_configured", "no_route", "no_key", "no_server", "busy", "failed", "timed_out", "expired", "caller_gone", "quarantined"}[r]
 }
 
 // An Answer is the outcome of a request for its caller. Reply is set if Reason
@@ -88,8 +92,10 @@
 	View     func() *limpetsite.Snapshot
 	Upstream limpetupstream.Client
 	Tracker  *limpetbalancer.Tracker
-	Log      *limpetlog.Logger
-	Metrics  *limpetmetric.Set
+	// Crashes knows the requests that crash servers; nil if none are known.
+	Crashes *limpetcrash.Book
+	Log     *limpetlog.Logger
+	Metrics *limpetmetric.Set
 	// CountRequest is called when a server has begun to run a request of an
 	// account.
 	CountRequest func(account string, at time.Time)
@@ -144,14 +150,14 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	d := &dispatch{
-		forwarder: f, request: r, route: route, account: account,
+		forwarder: f, request: r, route: route, account: account, crashes: f.Crashes,
 		service: route.Pick(rand.Float64()), deadline: r.Arrived.Add(timeout), tried: map[string]bool{},
 	}
 	return f.finish(r, route, account, d.run(ctx))
 }
 
 // ForwardInternal forwards a request that the system itself issues, which needs
-// no key and may be repeated. It also returns the route's limit of attempts,
+// no key, may be repeated, and is owed however many servers crash under it. It also returns the route's limit of attempts,
 // which is the number of failures that it allows; 0 if there is no route.
 func (f *Forwarder) ForwardInternal(ctx context.Context, r *Request) (Answer, int) {
 	view := f.View()
--- a/internal/limpetforward/limpetforward_test.go
+++ b/internal/limpetforward/limpetforward_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,6 +62,12 @@
 	calls   []limpetupstream.Call
 	counted []string
 	ended   int
+	view    atomic.Pointer[limpetsite.Snapshot]
+	// restart registers a server as another incarnation.
+	restart func(id string)
+	// setAttempts sets the number of attempts of the route /k/. It must be
+	// called before the first request.
+	setAttempts func(n int)
 }
 
 // newFixture returns a fixture whose calls get the behaviors in the order in
@@ -68,12 +75,16 @@
 func newFixture(kind limpetsite.Kind, behaviors ...behavior) *fixture {
 	f := &fixture{}
 	state := limpetsite.NewState()
-	for n := range behaviors {
-		id := string(rune('a' + n))
-		state.Apply(limpetsite.Record{Key: limpetsite.ServerKey + id, Revision: uint64(n + 2), Server: &limpetsite.Server{
-			ID: id, Service: "desk", Address: id, Zone: "z", Slots: 4,
+	revision := uint64(1)
+	register := func(id string) {
+		revision++
+		state.Apply(limpetsite.Record{Key: limpetsite.ServerKey + id, Revision: revision, Server: &limpetsite.Server{
+			ID: id, Service: "desk", Address: id, Zone: "z", Slots: 4, Incarnation: int64(revision),
 		}}, time.Now())
 	}
+	for n := range behaviors {
+		register(string(rune('a' + n)))
+	}
 	state.Apply(limpetsite.Record{Key: "config", Revision: 1, Config: &limpetsite.Config{
 		Routes: []limpetsite.Route{
 			{Name: "keyed", Host: "h", Prefix: "/k/", Targets: []limpetsite.Target{{Service: "desk", Weight: 1}}, Kind: kind, Attempts: 2, Timeout: time.Second, LatencyGoal: 150 * time.Millisecond, Resumable: kind == limpetsite.Stream},
@@ -81,9 +92,16 @@
 		},
 		Accounts: []limpetsite.Account{{Name: "acme", Keys: [][32]byte{limpetsite.HashKey("key")}}},
 	}}, time.Now())
-	view := state.Snapshot()
+	f.view.Store(state.Snapshot())
+	f.setAttempts = func(n int) { f.view.Load().Config.Routes[0].Attempts = n }
+	f.restart = func(id string) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		register(id)
+		f.view.Store(state.Snapshot())
+	}
 	f.Forwarder = &limpetforward.Forwarder{
-		Zone: "z", View: func() *limpetsite.Snapshot { return view }, Tracker: limpetbalancer.New(),
+		Zone: "z", View: f.view.Load, Tracker: limpetbalancer.New(),
 		Log: limpetlog.Discard(), Metrics: limpetmetric.New(), Now: time.Now,
 		CountRequest: func(account string, _ time.Time) { f.mu.Lock(); f.counted = append(f.counted, account); f.mu.Unlock() },
 		Upstream: limpetupstream.Client{Send: func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -1,6 +1,7 @@
 package limpetforward
 
 import (
+	"context"
 	"errors"
 	"io"
 
@@ -11,7 +12,7 @@
 // followStream records how a stream ends. If the request may be repeated, it
 // lets the stream continue on another server when the connection to its own
 // breaks. The caller sees one response, with the header of the first server.
-func (d *dispatch) followStream(first *limpetupstream.Reply) {
+func (d *dispatch) followStream(ctx context.Context, first *limpetupstream.Reply) {
 	current := &limpetupstream.Reply{Events: first.Events, Close: first.Close}
 	last, events := d.request.LastEventID, 0
 	first.Events = func() (limpetupstream.Event, error) {
@@ -23,14 +24,15 @@
 				return event, nil
 			}
 			if errors.Is(err, io.EOF) {
+				d.recordServed()
 				return event, err
 			}
 			current.Close()
-			d.recordBroken(d.server, err, events)
+			d.recordBroken(ctx, d.server, err, events)
 			if !d.route.Repeatable() {
 				return event, err
 			}
-			next := d.resume(last)
+			next := d.resume(ctx, last)
 			if next == nil {
 				return event, err
 			}
@@ -42,12 +44,12 @@
 
 // resume requests the rest of a stream from another server. It returns nil if
 // no server provides it.
-func (d *dispatch) resume(last int) *limpetupstream.Reply {
+func (d *dispatch) resume(ctx context.Context, last int) *limpetupstream.Reply {
 	d.request.LastEventID = last
 	d.lastFailure = nil
 	for d.startAttempt() {
 		r := <-d.results
-		reply, retry := d.handleResult(r)
+		reply, retry := d.handleResult(ctx, r)
 		if reply != nil && reply.Events != nil {
 			d.forwarder.Log.Emit(limpetlog.StreamResumed, limpetlog.Request(d.request.ID),
 				limpetlog.Server(r.server.ID), limpetlog.Value("after", last))
--- a/internal/limpethost/crash_test.go
+++ b/internal/limpethost/crash_test.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	serverPrefix = "servers/"
+	serverPrefix = "fleet/"
 	// crashBody is the body of a request that crashes every server that begins
 	// to run it.
 	crashBody = "crash"
@@ -93,7 +93,7 @@
 }
 
 // send is the Send of a client of the fleet.
-func (f *crashFleet) send(t *testing.T, ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
+func (f *crashFleet) send(ctx context.Context, t *testing.T, c limpetupstream.Call) (*limpetupstream.Reply, error) {
 	f.mu.Lock()
 	crashed := f.down[c.Server.ID]
 	f.mu.Unlock()
@@ -113,6 +113,16 @@
 	}
 }
 
+// check is the Check of a client of the fleet.
+func (f *crashFleet) check(_ context.Context, s *limpetsite.Server, _ string) limpetupstream.Condition {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down[s.ID] == nil || f.incarnations[s.ID] != s.Incarnation {
+		return limpetupstream.Ended
+	}
+	return limpetupstream.Alive
+}
+
 // crash ends a server because of a request, and starts it again later.
 func (f *crashFleet) crash(t *testing.T, id, request string) {
 	f.mu.Lock()
@@ -157,8 +167,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := limpetstub.NewStore()
 		fleet := newCrashFleet(t, store, 7)
-		upstream := limpetupstream.Client{Send: func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
-			return fleet.send(t, ctx, c)
+		upstream := limpetupstream.Client{Check: fleet.check, Send: func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
+			return fleet.send(ctx, t, c)
 		}}
 		if _, err := store.Client().Commit(context.Background(), limpetstore.Transaction{Writes: []limpetstore.Write{{Key: "conf/x", Data: []byte("1")}}}); err != nil {
 			t.Fatal(err)
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"limpetmount.org/internal/limpetbalancer"
+	"limpetmount.org/internal/limpetcrash"
 	"limpetmount.org/internal/limpetdirector"
 	"limpetmount.org/internal/limpetexecutor"
 	"limpetmount.org/internal/limpetforward"
@@ -99,6 +100,10 @@
 	followingMu sync.Mutex
 	// watchGroup runs the watchers; nil while they are stopped.
 	watchGroup *limpettask.Group
+
+	// crashes knows the requests that crash backend servers.
+	crashes *limpetcrash.Book
+	feeds   []feed
 }
 
 const (
@@ -134,8 +139,13 @@
 	meter := limpetstore.NewMeter(metrics.Registry)
 	h.counter = limpetwindow.NewCounter(meter.Wrap(deps.Store, "usage"), settings.VM+"."+deps.Incarnation, settings.Bounds.UsageWindow, deps.Now, log)
 	h.reader = limpetjob.NewReader(meter.Wrap(deps.Store, "read"), deps.Now)
+	h.crashes = limpetcrash.New(limpetcrash.Deps{
+		VM: settings.VM, Store: meter.Wrap(deps.Store, "crash"), View: h.View, Check: deps.Upstream.Check, Log: log, Metrics: metrics.Registry, Now: deps.Now,
+	})
+	h.group.Go(h.crashes.Run)
+	h.feeds = h.newFeeds()
 	h.Forwarder = &limpetforward.Forwarder{
-		Zone: settings.Zone, View: h.View, Upstream: deps.Upstream, Tracker: limpetbalancer.New(),
+		Zone: settings.Zone, View: h.View, Upstream: deps.Upstream, Tracker: limpetbalancer.New(), Crashes: h.crashes,
 		Log: log, Metrics: metrics, CountRequest: h.counter.CountRequest, Now: deps.Now,
 	}
 	h.connector = h.newConnector()
@@ -256,28 +266,28 @@
 	h.watchGroup.Go(h.probeStore)
 }
 
-// newWatchers returns the watchers that keep the view of the deployment up
-// to date.
+// newWatchers returns the watchers that keep this VM up to date about the
+// deployment and about requests that crash servers.
 func (h *Host) newWatchers(store limpetstore.Store) []*limpetwatch.Watcher {
 	var watchers []*limpetwatch.Watcher
-	for _, feed := range h.deps.Feeds {
+	for _, f := range h.feeds {
 		w := &limpetwatch.Watcher{
-			Store: store, Prefix: feed.Prefix, Wait: watchWait,
+			Store: store, Prefix: f.prefix, Wait: watchWait,
 			OnList: func(l limpetstore.Listing) {
-				h.mirror.ApplyListing(feed.Prefix, l)
-				h.sendUpdate(siteUpdate{records: decodeAll(feed, l.Values), complete: true, revision: l.Revision, feed: feed.Prefix})
+				h.mirror.ApplyListing(f.prefix, l)
+				f.applyListing(l)
 			},
 			OnChange: func(values []limpetstore.Value) {
-				h.mirror.ApplyChanges(feed.Prefix, values)
-				h.sendUpdate(siteUpdate{records: decodeAll(feed, values), feed: feed.Prefix})
+				h.mirror.ApplyChanges(f.prefix, values)
+				f.applyChanges(values)
 			},
 			OnOutage: func(err error) {
-				h.Log.Emit(limpetlog.StoreDown, limpetlog.Value("prefix", feed.Prefix), limpetlog.Error(err))
+				h.Log.Emit(limpetlog.StoreDown, limpetlog.Value("prefix", f.prefix), limpetlog.Error(err))
 				h.storeLost()
 			},
-			OnCompaction: func() { h.Log.Emit(limpetlog.StoreCompacted, limpetlog.Value("prefix", feed.Prefix)) },
+			OnCompaction: func() { h.Log.Emit(limpetlog.StoreCompacted, limpetlog.Value("prefix", f.prefix)) },
 			OnRecovery: func() {
-				h.Log.Emit(limpetlog.StoreRecovered, limpetlog.Value("prefix", feed.Prefix))
+				h.Log.Emit(limpetlog.StoreRecovered, limpetlog.Value("prefix", f.prefix))
 				h.sendUpdate(siteUpdate{outage: true})
 			},
 		}
@@ -286,14 +296,6 @@
 	return watchers
 }
 
-func decodeAll(feed Feed, values []limpetstore.Value) []limpetsite.Record {
-	records := make([]limpetsite.Record, 0, len(values))
-	for _, v := range values {
-		records = append(records, feed.Decode(v))
-	}
-	return records
-}
-
 // storeLost records that the store does not respond.
 func (h *Host) storeLost() {
 	h.storeReachable.Store(false)
--- a/internal/limpethost/source.go
+++ b/internal/limpethost/source.go
@@ -8,6 +8,7 @@
 	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetrelay"
+	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetwindow"
 )
@@ -131,18 +132,20 @@
 	return u.Age, true
 }
 
-// applyDirectorUpdate passes the director's changes to the owner of the state
-// of the deployment.
+// applyDirectorUpdate applies the director's changes of all feeds.
 func (h *Host) applyDirectorUpdate(u limpetrelay.Update) {
-	for _, feed := range h.deps.Feeds {
-		m := siteUpdate{feed: feed.Prefix, complete: u.Full, revision: u.Feeds[feed.Prefix]}
+	for _, f := range h.feeds {
+		var values []limpetstore.Value
 		for _, c := range u.Changes {
-			if c.Feed == feed.Prefix {
-				m.records = append(m.records, feed.Decode(c.Value))
+			if c.Feed == f.prefix {
+				values = append(values, c.Value)
 			}
 		}
-		if m.complete || len(m.records) > 0 {
-			h.sendUpdate(m)
+		switch {
+		case u.Full:
+			f.applyListing(limpetstore.Listing{Values: values, Revision: u.Feeds[f.prefix]})
+		case len(values) > 0:
+			f.applyChanges(values)
 		}
 	}
 }
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -52,12 +52,14 @@
 	RequestRefused     = newEvent(1303, logrus.DebugLevel, "request refused", "A request was refused before it ran.")
 	AttemptFailed      = newEvent(1304, logrus.WarnLevel, "attempt failed", "One attempt at a backend server failed; the request may be retried on another server. The ending tells what this VM saw of the connection; repetitions of a request share their fingerprint, but not their ID.")
 	CrashSuspected     = newEvent(1305, logrus.WarnLevel, "request suspected of crashing a server", "A backend server died while it ran this request.")
-	RequestQuarantined = newEvent(1306, logrus.ErrorLevel, "request quarantined", "The request crashed two distinct backend servers and is refused on all VMs.")
+	RequestQuarantined = newEvent(1306, logrus.ErrorLevel, "request quarantined", "The request crashed several distinct backend servers (two for limpetd, three on a prepared platform) and is refused on all VMs.")
 	RequestNotServed   = newEvent(1308, logrus.InfoLevel, "request not served", "The system answered a caller's request itself, or the request's server failed. The reason says whether the request may have run.")
 	StreamResumed      = newEvent(1309, logrus.InfoLevel, "stream resumed", "A broken stream continues on another backend server after the given event.")
 	HeaderIgnored      = newEvent(1310, logrus.InfoLevel, "header ignored", "A header cannot be parsed and is treated as missing.")
 	ConnectionFailed   = newEvent(1311, logrus.WarnLevel, "connection failed", "The HTTP server of this VM could not serve a connection or a request.")
-	QuarantineReleased = newEvent(1307, logrus.InfoLevel, "quarantine released", "An operator released the request from quarantine.")
+	CrashNotConfirmed  = newEvent(1312, logrus.InfoLevel, "crash not confirmed", "An attempt ended without an answer, and its server is not held to have crashed under it. The outcome says why: alive, left (a planned stop), served (another server answered the request), other_suspect, undetermined or dropped.")
+	CrashesNotShared   = newEvent(1313, logrus.InfoLevel, "crash records not shared", "The store did not accept this VM's crash records; they hold on this VM, and the write is retried.")
+	QuarantineReleased = newEvent(1307, logrus.InfoLevel, "quarantine released", "The request is no longer suspected or quarantined. The cause says why: an operator released it, a server answered it, or its time is over.")
 )
 
 // Jobs and weights.
--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -80,10 +80,7 @@
 }
 
 const (
-	tickPeriod = 250 * time.Millisecond
-	// suspectTTL is how long a request stays suspected of crashing servers
-	// without a new report.
-	suspectTTL       = 10 * time.Minute
+	tickPeriod       = 250 * time.Millisecond
 	maxRecentEntries = 128
 	// failureCooldown is how long a server is avoided after a failed attempt.
 	failureCooldown = 3 * time.Second
@@ -123,12 +120,16 @@
 	c.waiters = append(c.waiters, e.done)
 }
 
+// quarantineRules hold a quarantined request until an operator releases it. Two
+// crashes are enough, because a suspect runs alone.
+var quarantineRules = limpetquarantine.Rules{Threshold: 2, SuspectTTL: 10 * time.Minute, MaxRequests: 4096}
+
 // control runs the control goroutine: it applies events and publishes a snapshot
 // after each batch of them.
 func (n *Node) control(ctx context.Context) {
 	c := &control{
 		node: n, doc: limpetconfig.NewDocument(), table: limpetmember.New(n.self), suspended: map[string]suspension{},
-		servers: map[string]*serverState{}, quarantine: limpetquarantine.New(suspectTTL), downMembers: map[string]bool{},
+		servers: map[string]*serverState{}, quarantine: limpetquarantine.New(quarantineRules), downMembers: map[string]bool{},
 	}
 	c.loadSnapshot()
 	ticker := time.NewTicker(tickPeriod)
@@ -490,7 +491,7 @@
 }
 
 func (e crashEvent) apply(c *control, now time.Time) {
-	if c.quarantine.Report(now, e.fingerprint, e.account, e.server) {
+	if c.quarantine.Report(now, limpetquarantine.Crash{Fingerprint: e.fingerprint, Account: e.account, Server: e.server}) {
 		c.node.log.Emit(limpetlog.RequestQuarantined, limpetlog.Account(e.account), limpetlog.Value("fingerprint", limpetquarantine.Name(e.fingerprint)))
 	}
 }
--- a/internal/limpetquarantine/limpetquarantine.go
+++ b/internal/limpetquarantine/limpetquarantine.go
@@ -4,6 +4,7 @@
 package limpetquarantine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
@@ -17,9 +18,21 @@
 	"limpetmount.org/internal/limpeterror"
 )
 
-// Threshold is the number of distinct servers that a request must have crashed
-// to be quarantined.
-const Threshold = 2
+// Rules decide when a request is quarantined and for how long.
+type Rules struct {
+	// Threshold is the number of distinct servers that a request must have
+	// crashed to be quarantined. A crash after the run had brought a part of the
+	// answer counts half.
+	Threshold int
+	// SuspectTTL and QuarantineTTL are how long after its last crash a suspect
+	// and a quarantined request are remembered. Without QuarantineTTL, a
+	// quarantined request stays until it is released.
+	SuspectTTL, QuarantineTTL time.Duration
+	// MaxRequests bounds the number of requests that are remembered. Beyond it,
+	// the suspect with the oldest crash is dropped, or the quarantined request
+	// with the oldest one if there is no suspect.
+	MaxRequests int
+}
 
 // Fingerprint identifies a request by its client account, its target (what is
 // asked of whom, without the body) and its body. Callers cannot compute a
@@ -69,56 +82,146 @@
 	return slices.Clone(running)
 }
 
-// A CrashRecord holds the servers that a request is reported to have crashed.
-// At is the time of the last report.
+// A Crash is the crash of one server under a request.
+type Crash struct {
+	Fingerprint uint64
+	Account     string
+	// Server identifies the server and its incarnation.
+	Server string
+	// Partial is set if the run had brought a part of the answer.
+	Partial bool
+}
+
+// Weights of crashes, in halves.
+const (
+	partialWeight = 1
+	fullWeight    = 2
+)
+
+func (c Crash) weight() int {
+	if c.Partial {
+		return partialWeight
+	}
+	return fullWeight
+}
+
+// A CrashRecord holds the servers that a request is reported to have crashed,
+// with the weight of each crash. At is the time of the last report.
 type CrashRecord struct {
 	Account string
-	Servers map[string]bool
+	Servers map[string]int
 	At      time.Time
 }
 
-// IsQuarantined reports whether enough distinct servers are recorded.
-func (c CrashRecord) IsQuarantined() bool { return len(c.Servers) >= Threshold }
+// isQuarantined reports whether enough distinct servers are recorded.
+func (r Rules) isQuarantined(c CrashRecord) bool {
+	weight := 0
+	for _, w := range c.Servers {
+		weight += w
+	}
+	return weight >= r.Threshold*fullWeight
+}
+
+// ttl returns how long a record is kept, and whether it expires at all.
+func (r Rules) ttl(c CrashRecord) (time.Duration, bool) {
+	if r.isQuarantined(c) {
+		return r.QuarantineTTL, r.QuarantineTTL > 0
+	}
+	return r.SuspectTTL, true
+}
 
 // A State holds the records of all suspected and quarantined requests.
 type State struct {
-	records    map[uint64]CrashRecord
-	suspectTTL time.Duration
+	rules   Rules
+	records map[uint64]CrashRecord
 }
 
-// New returns an empty state. It deletes suspects without a new report for
-// suspectTTL; quarantined requests stay until they are released.
-func New(suspectTTL time.Duration) *State {
-	return &State{records: map[uint64]CrashRecord{}, suspectTTL: suspectTTL}
-}
+// New returns an empty state.
+func New(rules Rules) *State { return &State{rules: rules, records: map[uint64]CrashRecord{}} }
 
-// Report records that a request is suspected of crashing a server, and reports
-// whether that newly quarantines the request.
-func (s *State) Report(now time.Time, fingerprint uint64, account, server string) bool {
-	c, ok := s.records[fingerprint]
-	before := ok && c.IsQuarantined()
+// Report records a crash at a time, and reports whether that newly quarantines
+// the request.
+func (s *State) Report(at time.Time, crash Crash) bool {
+	c, known := s.records[crash.Fingerprint]
+	before := known && s.rules.isQuarantined(c)
 	c.Servers = maps.Clone(c.Servers)
 	if c.Servers == nil {
-		c.Servers = map[string]bool{}
+		c.Servers = map[string]int{}
+	}
+	c.Servers[crash.Server] = max(c.Servers[crash.Server], crash.weight())
+	c.Account = crash.Account
+	if at.After(c.At) {
+		c.At = at
 	}
-	c.Servers[server] = true
-	c.Account, c.At = account, now
+	s.records[crash.Fingerprint] = c
+	s.limit()
+	return s.rules.isQuarantined(c) && !before
+}
+
+// limit drops records beyond the maximum number.
+func (s *State) limit() {
+	for s.rules.MaxRequests > 0 && len(s.records) > s.rules.MaxRequests {
+		victim, found := uint64(0), false
+		for f, c := range s.records {
+			if !found || s.dropsBefore(f, c, victim) {
+				victim, found = f, true
+			}
+		}
+		delete(s.records, victim)
+	}
+}
+
+// dropsBefore reports whether a record is dropped before that of other.
+func (s *State) dropsBefore(f uint64, c CrashRecord, other uint64) bool {
+	o := s.records[other]
+	a, b := s.rules.isQuarantined(c), s.rules.isQuarantined(o)
+	if a != b {
+		return b
+	}
+	return cmp.Or(c.At.Compare(o.At), cmp.Compare(f, other)) < 0
+}
+
+// Withdraw deletes the crash of one server from a request's record.
+func (s *State) Withdraw(fingerprint uint64, server string) {
+	c, known := s.records[fingerprint]
+	if !known {
+		return
+	}
+	c.Servers = maps.Clone(c.Servers)
+	delete(c.Servers, server)
 	s.records[fingerprint] = c
-	return c.IsQuarantined() && !before
+	if len(c.Servers) == 0 {
+		delete(s.records, fingerprint)
+	}
 }
 
 // Release deletes the record of a request.
 func (s *State) Release(fingerprint uint64) { delete(s.records, fingerprint) }
 
-// Expire deletes suspects whose last report is older than the TTL.
-func (s *State) Expire(now time.Time) {
+// Expire deletes the records whose time is over, and returns their fingerprints.
+func (s *State) Expire(now time.Time) []uint64 {
+	var expired []uint64
 	for f, c := range s.records {
-		if !c.IsQuarantined() && now.Sub(c.At) > s.suspectTTL {
+		if ttl, expires := s.rules.ttl(c); expires && now.Sub(c.At) > ttl {
 			delete(s.records, f)
+			expired = append(expired, f)
 		}
 	}
+	return expired
 }
 
+// Has reports whether a request is remembered.
+func (s *State) Has(fingerprint uint64) bool {
+	_, known := s.records[fingerprint]
+	return known
+}
+
+// Crashes returns the number of servers that a request is known to have crashed.
+func (s *State) Crashes(fingerprint uint64) int { return len(s.records[fingerprint].Servers) }
+
+// Len returns the number of requests that are remembered.
+func (s *State) Len() int { return len(s.records) }
+
 // A View is an immutable copy of a State.
 type View struct {
 	Suspects    map[uint64]bool
@@ -129,7 +232,7 @@
 func (s *State) View() View {
 	v := View{Suspects: map[uint64]bool{}, Quarantined: map[uint64]CrashRecord{}}
 	for f, c := range s.records {
-		if c.IsQuarantined() {
+		if s.rules.isQuarantined(c) {
 			v.Quarantined[f] = c
 		} else {
 			v.Suspects[f] = true
--- a/internal/limpetquarantine/limpetquarantine_test.go
+++ b/internal/limpetquarantine/limpetquarantine_test.go
@@ -10,33 +10,81 @@
 	"limpetmount.org/internal/limpetquarantine"
 )
 
+var rules = limpetquarantine.Rules{Threshold: 2, SuspectTTL: time.Minute}
+
+func crash(fingerprint uint64, server string) limpetquarantine.Crash {
+	return limpetquarantine.Crash{Fingerprint: fingerprint, Account: "desk", Server: server}
+}
+
 func TestReports(t *testing.T) {
 	now := time.Now()
 	Convey("crashes of two distinct servers quarantine a request, two crashes of one server do not", t, func() {
-		s := limpetquarantine.New(time.Minute)
-		So(s.Report(now, 1, "desk", "e1/1"), ShouldBeFalse)
-		So(s.Report(now, 1, "desk", "e1/1"), ShouldBeFalse)
+		s := limpetquarantine.New(rules)
+		So(s.Report(now, crash(1, "e1/1")), ShouldBeFalse)
+		So(s.Report(now, crash(1, "e1/1")), ShouldBeFalse)
 		So(s.View().Suspects[1], ShouldBeTrue)
-		So(s.Report(now, 1, "desk", "e2/1"), ShouldBeTrue)
-		So(s.Report(now, 1, "desk", "e3/1"), ShouldBeFalse)
+		So(s.Report(now, crash(1, "e2/1")), ShouldBeTrue)
+		So(s.Report(now, crash(1, "e3/1")), ShouldBeFalse)
 		So(s.View().Quarantined[1].Account, ShouldEqual, "desk")
 		s.Expire(now.Add(time.Hour))
 		So(len(s.View().Quarantined), ShouldEqual, 1)
 		s.Release(1)
 		So(len(s.View().Quarantined), ShouldEqual, 0)
 	})
-	Convey("a suspect without a new report expires", t, func() {
-		s := limpetquarantine.New(time.Minute)
-		s.Report(now, 1, "desk", "e1/1")
-		s.Expire(now.Add(2 * time.Minute))
-		So(len(s.View().Suspects), ShouldEqual, 0)
+	Convey("a crash after a part of the answer counts half", t, func() {
+		s := limpetquarantine.New(rules)
+		partial := func(server string) limpetquarantine.Crash {
+			c := crash(1, server)
+			c.Partial = true
+			return c
+		}
+		So(s.Report(now, partial("e1/1")), ShouldBeFalse)
+		So(s.Report(now, partial("e2/1")), ShouldBeFalse)
+		So(s.Report(now, partial("e3/1")), ShouldBeFalse)
+		So(s.Report(now, crash(1, "e1/1")), ShouldBeTrue)
+	})
+	Convey("a suspect without a new report expires, and so does a quarantined request if a time is set for it", t, func() {
+		expiring := rules
+		expiring.QuarantineTTL = time.Hour
+		s := limpetquarantine.New(expiring)
+		s.Report(now, crash(1, "e1/1"))
+		s.Report(now, crash(2, "e1/1"))
+		s.Report(now, crash(2, "e2/1"))
+		So(s.Expire(now.Add(2*time.Minute)), ShouldResemble, []uint64{1})
+		So(len(s.View().Quarantined), ShouldEqual, 1)
+		So(s.Expire(now.Add(2*time.Hour)), ShouldResemble, []uint64{2})
+		So(s.Len(), ShouldEqual, 0)
+	})
+	Convey("a record ends with its last crash that is not withdrawn", t, func() {
+		s := limpetquarantine.New(rules)
+		s.Report(now, crash(1, "e1/1"))
+		s.Report(now, crash(1, "e2/1"))
+		s.Withdraw(1, "e1/1")
+		So(s.View().Suspects[1], ShouldBeTrue)
+		s.Withdraw(1, "e2/1")
+		So(s.Len(), ShouldEqual, 0)
+	})
+	Convey("a flood of requests drops the oldest suspects, and no quarantined request while there is a suspect", t, func() {
+		bounded := rules
+		bounded.MaxRequests = 10
+		s := limpetquarantine.New(bounded)
+		s.Report(now, crash(1, "e1/1"))
+		s.Report(now, crash(1, "e2/1"))
+		for n := range 100 {
+			s.Report(now.Add(time.Duration(n+1)*time.Second), crash(uint64(n+2), "e1/1"))
+		}
+		So(s.Len(), ShouldEqual, 10)
+		So(s.View().Quarantined, ShouldContainKey, uint64(1))
+		So(s.View().Suspects, ShouldContainKey, uint64(101))
+		So(s.View().Suspects, ShouldNotContainKey, uint64(92))
 	})
 	Convey("a view is not affected by later reports", t, func() {
-		s := limpetquarantine.New(time.Minute)
-		s.Report(now, 1, "desk", "e1/1")
-		s.Report(now, 1, "desk", "e2/1")
+		s := limpetquarantine.New(rules)
+		s.Report(now, crash(1, "e1/1"))
+		s.Report(now, crash(1, "e2/1"))
 		v := s.View()
-		s.Report(now, 1, "desk", "e3/1")
+		s.Report(now, crash(1, "e3/1"))
+		s.Withdraw(1, "e1/1")
 		So(len(v.Quarantined[1].Servers), ShouldEqual, 2)
 	})
 }
--- a/internal/limpetsite/limpetsite.go
+++ b/internal/limpetsite/limpetsite.go
@@ -79,6 +79,9 @@
 // A Service is the operator's configuration of a service.
 type Service struct {
 	Name string
+	// HealthPath is the path at which the service's servers answer health
+	// checks; empty if none is configured.
+	HealthPath string
 	// Fleet is nil if the system does not order servers for the service.
 	Fleet *Fleet
 }
--- a/internal/limpetupstream/limpetupstream.go
+++ b/internal/limpetupstream/limpetupstream.go
@@ -132,6 +132,19 @@
 	}
 }
 
+// A Condition is what a check tells of a server's incarnation.
+type Condition int
+
+const (
+	// Undetermined checks brought no answer that says anything.
+	Undetermined Condition = iota
+	// Alive servers answered, well or not.
+	Alive
+	// Ended servers no longer run: nothing listens at their address, or another
+	// server answers there.
+	Ended
+)
+
 // A Client holds the calls to backend servers.
 //
 // Send fails with Unavailable when the request was certainly not sent, and with
@@ -147,4 +160,7 @@
 	Send   func(ctx context.Context, c Call) (*Reply, error)
 	Order  func(ctx context.Context, o Order) error
 	Report func(ctx context.Context, s *limpetsite.Server) (Report, error)
+	// Check finds out whether a server still runs. HealthPath is the path at
+	// which it answers health checks; empty if none is configured.
+	Check func(ctx context.Context, s *limpetsite.Server, healthPath string) Condition
 }
