Items wait at most 0.8 s after interrupted runs

Callers saw: a step whose items met a burst of engine crashes came late. Cause: after three runs in a row without an event an item was set aside for 4 s each time, in case it was the item that makes engines crash. Items are never that: they are owed whatever crashes under them, so that the wait bought nothing and cost half the time that a step has. Change: the wait begins at 0.1 s and doubles up to 0.8 s; it only keeps an item from being sent to engines in trouble without pause. The old check (set aside after three) is replaced by one that bounds the wait on both sides.

--- a/internal/limpetbatch/run.go
+++ b/internal/limpetbatch/run.go
@@ -112,10 +112,13 @@
 	// 500.
 	retryDelay = 30 * time.Millisecond
 	// maxInterruptedRuns is the number of consecutive interrupted runs without
-	// an event after which an item is delayed by interruptionDelay, because it
-	// may be the item that makes engines fail.
-	maxInterruptedRuns = 3
-	interruptionDelay  = 4 * time.Second
+	// an event from which on an item waits before its next run, because engines
+	// are in trouble. The wait begins with minInterruptionDelay and doubles up to
+	// maxInterruptionDelay. It never ends the item: an item is owed, however
+	// many engines crash under it.
+	maxInterruptedRuns   = 3
+	minInterruptionDelay = 100 * time.Millisecond
+	maxInterruptionDelay = 800 * time.Millisecond
 	// maxUnprocessable is the number of responses with status 422 after which
 	// an item is errored.
 	maxUnprocessable = 1
@@ -166,7 +169,10 @@
 		return
 	}
 	e.interruptedRuns++
-	if e.interruptedRuns >= maxInterruptedRuns {
-		e.notBefore = now.Add(interruptionDelay)
+	if further := e.interruptedRuns - maxInterruptedRuns; further >= 0 {
+		e.notBefore = now.Add(min(maxInterruptionDelay, minInterruptionDelay<<min(further, maxDelayDoublings)))
 	}
 }
+
+// maxDelayDoublings keeps the doubled delay from overflowing.
+const maxDelayDoublings = 8
--- a/internal/limpethost/crash_test.go
+++ b/internal/limpethost/crash_test.go
@@ -187,6 +187,7 @@
 			}
 			time.Sleep(400 * time.Millisecond)
 		}
+		t.Log("servers crashed", len(fleet.crashes), "repetitions reached a server", len(fleet.reached), "of them later", fleet.laterRetries())
 		check(t, fleet.laterRetries(), convey.ShouldBeLessThanOrEqualTo, maxLaterRetries)
 		check(t, served, convey.ShouldEqual, 60)
 		for _, h := range vms {
