limpetd: samples of a trainer's step are never quarantined

Callers saw: a step that never ended. Two engines crashed while they ran samples of one prompt; the prompt was quarantined until an operator released it, and its samples were refused on each try although engines were calm. Cause: samples went through the dispatcher as callers' requests, and a sample's fingerprint is that of its prompt, which the samples of a group share. Change: a completion can be owed; it is neither refused nor suspected.

--- a/internal/limpetdispatch/complete.go
+++ b/internal/limpetdispatch/complete.go
@@ -39,6 +39,9 @@
 	// Cheap prefers servers that can be reclaimed.
 	Cheap       bool
 	Fingerprint uint64
+	// Owed requests, such as a trainer's samples, are never quarantined or
+	// suspected, however many servers crash under them.
+	Owed bool
 	// OnData receives the payload of each chunk, which is valid only during the
 	// call. An error of type Unknown means that the engine's output is invalid:
 	// the request is ended without a retry and the engine's failure is reported.
@@ -70,7 +73,7 @@
 // Unavailable mean that it did not, and Unknown means that it may have run.
 func (d *Dispatcher) Complete(ctx context.Context, c Completion) (Result, error) {
 	arrived := d.Now()
-	if err := d.checkQuarantine(c.Fingerprint); err != nil {
+	if err := d.checkCompletion(&c); err != nil {
 		return Result{}, err
 	}
 	entry := &limpetadmission.Entry{
@@ -122,6 +125,14 @@
 	d.Log.Emit(limpetlog.RequestCompleted, fields...)
 }
 
+// checkCompletion is checkQuarantine for a completion that may be owed.
+func (d *Dispatcher) checkCompletion(c *Completion) error {
+	if c.Owed {
+		return nil
+	}
+	return d.checkQuarantine(c.Fingerprint)
+}
+
 func (d *Dispatcher) checkQuarantine(fingerprint uint64) error {
 	if c, ok := d.View().Quarantine.Quarantined[fingerprint]; ok {
 		return limpeterror.Denied.New("the request crashed %d backend servers and is quarantined; an operator can release it", len(c.Servers))
@@ -178,7 +189,7 @@
 		if !limpetretry.Allowed(err, true) || e.attempts >= d.limits.MaxAttempts {
 			return e.finalError(err)
 		}
-		if quarantined := d.checkQuarantine(e.completion.Fingerprint); quarantined != nil {
+		if quarantined := d.checkCompletion(&e.completion); quarantined != nil {
 			return e.finalError(quarantined)
 		}
 		if !budget.Take() {
@@ -211,7 +222,7 @@
 	d, c := e.dispatcher, &e.completion
 	view := d.View()
 	candidates := view.Servers[c.Service]
-	suspect := view.Quarantine.Suspects[c.Fingerprint]
+	suspect := !c.Owed && view.Quarantine.Suspects[c.Fingerprint]
 	query := limpetroute.Query{
 		Zone: d.zone, Prefix: limpetengine.PrefixHash(c.Prompt), PromptBytes: len(c.Prompt), MinVersion: c.MinVersion,
 		Exclude: e.exclude, Isolated: suspect, Cheap: c.Cheap, Random: rand.Uint64(),
@@ -315,7 +326,7 @@
 	d.Log.Emit(limpetlog.AttemptFailed, limpetlog.Request(c.ID), limpetlog.Account(c.Account.Name), limpetlog.Server(candidate.ID), limpetlog.Error(err))
 	e.exclude = append(e.exclude, candidate.ID)
 	d.ReportFailure(candidate.Server)
-	if !limpeterror.Is(err, limpeterror.Unknown) || !d.crashed(candidate) {
+	if c.Owed || !limpeterror.Is(err, limpeterror.Unknown) || !d.crashed(candidate) {
 		return
 	}
 	if !suspect && d.suspectRunsOn(candidate.Server) {
--- a/internal/limpetdispatch/limpetdispatch_test.go
+++ b/internal/limpetdispatch/limpetdispatch_test.go
@@ -293,6 +293,29 @@
 	})
 }
 
+// Guards against incident 21: samples under whose prompt two engines had crashed
+// were refused for good.
+func TestOwedRequestIsNotQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("an owed request under which servers crash is sent on once they are calm, and is not reported", t, func() {
+			engines := &stubEngines{}
+			dispatcher, _ := newDispatcher(engines, limpetquarantine.New(limpetquarantine.Rules{Threshold: 2, SuspectTTL: time.Minute}))
+			engines.scripts = sameScript(crashes, crashes, crashes)
+			var text strings.Builder
+			c := completion("sample", &text)
+			c.Owed = true
+			for range 3 {
+				_, err := dispatcher.Complete(context.Background(), c)
+				So(err, ShouldNotBeNil)
+			}
+			engines.scripts = nil
+			_, err := dispatcher.Complete(context.Background(), c)
+			So(err, ShouldBeNil)
+			So(engines.crashes, ShouldBeEmpty)
+		})
+	})
+}
+
 func TestNoRetryAfterCallerDisconnects(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("the engine's stream is ended and no other attempt is made", t, func() {
--- a/internal/limpetnode/duties.go
+++ b/internal/limpetnode/duties.go
@@ -316,7 +316,7 @@
 	_, err := n.dispatcher.Complete(ctx, limpetdispatch.Completion{
 		ID: newID(), Account: account, Class: limpetconfig.Rollout, Service: r.Job.Service, Path: limpetengine.PathCompletions,
 		Params: params, Prompt: r.Prompt, MaxTokens: r.MaxTokens, MinVersion: r.MinVersion, Cheap: true,
-		Fingerprint: limpetquarantine.Fingerprint(account.Name, r.Job.Service, []byte(r.Prompt)),
+		Fingerprint: limpetquarantine.Fingerprint(account.Name, r.Job.Service, []byte(r.Prompt)), Owed: true,
 		OnData: func(payload []byte) error {
 			var chunk limpetengine.Chunk
 			if err := json.Unmarshal(payload, &chunk); err != nil {
