limpetd: report the crashes of plain services' servers

Callers saw: a call to a plain service that crashes its servers was sent on without end, although limpetd has a quarantine. Cause: callOnce checked the quarantine and never reported a crash; only completions did. Change: a call whose server refuses connections afterwards is reported like a completion, a suspect runs alone, and no attempt follows a quarantine. Evidence: limpetdispatch TestCrashingPlainCallIsQuarantined, red before for idempotent and other calls (all four servers ended).

--- a/internal/limpetdispatch/call.go
+++ b/internal/limpetdispatch/call.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"limpetmount.org/internal/limpetadmission"
@@ -197,7 +199,7 @@
 		if mayHaveRun && !limpeterror.Is(err, limpeterror.Unknown) {
 			err = limpeterror.Unknown.Wrap(err, "an earlier attempt may have run")
 		}
-		retry := limpetretry.Allowed(err, idempotent) && attempts < d.limits.MaxAttempts && ctx.Err() == nil
+		retry := limpetretry.Allowed(err, idempotent) && attempts < d.limits.MaxAttempts && ctx.Err() == nil && d.checkQuarantine(c.Fingerprint) == nil
 		if !retry || !budget.Take() {
 			return Response{}, attempts, err
 		}
@@ -211,8 +213,11 @@
 
 // callOnce makes one attempt on one server and returns the server's ID.
 func (d *Dispatcher) callOnce(ctx context.Context, c Call, exclude []string) (Response, string, error) {
-	candidates := d.View().Servers[c.Service.Name]
-	picked := d.Policy.Pick(candidates, limpetroute.Query{Zone: d.zone, Exclude: exclude, Random: rand.Uint64()})
+	view := d.View()
+	candidates := view.Servers[c.Service.Name]
+	picked := d.Policy.Pick(candidates, limpetroute.Query{
+		Zone: d.zone, Exclude: exclude, Isolated: view.Quarantine.Suspects[c.Fingerprint], Random: rand.Uint64(),
+	})
 	if picked == limpetroute.None {
 		return Response{}, "", limpeterror.Unavailable.New("no backend server of service %s takes requests", c.Service.Name)
 	}
@@ -223,9 +228,25 @@
 	if err != nil {
 		d.ReportFailure(candidate.Server)
 	}
+	if limpeterror.Is(err, limpeterror.Unknown) && refusesConnections(ctx, candidate.Address) {
+		d.blame(candidate, c.ID, c.Account.Name, c.Fingerprint)
+	}
 	return response, candidate.ID, err
 }
 
+// refusesConnections reports whether nothing listens at an address any more.
+func refusesConnections(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// Nothing was written, so a close error means nothing.
+	_ = conn.Close()
+	return false
+}
+
 // do sends the request once and reads the complete response.
 func (p plainClient) do(ctx context.Context, address string, c Call) (Response, error) {
 	request, err := limpethttp.NewRequest(ctx, c.Method, "http://"+address+c.Target, c.Body)
--- a/internal/limpetdispatch/complete.go
+++ b/internal/limpetdispatch/complete.go
@@ -243,7 +243,7 @@
 	err = e.stream(ctx, candidate, params)
 	e.serverTime += d.Now().Sub(began)
 	if err != nil {
-		e.handleFailure(candidate, suspect, err)
+		e.handleFailure(candidate, err)
 	}
 	d.endRequest(candidate.Server, c.Fingerprint)
 	return err
@@ -315,10 +315,9 @@
 	return err
 }
 
-// handleFailure excludes the server of a failed attempt from later ones. If the
-// server crashed, it reports the request as a suspect, unless another request
-// on the server is a suspect of an earlier crash.
-func (e *execution) handleFailure(candidate limpetroute.Candidate, suspect bool, err error) {
+// handleFailure excludes the server of a failed attempt from later ones, and
+// reports the request if the server crashed under it.
+func (e *execution) handleFailure(candidate limpetroute.Candidate, err error) {
 	d, c := e.dispatcher, &e.completion
 	if errors.Is(err, errCallerGone) || limpeterror.Is(err, limpeterror.Invalid) {
 		return
@@ -326,14 +325,20 @@
 	d.Log.Emit(limpetlog.AttemptFailed, limpetlog.Request(c.ID), limpetlog.Account(c.Account.Name), limpetlog.Server(candidate.ID), limpetlog.Error(err))
 	e.exclude = append(e.exclude, candidate.ID)
 	d.ReportFailure(candidate.Server)
-	if c.Owed || !limpeterror.Is(err, limpeterror.Unknown) || !d.crashed(candidate) {
-		return
+	if !c.Owed && limpeterror.Is(err, limpeterror.Unknown) && d.crashed(candidate) {
+		d.blame(candidate, c.ID, c.Account.Name, c.Fingerprint)
 	}
-	if !suspect && d.suspectRunsOn(candidate.Server) {
+}
+
+// blame reports a request as a suspect of having crashed a server, unless another
+// request on the server is a suspect of an earlier crash.
+func (d *Dispatcher) blame(candidate limpetroute.Candidate, request, account string, fingerprint uint64) {
+	if !d.View().Quarantine.Suspects[fingerprint] && d.suspectRunsOn(candidate.Server) {
 		return
 	}
-	d.Log.Emit(limpetlog.CrashSuspected, limpetlog.Request(c.ID), limpetlog.Account(c.Account.Name), limpetlog.Server(candidate.ID))
-	d.ReportCrash(c.Fingerprint, c.Account.Name, candidate.ID)
+	d.Log.Emit(limpetlog.CrashSuspected, limpetlog.Request(request), limpetlog.Account(account), limpetlog.Server(candidate.ID),
+		limpetlog.Value("fingerprint", limpetquarantine.Name(fingerprint)))
+	d.ReportCrash(fingerprint, account, candidate.ID)
 }
 
 const probeTimeout = time.Second
--- a/internal/limpetdispatch/limpetdispatch_test.go
+++ b/internal/limpetdispatch/limpetdispatch_test.go
@@ -1,9 +1,12 @@
 package limpetdispatch_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -337,6 +340,7 @@
 type plainEnv struct {
 	service    *limpetstub.Service
 	dispatcher *limpetdispatch.Dispatcher
+	view       *limpetview.View
 	claims     map[string]limpetclaim.Entry
 	mu         sync.Mutex
 }
@@ -358,7 +362,7 @@
 		limpetclaim.Apply(s, r, time.Now())
 		return s.Entries[r.Claim], nil
 	}
-	env.dispatcher = dispatcher
+	env.dispatcher, env.view = dispatcher, view
 	return env
 }
 
@@ -379,6 +383,7 @@
 		ID: "r", Account: limpetconfig.Account{Name: "desk", Weight: 1, Class: limpetconfig.Live},
 		Service: limpetconfig.Service{Name: "records", Kind: limpetconfig.Plain, Path: "/records", Idempotent: idempotent},
 		Method:  method, Target: "/records/x", Header: http.Header{"Idempotency-Key": {key}}, Body: []byte(body), IdempotencyKey: key,
+		Fingerprint: limpetquarantine.Fingerprint("desk", method+" /records/x", []byte(body)),
 	})
 	return a, err
 }
@@ -421,6 +426,67 @@
 	}
 }
 
+// A crashingServer is a server of a plain service that ends when it gets a
+// request with the body crashBody.
+type crashingServer struct {
+	listener net.Listener
+	next     http.Handler
+	ended    *atomic.Int64
+}
+
+const crashBody = "crash"
+
+func (c *crashingServer) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	if string(body) == crashBody {
+		c.ended.Add(1)
+		_ = c.listener.Close()
+		panic(http.ErrAbortHandler)
+	}
+	q.Body = io.NopCloser(bytes.NewReader(body))
+	c.next.ServeHTTP(w, q)
+}
+
+// replaceServers replaces the servers of the plain service by some that crash.
+// It returns the number of those that did.
+func (env *plainEnv) replaceServers(t *testing.T, n int) (ended *atomic.Int64) {
+	ended = &atomic.Int64{}
+	env.view.Servers["records"] = nil
+	for i := range n {
+		c := &crashingServer{next: env.service, ended: ended}
+		h := httptest.NewServer(c)
+		t.Cleanup(h.Close)
+		c.listener = h.Listener
+		s := limpetroute.NewServer(limpetorder.Server{ID: fmt.Sprintf("c%d", i), Service: "records", Zone: "a", Address: h.Listener.Addr().String()})
+		env.view.Servers["records"] = append(env.view.Servers["records"], limpetroute.Candidate{Server: s, Capacity: 8})
+	}
+	return ended
+}
+
+// Guards against incident 21: plain calls were checked for quarantine, but their
+// crashes were never reported.
+func TestCrashingPlainCallIsQuarantined(t *testing.T) {
+	for name, idempotent := range map[string]bool{"idempotent": true, "not idempotent": false} {
+		t.Run(name, func(t *testing.T) {
+			Convey("a plain call that crashed two servers is refused, others are served: "+name, t, func() {
+				env := newPlainEnv(t)
+				ended := env.replaceServers(t, 4)
+				var err error
+				for range 5 {
+					_, err = env.call(http.MethodPost, "", crashBody, idempotent)
+				}
+				So(limpeterror.Is(err, limpeterror.Denied), ShouldBeTrue)
+				So(ended.Load(), ShouldEqual, 2)
+				_, err = env.call(http.MethodGet, "", "look", true)
+				So(err, ShouldBeNil)
+			})
+		})
+	}
+}
+
 func TestIdempotencyKeyReuse(t *testing.T) {
 	Convey("a resent request gets the recorded response", t, func() {
 		env := newPlainEnv(t)
