limpetd: the quarantine of a plain call depends on its target

Callers saw: 401 for calls that crashed nothing, if one with the same body (such as an empty one) of the same account had been quarantined. Cause: the fingerprint of a plain call was account, service and body. Change: method and target are part of it. Evidence: limpetcluster TestQuarantineDependsOnTheTarget, red before (401).

--- a/internal/limpetcaller/plain.go
+++ b/internal/limpetcaller/plain.go
@@ -99,7 +99,7 @@
 	response, result, err := f.Dispatcher.Call(r.Context(), limpetdispatch.Call{
 		ID: requestID(r.Context()), Account: account, Service: service, Method: r.Method, Target: r.URL.RequestURI(),
 		Header: forwardableHeaders(r.Header), Body: body, IdempotencyKey: key, Deadline: deadline,
-		Fingerprint: limpetquarantine.Fingerprint(account.Name, service.Name, body), Unbilled: service.Open,
+		Fingerprint: limpetquarantine.Fingerprint(account.Name, r.Method+" "+r.URL.RequestURI(), body), Unbilled: service.Open,
 	})
 	if err != nil {
 		writeError(w, withdrawalError(r.Context(), err), result.RetryAfter)
--- a/internal/limpetcluster/failure_test.go
+++ b/internal/limpetcluster/failure_test.go
@@ -401,6 +401,35 @@
 	})
 }
 
+// Guards against a quarantine of all requests of an account that have the same
+// body, such as an empty one, whatever they ask for.
+func TestQuarantineDependsOnTheTarget(t *testing.T) {
+	s := newSystem(t, limpetcluster.Options{VMs: 1}, 1)
+	Convey("a quarantined plain call does not affect one with another path", t, func() {
+		const servers = 4
+		_, err := s.RunStatements(s.ctx, 0, `create service fragile kind=plain path="/fragile"`)
+		So(err, ShouldBeNil)
+		for n := range servers {
+			id := fmt.Sprintf("fragile-%d", n)
+			So(s.AddService("fragile", "a", id, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+				s.Go(func() { s.StopServer(id) })
+				// The listener is closed before the connections.
+				<-q.Context().Done()
+				panic(http.ErrAbortHandler)
+			})), ShouldBeNil)
+		}
+		So(limpetcluster.WaitUntil(s.ctx, "servers", func() bool { return len(s.Nodes[0].View().Servers["fragile"]) == servers }), ShouldBeNil)
+		caller := limpetcluster.NewCaller(s.URL(0), s.caller)
+		post := func(path string) int {
+			r, err := caller.Do(s.ctx, http.MethodPost, path, nil, nil)
+			So(err, ShouldBeNil)
+			return r.Status
+		}
+		So(limpetcluster.WaitUntil(s.ctx, "quarantine", func() bool { return post("/fragile/a") == http.StatusUnauthorized }), ShouldBeNil)
+		So(post("/fragile/b"), ShouldNotEqual, http.StatusUnauthorized)
+	})
+}
+
 func TestVMStartsFromDataFolder(t *testing.T) {
 	folder := t.TempDir()
 	s := newSystem(t, limpetcluster.Options{VMs: 1, AdjustSettings: func(s *limpetsettings.Settings) { s.VM.DataDir = folder }}, 1)
