Bound what a server in trouble may send

What callers would see: a VM that runs out of memory and is killed, with all its requests, because one server sends bytes that are no answer without end. A stated length beyond the bound ends the answer before it is read. Also: a server's error that was kept for the caller and then not needed is closed, which would have kept its memory.

--- a/internal/limpetdispatch/call.go
+++ b/internal/limpetdispatch/call.go
@@ -59,16 +59,21 @@
 // passed on as a complete one.
 const maxResponseBytes = 16 << 20
 
+// maxUnreadBytes limits all responses together while they are being read.
+const maxUnreadBytes = 128 << 20
+
 // A plainClient sends requests to plain services. It does not follow redirects;
 // the caller gets them as responses.
 type plainClient struct {
 	client *http.Client
+	// memory bounds the responses that are being read.
+	memory *limpethttp.Budget
 }
 
 const maxIdleConnsPerServer = 32
 
 func newPlainClient(timeout time.Duration) plainClient {
-	return plainClient{client: &http.Client{
+	return plainClient{memory: limpethttp.NewBudget(func() int64 { return maxUnreadBytes }), client: &http.Client{
 		Transport:     limpethttp.NewTransport(maxIdleConnsPerServer),
 		Timeout:       timeout,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -260,10 +265,12 @@
 		return Response{}, limpethttp.Classify(err, "service "+c.Service.Name)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, hold, err := p.memory.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1), response.ContentLength)
 	if err != nil {
 		return Response{}, limpeterror.Unknown.Wrap(err, "answer of service %s", c.Service.Name)
 	}
+	// Only answers that are still being read can be without end.
+	defer hold.Release()
 	if len(body) > maxResponseBytes {
 		return Response{}, limpeterror.Unknown.New("answer of service %s is larger than %d bytes", c.Service.Name, maxResponseBytes)
 	}
--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -86,6 +86,9 @@
 	d.results = make(chan result, maxRefusals+d.attemptLimit()+1)
 	reply, reason := d.awaitReply(requestCtx)
 	d.finishOpenAttempts(reason)
+	if reply != d.lastFailure {
+		d.keepFailure(nil)
+	}
 	if reply != nil {
 		if reply.Events != nil {
 			d.followStream(ctx, reply)
@@ -260,7 +263,7 @@
 	if r.reply.Status >= http.StatusInternalServerError {
 		d.recordServed()
 		f.Tracker.Done(r.server.ID, limpetbalancer.Failed, r.took, r.reply.Load, now)
-		d.lastFailure = r.reply
+		d.keepFailure(r.reply)
 		if r.reply.Status == http.StatusInternalServerError {
 			d.failures++
 		}
@@ -274,6 +277,14 @@
 	return r.reply, false
 }
 
+// keepFailure replaces the last reply with a server error, which is closed.
+func (d *dispatch) keepFailure(reply *limpetupstream.Reply) {
+	if d.lastFailure != nil {
+		d.lastFailure.Close()
+	}
+	d.lastFailure = reply
+}
+
 // countUsage counts the request once towards its account's usage. The start
 // time is estimated as the time at which the attempt was sent.
 func (d *dispatch) countUsage(r result, now time.Time) {
--- a/internal/limpetforward/limpetforward_test.go
+++ b/internal/limpetforward/limpetforward_test.go
@@ -179,6 +179,30 @@
 	}
 }
 
+// Guards against answers that keep their memory because nobody closes them.
+func TestRepliesThatTheCallerDoesNotGetAreClosed(t *testing.T) {
+	for name, statuses := range map[string][]int{"a later reply is used": {500, 500, 200}, "the last failure is used": {500, 502, 503}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var closed []int
+				behaviors := make([]behavior, len(statuses))
+				for n, status := range statuses {
+					behaviors[n] = func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error) {
+						return &limpetupstream.Reply{Status: status, Signature: "s", Close: func() { closed = append(closed, n) }}, nil
+					}
+				}
+				f := newFixture(limpetsite.Idempotent, behaviors...)
+				f.setAttempts(len(statuses))
+				a := f.Forward(context.Background(), request("/k/x", "key"))
+				Convey("all replies but the caller's are closed, each once: "+name, t, func() {
+					So(a.Reply.Status, ShouldEqual, statuses[2])
+					So(closed, ShouldResemble, []int{0, 1})
+				})
+			})
+		})
+	}
+}
+
 func TestLaterAttemptsGetRemainingTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(limpetsite.Idempotent, delayed(40*time.Millisecond, resets), repliesWith(200))
--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -46,7 +46,7 @@
 // no server provides it.
 func (d *dispatch) resume(ctx context.Context, last int) *limpetupstream.Reply {
 	d.request.LastEventID = last
-	d.lastFailure = nil
+	defer d.keepFailure(nil)
 	for d.startAttempt() {
 		r := <-d.results
 		reply, retry := d.handleResult(ctx, r)
--- /dev/null
+++ b/internal/limpethttp/budget.go
@@ -0,0 +1,111 @@
+package limpethttp
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+
+	"limpetmount.org/internal/limpeterror"
+)
+
+const (
+	// freeBytes is the memory that each answer may take without the budget. So
+	// ordinary answers do not fail because large ones take all of it.
+	freeBytes = 16 << 10
+	// maxAnswerShare bounds one answer: budget / maxAnswerShare.
+	maxAnswerShare = 2
+	initialBytes   = 4 << 10
+)
+
+// A Budget bounds the memory that the answers of peers take together. It is safe
+// for concurrent use.
+type Budget struct {
+	limit func() int64
+	used  atomic.Int64
+}
+
+// NewBudget returns a budget of limit bytes. Limit is asked each time, so that it
+// may change.
+func NewBudget(limit func() int64) *Budget { return &Budget{limit: limit} }
+
+// Used returns the number of bytes that are taken.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+// Hold returns a hold of no bytes, for one answer.
+func (b *Budget) Hold() *Hold { return &Hold{budget: b} }
+
+// A Hold is the part of a budget that one answer takes. Its methods must not be
+// called at the same time.
+type Hold struct {
+	budget *Budget
+	taken  int64
+}
+
+// Resize changes the memory that the answer takes, in bytes. The error has type
+// Unknown: the answer is too large, or all answers together are.
+func (h *Hold) Resize(size int64) error {
+	b := h.budget
+	if err := b.checkAnswer(size); err != nil {
+		return err
+	}
+	limit, want := b.limit(), max(0, size-freeBytes)
+	if total := b.used.Add(want - h.taken); want > h.taken && total > limit {
+		b.used.Add(h.taken - want)
+		return limpeterror.Unknown.New("the answers in memory take more than %d bytes", limit)
+	}
+	h.taken = want
+	return nil
+}
+
+// checkAnswer returns an error of type Unknown for the size of an answer that is
+// too large.
+func (b *Budget) checkAnswer(size int64) error {
+	if bound := b.limit() / maxAnswerShare; size > bound {
+		return limpeterror.Unknown.New("an answer of more than %d bytes", bound)
+	}
+	return nil
+}
+
+// Release gives all bytes back.
+func (h *Hold) Release() {
+	h.budget.used.Add(-h.taken)
+	h.taken = 0
+}
+
+// ReadAll reads an answer to its end. Length is its stated length, or negative.
+// The hold is released by the caller, and on an error by ReadAll. Errors of r
+// are returned unchanged.
+func (b *Budget) ReadAll(r io.Reader, length int64) ([]byte, *Hold, error) {
+	h := b.Hold()
+	data, err := h.readAll(r, length)
+	if err != nil {
+		h.Release()
+		return nil, nil, err
+	}
+	return data, h, nil
+}
+
+func (h *Hold) readAll(r io.Reader, length int64) ([]byte, error) {
+	if err := h.budget.checkAnswer(length); err != nil {
+		return nil, err
+	}
+	// The memory grows with what is received, since the length may be wrong.
+	data := make([]byte, 0, initialBytes)
+	for {
+		n, err := r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
+			return nil, err
+		case len(data) < cap(data):
+			continue
+		}
+		size := 2 * cap(data)
+		if err := h.Resize(int64(size)); err != nil {
+			return nil, err
+		}
+		data = append(make([]byte, 0, size), data...)
+	}
+}
--- a/internal/limpethttp/limpethttp.go
+++ b/internal/limpethttp/limpethttp.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -20,6 +21,7 @@
 const (
 	dialTimeout       = time.Second
 	maxReplyBytes     = 16 << 20
+	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 5 * time.Second
 )
 
@@ -30,8 +32,10 @@
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: maxIdle,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+		// A peer in trouble may send a header without end.
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		IdleConnTimeout:        30 * time.Second,
+		DisableCompression:     true,
 	}
 }
 
@@ -90,9 +94,9 @@
 }
 
 // Exchange sends body as JSON, unless it is nil, and returns the status and the
-// answer, of which it reads at most maxReplyBytes. The error has type Invalid
-// when the request could not be built, Unavailable when the call had no effect,
-// and Unknown otherwise. A failed GET is always Unavailable, since reads have
+// answer, which may have maxReplyBytes. The error has type Invalid when the
+// request could not be built, Unavailable when the call had no effect, and
+// Unknown otherwise. A failed GET is always Unavailable, since reads have
 // no effect.
 func Exchange(ctx context.Context, client *http.Client, method, url string, header http.Header, body any) (status int, answer []byte, err error) {
 	var data []byte
@@ -116,9 +120,12 @@
 		return 0, nil, classifyForMethod(method, err, url)
 	}
 	defer response.Body.Close()
-	if answer, err = io.ReadAll(io.LimitReader(response.Body, maxReplyBytes)); err != nil {
+	if answer, err = io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1)); err != nil {
 		return 0, nil, classifyForMethod(method, err, url)
 	}
+	if len(answer) > maxReplyBytes {
+		return 0, nil, classifyForMethod(method, fmt.Errorf("an answer of more than %d bytes", maxReplyBytes), url)
+	}
 	return response.StatusCode, answer, nil
 }
 
