Bound the answers of servers to control requests

Cause: reports and orders read up to 16 MB of each engine's answer, at all engines at once, outside of the budget of answers.

--- a/internal/limpethttp/limpethttp.go
+++ b/internal/limpethttp/limpethttp.go
@@ -96,9 +96,14 @@
 // Exchange sends body as JSON, unless it is nil, and returns the status and the
 // answer, which may have maxReplyBytes. The error has type Invalid when the
 // request could not be built, Unavailable when the call had no effect, and
-// Unknown otherwise. A failed GET is always Unavailable, since reads have
-// no effect.
+// Unknown otherwise. A failed GET is always Unavailable, since reads have no
+// effect.
 func Exchange(ctx context.Context, client *http.Client, method, url string, header http.Header, body any) (status int, answer []byte, err error) {
+	return ExchangeUpTo(ctx, client, maxReplyBytes, method, url, header, body)
+}
+
+// ExchangeUpTo is Exchange with a limit of the answer in bytes.
+func ExchangeUpTo(ctx context.Context, client *http.Client, limit int64, method, url string, header http.Header, body any) (status int, answer []byte, err error) {
 	var data []byte
 	if body != nil {
 		if data, err = json.Marshal(body); err != nil {
@@ -120,11 +125,11 @@
 		return 0, nil, classifyForMethod(method, err, url)
 	}
 	defer response.Body.Close()
-	if answer, err = io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1)); err != nil {
+	if answer, err = io.ReadAll(io.LimitReader(response.Body, limit+1)); err != nil {
 		return 0, nil, classifyForMethod(method, err, url)
 	}
-	if len(answer) > maxReplyBytes {
-		return 0, nil, classifyForMethod(method, fmt.Errorf("an answer of more than %d bytes", maxReplyBytes), url)
+	if int64(len(answer)) > limit {
+		return 0, nil, classifyForMethod(method, fmt.Errorf("an answer of more than %d bytes", limit), url)
 	}
 	return response.StatusCode, answer, nil
 }
