Soak: servers that crash under a request, and a request that crashes them

Until now no server of the soak ended as a process does: its address went on listening. A stub server can crash (address refuses, connections end, next start is another incarnation); a fault sends crashing requests, and after the faults a request that crashes servers is repeated by 26 attempts over 6.5 s. Four plain servers instead of two.

--- a/limpetsoak/internal/limpetharness/check.go
+++ b/limpetsoak/internal/limpetharness/check.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"limpetmount.org/platform/limpetplatformstub"
 )
 
 const (
@@ -24,6 +26,7 @@
 		return
 	}
 	h.checkJobs(ctx)
+	h.checkCrashes(ctx)
 	h.checkKeys(ctx)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -59,6 +62,53 @@
 	}
 }
 
+const (
+	// crashRepetitions is how often a request that crashes servers is repeated,
+	// and crashInterval the time between repetitions.
+	crashRepetitions = 26
+	crashInterval    = 250 * time.Millisecond
+	// contactTime is the time after the crash of crashLimit servers after which
+	// at most maxLaterCrashes repetitions may crash further ones.
+	contactTime     = 3 * time.Second
+	crashLimit      = 3
+	maxLaterCrashes = 3
+)
+
+// sendCrash sends a request with the given body to a random VM.
+func (h *harness) sendCrash(random *rand.Rand, body string) {
+	vm := h.edges[random.IntN(len(h.edges))]
+	h.group.Go(func(ctx context.Context) error {
+		// The answer does not matter; the record has what servers saw.
+		h.caller.Crash(ctx, vm.Front, fmt.Sprintf("c%d", random.Uint64()), body)
+		return nil
+	})
+}
+
+// checkCrashes repeats a request that crashes servers, and checks that VMs stop
+// sending it and serve other requests.
+func (h *harness) checkCrashes(ctx context.Context) {
+	random := rand.New(rand.NewPCG(h.plan.Seed, 14))
+	body := limpetplatformstub.CrashBody + " repeatedly"
+	for range crashRepetitions {
+		h.sendCrash(random, body)
+		time.Sleep(crashInterval)
+	}
+	crashes, later := h.record.Crashes(body), 0
+	for n, at := range crashes {
+		if n >= crashLimit && at.Sub(crashes[crashLimit-1]) > contactTime {
+			later++
+		}
+	}
+	if later > maxLaterCrashes {
+		h.addViolation("a request that crashed %d servers crashed %d more later than %s after that", crashLimit, later, contactTime)
+	}
+	for _, vm := range h.edges {
+		if exchange := h.caller.Plain(ctx, vm.Front, "after-crashes-"+vm.Name, false); exchange.Err != nil || exchange.Status != http.StatusOK {
+			h.addViolation("%s answers an ordinary request after the crashes with status %d: %v", vm.Name, exchange.Status, exchange.Err)
+		}
+	}
+}
+
 // checkKeys withdraws a key and checks on each VM that this key is refused and
 // the other one still accepted.
 func (h *harness) checkKeys(ctx context.Context) {
--- a/limpetsoak/internal/limpetharness/faults.go
+++ b/limpetsoak/internal/limpetharness/faults.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
 
 	"limpetmount.org/internal/limpetstub"
 	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/platform/limpetplatformstub"
 )
 
 const (
@@ -120,6 +122,10 @@
 		s.DropsAnswers.Store(true)
 		return func() { s.DropsAnswers.Store(false) }
 	}},
+	{"server crashed by a request", func(h *harness, random *rand.Rand) func() {
+		h.sendCrash(random, fmt.Sprintf("%s %d", limpetplatformstub.CrashBody, random.Uint64()))
+		return func() {}
+	}},
 	{"connections to a server reset", func(h *harness, random *rand.Rand) func() {
 		h.proxies[random.IntN(len(h.proxies))].Reset()
 		return func() {}
--- a/limpetsoak/internal/limpetharness/harness.go
+++ b/limpetsoak/internal/limpetharness/harness.go
@@ -93,8 +93,10 @@
 	// for the system to recover after the last fault.
 	readyTimeout     = 8 * time.Second
 	recoveryTime     = 5 * time.Second
-	plainServerCount = 2
-	serverSlots      = 6
+	plainServerCount = 4
+	// serverDowntime is how long a crashed server is down.
+	serverDowntime = 900 * time.Millisecond
+	serverSlots    = 6
 )
 
 // Run executes one run. The logs of the processes stay in a folder of its seed.
@@ -211,10 +213,25 @@
 	if err != nil {
 		return err
 	}
+	s.Crash = func() { h.crashServer(s, p) }
 	h.servers, h.proxies = append(h.servers, s), append(h.proxies, p)
 	return nil
 }
 
+// crashServer ends a server, and starts it again later as another incarnation.
+func (h *harness) crashServer(s *limpetplatformstub.Server, p *Proxy) {
+	p.Stop()
+	h.group.Go(func(ctx context.Context) error {
+		limpettask.Sleep(ctx, serverDowntime)
+		s.Restart()
+		for ctx.Err() == nil && p.Listen() != nil {
+			// The address may be in use by a connection that is being closed.
+			limpettask.Sleep(ctx, registerInterval)
+		}
+		return nil
+	})
+}
+
 // addVM starts the process of a VM: one that serves callers for the first
 // numbers, then one that does not.
 func (h *harness) addVM(n int, network, store, cloud, logDir string) error {
--- a/limpetsoak/internal/limpetharness/proxy.go
+++ b/limpetsoak/internal/limpetharness/proxy.go
@@ -38,14 +38,15 @@
 // A Proxy is a TCP proxy between a VM and the store, or the VMs and a server. Its
 // mode simulates faults of the network.
 type Proxy struct {
-	Address  string
-	target   string
-	mode     atomic.Int32
-	group    *limpettask.Group
-	listener net.Listener
+	Address string
+	target  string
+	mode    atomic.Int32
+	group   *limpettask.Group
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	mu sync.Mutex
+	// listener is nil while the proxy is down.
+	listener net.Listener
+	conns    map[net.Conn]struct{}
 }
 
 // NewProxy starts a proxy that listens on a free port of an IP address and
@@ -56,16 +57,39 @@
 		return nil, err
 	}
 	p := &Proxy{Address: l.Addr().String(), target: target, group: group, listener: l, conns: map[net.Conn]struct{}{}}
-	group.Go(p.accept)
+	group.Go(func(ctx context.Context) error { return p.accept(ctx, l) })
 	group.Go(func(ctx context.Context) error {
 		<-ctx.Done()
-		_ = l.Close()
-		p.Reset()
+		p.Stop()
 		return nil
 	})
 	return p, nil
 }
 
+// Stop closes the listener and all connections.
+func (p *Proxy) Stop() {
+	p.mu.Lock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	p.mu.Unlock()
+	p.Reset()
+}
+
+// Listen listens again after Stop, at the same address.
+func (p *Proxy) Listen() error {
+	l, err := net.Listen("tcp", p.Address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = l
+	p.mu.Unlock()
+	p.group.Go(func(ctx context.Context) error { return p.accept(ctx, l) })
+	return nil
+}
+
 // SetMode changes the mode, also of open connections.
 func (p *Proxy) SetMode(m Mode) { p.mode.Store(int32(m)) }
 
@@ -81,9 +105,9 @@
 	}
 }
 
-func (p *Proxy) accept(ctx context.Context) error {
+func (p *Proxy) accept(ctx context.Context, l net.Listener) error {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
