limpetplatform: show and release requests that crash servers

Operators had no way to see why a caller gets 503 quarantined, nor to end a quarantine before its time. show lists the records; release deletes a request's records in the store, which all VMs follow. Also: the outcome of a case is logged before the request that waits for it goes on (a test counted 49 of 50 lines once).

--- a/internal/limpetcrash/cases.go
+++ b/internal/limpetcrash/cases.go
@@ -272,15 +272,14 @@
 
 // decide closes a case.
 func (b *Book) decide(c *openCase, outcome string) {
-	b.open.Add(-1)
 	b.outcome.WithLabelValues(outcome).Inc()
-	close(c.decided)
-	if outcome == outcomeCrashed {
-		return
+	if outcome != outcomeCrashed {
+		b.Log.Emit(limpetlog.CrashNotConfirmed, limpetlog.Request(c.Request), limpetlog.Server(c.Server.ID),
+			limpetlog.Value("fingerprint", limpetquarantine.Name(c.Fingerprint)), limpetlog.Value("outcome", outcome),
+			limpetlog.Value("age_ms", b.Now().Sub(c.opened).Milliseconds()))
 	}
-	b.Log.Emit(limpetlog.CrashNotConfirmed, limpetlog.Request(c.Request), limpetlog.Server(c.Server.ID),
-		limpetlog.Value("fingerprint", limpetquarantine.Name(c.Fingerprint)), limpetlog.Value("outcome", outcome),
-		limpetlog.Value("age_ms", b.Now().Sub(c.opened).Milliseconds()))
+	b.open.Add(-1)
+	close(c.decided)
 }
 
 // closeCases closes the cases of a request that was served.
--- a/internal/limpetcrash/limpetcrash_test.go
+++ b/internal/limpetcrash/limpetcrash_test.go
@@ -14,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"limpetmount.org/internal/limpetcrash"
+	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
@@ -393,6 +394,32 @@
 	})
 }
 
+func TestOperatorsRelease(t *testing.T) {
+	inBubble(t, 2, func(e *env) {
+		Convey("operators see suspects and quarantined requests, and release them on all VMs", t, func() {
+			ctx, store := context.Background(), e.store.Client()
+			e.suspect(e.books[0], 8, "s0")
+			for n := range 3 {
+				e.suspect(e.books[0], 7, fmt.Sprintf("s%d", n))
+			}
+			time.Sleep(settleTime)
+			suspects, err := limpetcrash.ReadSuspects(ctx, store, time.Now())
+			So(err, ShouldBeNil)
+			So(len(suspects), ShouldEqual, 2)
+			So(suspects[0].Quarantined, ShouldBeTrue)
+			So(suspects[0].Servers, ShouldResemble, []string{"s0.1", "s1.1", "s2.1"})
+			So(suspects[0].Request, ShouldEqual, "r7")
+			So(suspects[1].Quarantined, ShouldBeFalse)
+			So(limpetcrash.Release(ctx, store, suspects[0].Name), ShouldBeNil)
+			time.Sleep(settleTime)
+			So(e.verdicts(7), ShouldResemble, []limpetcrash.Verdict{clear, clear})
+			So(e.verdicts(8), ShouldResemble, []limpetcrash.Verdict{suspected, suspected})
+			So(limpeterror.Is(limpetcrash.Release(ctx, store, suspects[0].Name), limpeterror.NotFound), ShouldBeTrue)
+			So(limpeterror.Is(limpetcrash.Release(ctx, store, "nonsense"), limpeterror.Invalid), ShouldBeTrue)
+		})
+	})
+}
+
 func TestFloodOfDistinctRequests(t *testing.T) {
 	inBubble(t, 2, func(e *env) {
 		Convey("many distinct requests under crashes stay within the bounds of memory and of the store's rate", t, func() {
--- a/internal/limpetsummary/limpetsummary.go
+++ b/internal/limpetsummary/limpetsummary.go
@@ -1,7 +1,7 @@
 // Package limpetsummary summarizes the content of a prepared platform's store
 // for operators: the active configuration, backend servers, the VM that holds
-// the director's lease, batch jobs with their unfinished items, and usage
-// windows. It never writes to the store.
+// the director's lease, batch jobs with their unfinished items, requests that
+// crashed servers, and usage windows. It never writes to the store.
 package limpetsummary
 
 import (
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"limpetmount.org/internal/limpetcrash"
 	"limpetmount.org/internal/limpetdirector"
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpethost"
@@ -32,6 +33,8 @@
 	Director      Director
 	Servers       []Server
 	Jobs          []Job
+	// Suspects holds the requests that crashed backend servers.
+	Suspects []limpetcrash.Suspect
 	// Windows holds the frozen usage windows, newest first.
 	Windows []Window
 }
@@ -105,6 +108,10 @@
 			return State{}, err
 		}
 	}
+	var err error
+	if s.Suspects, err = limpetcrash.ReadSuspects(ctx, store, now); err != nil {
+		return State{}, err
+	}
 	return s, nil
 }
 
