Reset connections of requests that were given up without an answer

Change: while a request was written and no byte of its answer was read, a close is a reset, which discards what is not sent. This holds for all clients: engines, plain services, store, other VMs, and limpetd's.

--- a/internal/limpetforward/crash_test.go
+++ b/internal/limpetforward/crash_test.go
@@ -112,6 +112,7 @@
 					So(len(calls), ShouldBeLessThanOrEqualTo, c.maxSends)
 					So(last.Reason.String(), ShouldEqual, limpetforward.Quarantined.String())
 					So(last.RetryAfter, ShouldBeGreaterThan, time.Minute)
+					So(last.Fingerprint, ShouldNotEqual, uint64(0))
 				})
 			})
 		})
--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -95,7 +95,11 @@
 		}
 		return Answer{Reason: Served, Reply: reply, Failures: d.failures}
 	}
-	return Answer{Reason: reason, RetryAfter: d.retryAfter(reason), Failures: d.failures}
+	a := Answer{Reason: reason, RetryAfter: d.retryAfter(reason), Failures: d.failures}
+	if reason == Quarantined {
+		a.Fingerprint = d.fingerprint()
+	}
+	return a
 }
 
 func (d *dispatch) retryAfter(reason Reason) time.Duration {
--- a/internal/limpetforward/limpetforward.go
+++ b/internal/limpetforward/limpetforward.go
@@ -14,6 +14,7 @@
 	"limpetmount.org/internal/limpetcrash"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetmetric"
+	"limpetmount.org/internal/limpetquarantine"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetupstream"
 )
@@ -84,6 +85,8 @@
 	RetryAfter time.Duration
 	// Failures counts the servers that replied with status 500.
 	Failures int
+	// Fingerprint identifies a quarantined request; 0 for others.
+	Fingerprint uint64
 }
 
 // A Forwarder forwards requests on one VM.
@@ -196,8 +199,14 @@
 	if a.Reply != nil {
 		status = a.Reply.Status
 	}
-	f.Log.Emit(limpetlog.RequestNotServed, limpetlog.Request(r.ID), limpetlog.Account(accountName),
+	fields := []limpetlog.Field{
+		limpetlog.Request(r.ID), limpetlog.Account(accountName),
 		limpetlog.Value("route", routeName), limpetlog.Value("reason", a.Reason.String()), limpetlog.Value("status", status),
-		limpetlog.Value("ms", took.Milliseconds()), limpetlog.Value("revision", f.View().Revision))
+		limpetlog.Value("ms", took.Milliseconds()), limpetlog.Value("revision", f.View().Revision),
+	}
+	if a.Reason == Quarantined {
+		fields = append(fields, limpetlog.Value("fingerprint", limpetquarantine.Name(a.Fingerprint)))
+	}
+	f.Log.Emit(limpetlog.RequestNotServed, fields...)
 	return a
 }
--- a/internal/limpethttp/limpethttp.go
+++ b/internal/limpethttp/limpethttp.go
@@ -30,7 +30,7 @@
 // twice; NewRequest does so.
 func NewTransport(maxIdle int) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}).DialContext,
+		DialContext:         dialWith(&net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}),
 		MaxIdleConnsPerHost: maxIdle,
 		// A peer in trouble may send a header without end.
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -50,9 +50,9 @@
 // two seconds instead of at its deadline.
 func NewKeepAliveTransport(maxIdle int) *http.Transport {
 	t := NewTransport(maxIdle)
-	t.DialContext = (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	t.DialContext = dialWith(&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}).DialContext
+	}})
 	return t
 }
 
