Executors do not start a run that is canceled in the batch that orders it

Cause: a batch's cancels were applied before its orders, so that a run whose job ended right after the run was ordered was started and never canceled. Change: an order whose run the same batch cancels is not carried out.

--- a/internal/limpetexecutor/limpetexecutor.go
+++ b/internal/limpetexecutor/limpetexecutor.go
@@ -30,7 +30,8 @@
 // A Batch is one message of the director.
 type Batch struct {
 	Orders []Order
-	// CancelRuns lists the IDs of runs to cancel.
+	// CancelRuns lists the IDs of runs to cancel, which may be ordered in the
+	// same batch.
 	CancelRuns []string
 	// Unsure is set while the director may have a successor.
 	Unsure bool
--- a/internal/limpetexecutor/limpetexecutor_test.go
+++ b/internal/limpetexecutor/limpetexecutor_test.go
@@ -249,6 +249,15 @@
 		time.Sleep(50 * time.Millisecond)
 		check(t, s.Executor.Busy(), ShouldBeFalse)
 	})
+	// Guards against runs that go on although their job ended right after they were ordered.
+	withDirector(t, "a run that is ordered and canceled in one batch does not start", 60, func(t *testing.T, d *director, s *limpetexecutor.Connector) {
+		d.batches <- limpetexecutor.Batch{Orders: []limpetexecutor.Order{order("r", draft), order("q", draft)}, CancelRuns: []string{"r"}}
+		time.Sleep(50 * time.Millisecond)
+		check(t, s.Executor.Busy(), ShouldBeTrue)
+		d.batches <- limpetexecutor.Batch{CancelRuns: []string{"q"}}
+		time.Sleep(50 * time.Millisecond)
+		check(t, s.Executor.Busy(), ShouldBeFalse)
+	})
 	withDirector(t, "orders that arrive after the VM was suspended are ignored", 60, func(t *testing.T, d *director, s *limpetexecutor.Connector) {
 		d.batches <- limpetexecutor.Batch{}
 		time.Sleep(300 * time.Millisecond)
--- a/internal/limpetexecutor/session.go
+++ b/internal/limpetexecutor/session.go
@@ -109,7 +109,9 @@
 	}
 	e.mu.Unlock()
 	for _, o := range b.Orders {
-		e.startRun(session, o)
+		if !slices.Contains(b.CancelRuns, o.Run) {
+			e.startRun(session, o)
+		}
 	}
 }
 
