limpetd: a call to the control goroutine ends with its function

Cause: withControl returned when the node began to stop, although the control goroutine could still run the function that it was given; the caller then read what the function writes. Change: the mailbox of the control goroutine is a type of its own; a call ends when its function's effects are published or the goroutine has ended.

--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -17,12 +17,6 @@
 	"limpetmount.org/internal/limpetview"
 )
 
-// An event is a change of the control state. Only the control goroutine applies
-// events.
-type event interface {
-	apply(c *control, now time.Time)
-}
-
 // A control holds the state that is confined to the control goroutine.
 type control struct {
 	node *Node
@@ -92,34 +86,6 @@
 	plainCapacity = 16
 )
 
-func (n *Node) send(e event) {
-	select {
-	case n.events <- e:
-	case <-n.group.Context().Done():
-	}
-}
-
-// withControl calls f in the control goroutine. It returns once a snapshot has
-// been published that includes the effects of f and of all events sent before.
-func (n *Node) withControl(f func(c *control)) {
-	done := make(chan struct{})
-	n.send(callEvent{f: f, done: done})
-	select {
-	case <-done:
-	case <-n.group.Context().Done():
-	}
-}
-
-type callEvent struct {
-	f    func(c *control)
-	done chan struct{}
-}
-
-func (e callEvent) apply(c *control, _ time.Time) {
-	e.f(c)
-	c.waiters = append(c.waiters, e.done)
-}
-
 // quarantineRules hold a quarantined request until an operator releases it. Two
 // crashes are enough, because a suspect runs alone.
 var quarantineRules = limpetquarantine.Rules{Threshold: 2, SuspectTTL: 10 * time.Minute, MaxRequests: 4096}
@@ -127,6 +93,7 @@
 // control runs the control goroutine: it applies events and publishes a snapshot
 // after each batch of them.
 func (n *Node) control(ctx context.Context) {
+	defer close(n.ended)
 	c := &control{
 		node: n, doc: limpetconfig.NewDocument(), table: limpetmember.New(n.self), suspended: map[string]suspension{},
 		servers: map[string]*serverState{}, quarantine: limpetquarantine.New(quarantineRules), downMembers: map[string]bool{},
--- a/internal/limpetnode/limpetnode.go
+++ b/internal/limpetnode/limpetnode.go
@@ -74,14 +74,14 @@
 
 // A Node is one running limpetd process.
 type Node struct {
-	settings      limpetsettings.Settings
-	deps          Deps
-	log           *limpetlog.Logger
-	metrics       *limpetmetric.Set
-	group         *limpettask.Group
-	self          limpetmember.VM
-	view          atomic.Pointer[limpetview.View]
-	events        chan event
+	settings limpetsettings.Settings
+	deps     Deps
+	log      *limpetlog.Logger
+	metrics  *limpetmetric.Set
+	group    *limpettask.Group
+	self     limpetmember.VM
+	view     atomic.Pointer[limpetview.View]
+	mailbox
 	config        *limpetconfig.Log
 	claims        *limpetclaim.Committer
 	holder        *limpetlease.Holder
@@ -125,9 +125,10 @@
 // error names the section of the settings whose certificate or address is
 // unusable.
 func Start(ctx context.Context, settings limpetsettings.Settings, deps Deps, logger *limpetlog.Logger) (*Node, error) {
+	group := limpettask.New(ctx)
 	n := &Node{
-		settings: settings, deps: deps, log: logger, metrics: limpetmetric.New(), group: limpettask.New(ctx),
-		events: make(chan event, eventQueueSize), runners: map[string]*limpetrollout.Runner{},
+		settings: settings, deps: deps, log: logger, metrics: limpetmetric.New(), group: group,
+		mailbox: newMailbox(eventQueueSize, group.Context().Done()), runners: map[string]*limpetrollout.Runner{},
 	}
 	n.self = limpetmember.VM{Name: settings.VM.Name, Incarnation: settings.VM.Name + "-" + newID(), Zone: settings.VM.Zone, Peer: settings.Peer.Address, Started: time.Now()}
 	var err error
@@ -136,6 +137,8 @@
 	}
 	n.build()
 	if err := n.listen(); err != nil {
+		// Requests may wait for the control goroutine, which is not started.
+		close(n.ended)
 		_ = n.group.Stop()
 		return nil, err
 	}
