Requests that must not run twice get a connection of their own

Cause: net/http notices unasked bytes only between two requests, and the next request may be faster. Change: a request that may not be repeated is sent on a new connection; the others, which the forwarder repeats after an unknown outcome, reuse connections as before. Cost: a new connection for each such request; the sites at hand have none.

--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -228,6 +228,7 @@
 	c := limpetupstream.Call{
 		Server: server, ID: r.ID, Method: r.Method, Target: r.Target, Host: r.Host,
 		Header: r.Header, Body: r.Body, Remaining: remaining, LastEventID: r.LastEventID, Priority: -1,
+		Once: !d.route.Repeatable(),
 	}
 	if d.account != nil {
 		c.Account = d.account.Name
--- a/internal/limpetforward/limpetforward_test.go
+++ b/internal/limpetforward/limpetforward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -208,7 +209,8 @@
 		f := newFixture(limpetsite.Idempotent, delayed(40*time.Millisecond, resets), repliesWith(200))
 		f.Forward(context.Background(), request("/k/x", "key"))
 		calls, _, _ := f.recorded()
-		Convey("a later attempt gets the remaining time and the account", t, func() {
+		Convey("a later attempt gets the remaining time and the account, and may use any connection", t, func() {
+			So(calls[1].Once, ShouldBeFalse)
 			So(calls[0].Remaining, ShouldEqual, time.Second)
 			So(calls[1].Remaining, ShouldEqual, 960*time.Millisecond)
 			So(calls[1].Account, ShouldEqual, "acme")
@@ -216,6 +218,20 @@
 	})
 }
 
+func TestConnectionsOfRequestsThatMustNotRunTwice(t *testing.T) {
+	for kind, want := range map[limpetsite.Kind]bool{limpetsite.Once: true, limpetsite.Idempotent: false, limpetsite.Stream: false} {
+		synctest.Test(t, func(t *testing.T) {
+			// The fixture's streams are resumable.
+			f := newFixture(kind, repliesWith(200))
+			f.Forward(context.Background(), request("/k/x", "key"))
+			calls, _, _ := f.recorded()
+			Convey(fmt.Sprintf("a request gets a connection of its own if it must not run twice: kind %d", kind), t, func() {
+				So(calls[0].Once, ShouldEqual, want)
+			})
+		})
+	}
+}
+
 func TestUsageIsCountedOnce(t *testing.T) {
 	for name, behaviors := range map[string][]behavior{
 		"tried twice": {resets, repliesWith(200)},
--- a/internal/limpetupstream/limpetupstream.go
+++ b/internal/limpetupstream/limpetupstream.go
@@ -37,6 +37,10 @@
 	// Priority ranges from 0, the highest, to 9; a negative value leaves the
 	// choice to the server.
 	Priority int
+	// Once is set for a request that must not run twice. It is sent on a
+	// connection of its own, on which no earlier request can have left anything
+	// and which the server does not close for being idle.
+	Once bool
 }
 
 // An Event is one complete event of a server-sent event stream.
