A director on a retiring VM gives the duty up without a panic

Cause: a step of the director's loop gave the duty up for a retiring VM in the middle of the parts that need it, and the next part used it. The process started again, won the lease, and met the same place. Change: retirement is looked at when the view changes, before any of these parts; the parts run only while the duty is held, whatever their order. A report that a VM is empty belongs to the term that makes it: before, one that failed when the duty was lost was never made again by the same VM.

--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -162,7 +162,7 @@
 	d.record = dutyRecord{VM: d.VM, Revision: m.fence}
 	// renewedAt stays zero so that the next step renews the lease: with a slow
 	// store, much of its duration is already over.
-	d.leadership = &leadership{fence: m.fence, group: limpettask.New(d.group.Context()), since: now}
+	d.leadership = &leadership{fence: m.fence, group: limpettask.New(d.group.Context()), since: now, reporting: map[string]bool{}}
 	d.setExecutorsUnsure(false)
 	d.Log.Emit(limpetlog.LeaseAcquired, limpetlog.Value("fence", m.fence))
 	l := d.leadership
--- a/internal/limpetdirector/env_test.go
+++ b/internal/limpetdirector/env_test.go
@@ -49,6 +49,10 @@
 	orders         []order
 	runs           int
 	events         int
+	// retiring holds the VMs that the operator empties, and retired the reports
+	// that a VM may be removed, as reporter and VM.
+	retiring map[string]bool
+	retired  []string
 	// sent holds the items in the order in which their runs started.
 	sent []string
 	view *limpetsite.Snapshot
@@ -64,7 +68,7 @@
 func newTestEnv(engines int) *testEnv {
 	env := &testEnv{
 		store: limpetstub.NewStore(), version: map[string]int{}, loadingVersion: map[string]int{}, loadedAt: map[string]time.Time{},
-		highestFence: map[string]uint64{}, acceptedOrders: map[string]int{},
+		highestFence: map[string]uint64{}, acceptedOrders: map[string]int{}, retiring: map[string]bool{},
 	}
 	for n := range engines {
 		env.version[fmt.Sprintf("e%d", n)] = 1
@@ -85,6 +89,10 @@
 			ID: id, Service: "llm", Address: id, Zone: "a", Slots: 4, Models: map[string]int{"m": v},
 		}}, time.Now())
 	}
+	for vm := range env.retiring {
+		revision++
+		state.Apply(limpetsite.Record{Key: "retire/" + vm, Revision: revision, Retirement: &limpetsite.Retirement{VM: vm}}, time.Now())
+	}
 	env.mu.Unlock()
 	state.Apply(limpetsite.Record{Key: "v", Revision: 9, PublishedVersion: &limpetsite.PublishedVersion{Model: "m", Version: newest}}, time.Now())
 	state.Apply(limpetsite.Record{Key: "config", Revision: 8, Config: &limpetsite.Config{Routes: []limpetsite.Route{{
@@ -97,6 +105,21 @@
 	env.mu.Unlock()
 }
 
+// retire adds a VM to those that the operator empties.
+func (env *testEnv) retire(vm string) {
+	env.mu.Lock()
+	env.retiring[vm] = true
+	env.mu.Unlock()
+	env.publish(1)
+}
+
+// retirementReports returns the reports that a VM may be removed.
+func (env *testEnv) retirementReports() []string {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return slices.Clone(env.retired)
+}
+
 func (env *testEnv) currentView() *limpetsite.Snapshot {
 	env.mu.Lock()
 	defer env.mu.Unlock()
@@ -297,13 +320,26 @@
 }
 
 func (env *testEnv) candidate(name string, acquireDelay time.Duration) *candidate {
+	return env.process(name, 1, acquireDelay)
+}
+
+// process is candidate for one of several processes of a VM.
+func (env *testEnv) process(name string, start int, acquireDelay time.Duration) *candidate {
 	c := &candidate{}
 	store := c.store(env)
 	upstream := limpetupstream.Client{Send: env.send, Order: env.order, Report: env.report}
 	c.Director = limpetdirector.New(limpetdirector.Deps{
-		VM: name, Incarnation: name + ".1", Store: store, Upstream: upstream, View: env.currentView, Log: limpetlog.Discard(), Metrics: limpetmetric.New(),
+		VM: name, Incarnation: fmt.Sprintf("%s.%d", name, start), Store: store, Upstream: upstream, View: env.currentView, Log: limpetlog.Discard(), Metrics: limpetmetric.New(),
 		Now: time.Now, AcquireDelay: acquireDelay, MinLeaseTTL: time.Second, MinTakeoverInterval: 3 * time.Second, JobRetention: 2 * time.Minute, DutyWatchTimeout: 2 * time.Second,
-		FollowDeployment: func(bool) {}, ReportRetired: func(context.Context, string) error { return nil },
+		FollowDeployment: func(bool) {}, ReportRetired: func(_ context.Context, vm string) error {
+			if err := c.checkConnected(); err != nil {
+				return err
+			}
+			env.mu.Lock()
+			defer env.mu.Unlock()
+			env.retired = append(env.retired, name+" reports "+vm)
+			return nil
+		},
 		StoreReachable:          func() bool { return c.checkConnected() == nil },
 		StoreReachableElsewhere: func(context.Context) bool { c.mu.Lock(); defer c.mu.Unlock(); return c.storeUpElsewhere },
 		Forwarder:               &limpetforward.Forwarder{View: env.currentView, Upstream: upstream, Tracker: limpetbalancer.New(), Log: limpetlog.Discard(), Metrics: limpetmetric.New(), Now: time.Now},
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -101,12 +101,13 @@
 	record     dutyRecord
 	// lastHeldAt is when the VM last entered a term, or held the duty after
 	// actAfter.
-	lastHeldAt         time.Time
-	retired            bool
-	retirementReported map[string]bool
-	vacantSince        time.Time
-	leaseBusy          bool
-	probingStore       bool
+	lastHeldAt time.Time
+	retired    bool
+	// yielded is set once the VM has logged that it leaves the duty to others.
+	yielded      bool
+	vacantSince  time.Time
+	leaseBusy    bool
+	probingStore bool
 	// storeUpElsewhere is the result of the last probe: whether other VMs reach
 	// the store.
 	storeUpElsewhere bool
@@ -166,6 +167,9 @@
 	renewedAt    time.Time
 	cleaningUp   bool
 	cleanedUpAt  time.Time
+	// reporting holds the retiring VMs that were reported as empty or are being
+	// reported.
+	reporting map[string]bool
 }
 
 // mayDispatch reports whether items may be dispatched.
@@ -199,7 +203,7 @@
 		holder:  limpetlease.New(deps.Store, deps.VM, deps.Incarnation, ttl, deps.Now),
 		cancels: map[*limpetbatch.Run]context.CancelFunc{}, view: limpetsite.EmptySnapshot(),
 		acceptedJobs: map[string]limpetjob.Summary{}, endedJobs: map[string]bool{}, loadingJobs: map[string]bool{}, fullyCommitted: map[string]bool{},
-		updateStarted: map[string]time.Time{}, suspendedUntil: map[string]time.Time{}, orderCounts: map[modelVersion]int{}, retirementReported: map[string]bool{},
+		updateStarted: map[string]time.Time{}, suspendedUntil: map[string]time.Time{}, orderCounts: map[modelVersion]int{},
 	}
 }
 
@@ -277,7 +281,15 @@
 	if view := d.View(); view != d.view {
 		d.view = view
 		d.scheduler.UpdateEngines(view)
+		d.checkRetirement()
 	}
+	d.stepRuns(now)
+	d.stepDuties(now)
+}
+
+// stepRuns runs what is due of the work on items, which a director whose lease
+// expired continues for a while.
+func (d *Director) stepRuns(now time.Time) {
 	d.checkExecutors(now)
 	d.expireItems(now)
 	// Lag of this VM's own loop says nothing about engines.
@@ -292,13 +304,16 @@
 	for _, r := range d.scheduler.StartRewardCalls(now) {
 		d.callScorer(r)
 	}
-	if d.leadership != nil {
-		d.commitResults(now)
-		d.saveDrafts(now)
-		d.planUpdates(now)
-		d.reportRetired()
-		d.cleanUpJobs(now)
-		d.measureDemand(now)
+}
+
+// stepDuties runs what is due of the work that needs the duty. Any part of it
+// may give the duty up, which ends the rest.
+func (d *Director) stepDuties(now time.Time) {
+	for _, part := range []func(time.Time){d.commitResults, d.saveDrafts, d.planUpdates, d.reportRetired, d.cleanUpJobs, d.measureDemand} {
+		if d.leadership == nil {
+			return
+		}
+		part(now)
 	}
 }
 
--- a/internal/limpetdirector/retire.go
+++ b/internal/limpetdirector/retire.go
@@ -12,20 +12,31 @@
 // empty.
 const retireRetryDelay = 300 * time.Millisecond
 
-// reportRetired reports retiring VMs as empty: a VM other than the director
-// holds no state. If the director's own VM is retiring, it gives up the duty
-// for good, and its successor reports it.
-func (d *Director) reportRetired() {
+// checkRetirement gives up the duty for good if this VM is retiring. Its
+// successor reports it as empty.
+func (d *Director) checkRetirement() {
+	if _, retiring := d.view.Retiring[d.VM]; !retiring || d.retired {
+		return
+	}
+	d.retired = true
+	if d.leadership != nil {
+		d.flushDrafts(d.leadership)
+	}
+	d.stepDown("this VM is retiring")
+	d.abandonJobs()
+	d.releaseLease()
+}
+
+// reportRetired reports retiring VMs as empty, once in each term: a VM other
+// than the director holds no state.
+func (d *Director) reportRetired(time.Time) {
+	l := d.leadership
 	for vm := range d.view.Retiring {
-		if vm == d.VM {
-			d.retireSelf()
-			return
-		}
-		if d.retirementReported[vm] {
+		if l.reporting[vm] {
 			continue
 		}
-		d.retirementReported[vm] = true
-		d.leadership.group.Go(func(ctx context.Context) error {
+		l.reporting[vm] = true
+		l.group.Go(func(ctx context.Context) error {
 			for ctx.Err() == nil {
 				err := d.ReportRetired(ctx, vm)
 				if err == nil {
@@ -39,13 +50,3 @@
 		})
 	}
 }
-
-func (d *Director) retireSelf() {
-	d.retired = true
-	if d.leadership != nil {
-		d.flushDrafts(d.leadership)
-	}
-	d.stepDown("this VM is retiring")
-	d.abandonJobs()
-	d.releaseLease()
-}
