A restarted VM leaves the director's duty to others first

Users would see: a process that ends by a fault of its own takes the duty again before any other VM can, and all jobs stop each time. Cause: the last holder does not wait for a vacant duty, since it still has its runs; it was recognized by the VM's name, so that a new process of the VM, which has none, did not wait either. Change: the incarnation in the lease's record tells them apart. A new process of the VM that held the duty leaves it to others for 6 s, with a log line (1738) and a counter; once another VM has held it, it competes as before.

--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -15,9 +15,11 @@
 
 // A dutyRecord is what this VM knows about the holder of the duty.
 type dutyRecord struct {
-	VM       string
-	Revision uint64
-	Vacant   bool
+	VM string
+	// Incarnation is that of the holder's process.
+	Incarnation string
+	Revision    uint64
+	Vacant      bool
 }
 
 const (
@@ -89,7 +91,7 @@
 		d.Log.Emit(limpetlog.ValueIgnored, limpetlog.Value("key", v.Key), limpetlog.Error(err))
 		return dutyRecord{Revision: v.Revision}
 	}
-	return dutyRecord{VM: r.Holder, Revision: v.Revision}
+	return dutyRecord{VM: r.Holder, Incarnation: r.Incarnation, Revision: v.Revision}
 }
 
 // apply records a change of the duty's holder. If another VM holds it, this one
@@ -103,7 +105,7 @@
 			d.vacantSince = d.Now()
 		}
 		// Keep the last holder: it may reacquire the duty without delay.
-		r.VM = d.record.VM
+		r.VM, r.Incarnation = d.record.VM, d.record.Incarnation
 		d.record = r
 		return
 	}
@@ -123,12 +125,7 @@
 	if now.Before(d.backoffUntil) {
 		return
 	}
-	wait := d.AcquireDelay
-	if d.record.VM == d.VM {
-		// The last holder still has its runs, so it does not wait.
-		wait = 0
-	}
-	if now.Sub(d.vacantSince) < wait {
+	if now.Sub(d.vacantSince) < d.acquireDelay() {
 		return
 	}
 	d.leaseBusy = true
@@ -138,6 +135,28 @@
 	})
 }
 
+// restartDelay is how long a VM leaves a vacant duty to others that its earlier
+// process held when it ended, in case what ended that process does so again.
+const restartDelay = 6 * time.Second
+
+// acquireDelay returns how long the duty must have been vacant before this VM
+// tries to acquire it.
+func (d *Director) acquireDelay() time.Duration {
+	switch {
+	case d.record.VM != d.VM:
+		return d.AcquireDelay
+	case d.record.Incarnation == d.Incarnation:
+		// The last holder still has its runs.
+		return 0
+	}
+	if !d.yielded {
+		d.yielded = true
+		d.Metrics.CountYieldedDuty()
+		d.Log.Emit(limpetlog.DutyYielded, limpetlog.Value("duty", DutyName), limpetlog.Value("delay_ms", restartDelay.Milliseconds()))
+	}
+	return restartDelay
+}
+
 // An acquireResult is the outcome of an attempt to acquire the duty.
 type acquireResult struct {
 	fence uint64
@@ -159,7 +178,7 @@
 		d.Log.Emit(limpetlog.DutyNotAcquired, limpetlog.Error(m.err))
 		return
 	}
-	d.record = dutyRecord{VM: d.VM, Revision: m.fence}
+	d.record = dutyRecord{VM: d.VM, Incarnation: d.Incarnation, Revision: m.fence}
 	// renewedAt stays zero so that the next step renews the lease: with a slow
 	// store, much of its duration is already over.
 	d.leadership = &leadership{fence: m.fence, group: limpettask.New(d.group.Context()), since: now, reporting: map[string]bool{}}
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -94,6 +94,7 @@
 	ResultsNotCommitted = newEvent(1722, logrus.WarnLevel, "results not committed", "A write of results had no effect; the stored results are read again.")
 	DraftsNotSaved      = newEvent(1723, logrus.InfoLevel, "unfinished texts not saved", "A write of unfinished texts failed; the next periodic write follows.")
 	DutyNotAcquired     = newEvent(1731, logrus.DebugLevel, "duty not acquired", "This VM tried to become the director and failed.")
+	DutyYielded         = newEvent(1738, logrus.WarnLevel, "duty left to other VMs", "An earlier process of this VM held the duty when it ended. For a time this VM does not take the duty again while another VM can.")
 	JobReadRefused      = newEvent(1732, logrus.InfoLevel, "job read refused", "A reader of a job was told to retry later, or that the job does not exist.")
 	ExecutorConnected   = newEvent(1734, logrus.InfoLevel, "executor connected", "A VM (field carrier) sends runs to engines for the director; it may still hold runs of an earlier director.")
 	ExecutorLost        = newEvent(1735, logrus.InfoLevel, "executor lost", "A VM (field carrier) no longer sends runs for the director; its runs are queued again.")
--- a/internal/limpetmetric/limpetmetric.go
+++ b/internal/limpetmetric/limpetmetric.go
@@ -23,6 +23,7 @@
 	tokens                   *prometheus.CounterVec
 	retries                  *prometheus.CounterVec
 	brokenAttempts           *prometheus.CounterVec
+	yieldedDuties            prometheus.Counter
 	openRequests             prometheus.Gauge
 	configIndex              prometheus.Gauge
 	keysAccepted             prometheus.Gauge
@@ -48,12 +49,15 @@
 		brokenAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "limpet_broken_attempts_total", Help: "Attempts without a usable answer, by service and how they ended.",
 		}, []string{"service", "ending"}),
+		yieldedDuties: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "limpet_duties_yielded_total", Help: "Duties left to other VMs because an earlier process of this VM held them when it ended.",
+		}),
 		openRequests: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_open_requests", Help: "Requests open on this VM."}),
 		configIndex:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_config_index", Help: "Log index of the configuration in force."}),
 		keysAccepted: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_keys_honoured", Help: "1 while this VM accepts keys."}),
 		accounts:     map[string]bool{},
 	}
-	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.openRequests, s.configIndex, s.keysAccepted)
+	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.yieldedDuties, s.openRequests, s.configIndex, s.keysAccepted)
 	return s
 }
 
@@ -101,6 +105,9 @@
 	s.brokenAttempts.WithLabelValues(service, ending).Inc()
 }
 
+// CountYieldedDuty counts a duty that this VM leaves to others.
+func (s *Set) CountYieldedDuty() { s.yieldedDuties.Inc() }
+
 // AddOpenRequests adds delta to the number of open requests.
 func (s *Set) AddOpenRequests(delta int) { s.openRequests.Add(float64(delta)) }
 
