Quarantined requests are sent for trial, ever more seldom

Callers would see: a sound request that lost three servers by chance is refused for ten minutes after its servers are calm; most of all one that is asked often while all servers of its service crash in a loop. Cause: an answer clears a request, and a quarantined one is not sent, so that nothing could clear it: a record that outlives its reason. Change: 30 s after the last crash one VM sends it to one server, which it claims in the store; each trial that crashes a server again makes the next one four times later.

--- a/internal/limpetcrash/limpetcrash.go
+++ b/internal/limpetcrash/limpetcrash.go
@@ -65,6 +65,9 @@
 	Suspected
 	// Quarantined requests must not be sent to a server.
 	Quarantined
+	// DueForTrial requests are quarantined, and may be sent once by the VM that
+	// claims the trial.
+	DueForTrial
 )
 
 // inboxSize bounds the messages that wait for the book's goroutine.
@@ -126,7 +129,10 @@
 	}
 	v := b.view.Load()
 	if c, ok := v.Quarantined[fingerprint]; ok {
-		return Quarantined, max(0, Rules.QuarantineTTL-b.Now().Sub(c.At))
+		if left := c.NextTrial().Sub(b.Now()); left > 0 {
+			return Quarantined, min(left, Rules.QuarantineTTL)
+		}
+		return DueForTrial, 0
 	}
 	if v.Suspects[fingerprint] {
 		return Suspected, 0
--- a/internal/limpetcrash/operator.go
+++ b/internal/limpetcrash/operator.go
@@ -16,6 +16,8 @@
 	// Name is that of the request's fingerprint, and Account its client account.
 	Name, Account string
 	Quarantined   bool
+	// Trials counts how often the request was sent although it was quarantined.
+	Trials int
 	// Servers holds the servers that crashed, Last the time of the last crash,
 	// and Request the ID of the attempt under which it happened.
 	Servers []string
@@ -40,12 +42,16 @@
 		if now.Sub(r.At) > Rules.QuarantineTTL {
 			continue
 		}
-		state.Report(r.At, r.Crash)
 		s := suspects[r.Fingerprint]
 		if s == nil {
 			s = &Suspect{Name: limpetquarantine.Name(r.Fingerprint), Account: r.Account}
 			suspects[r.Fingerprint] = s
 		}
+		if r.Trial > 0 {
+			s.Trials = max(s.Trials, r.Trial)
+			continue
+		}
+		state.Report(r.At, r.Crash)
 		s.Servers = append(s.Servers, r.Server)
 		if r.At.After(s.Last) {
 			s.Last, s.Request = r.At, r.Request
--- a/internal/limpetcrash/record.go
+++ b/internal/limpetcrash/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 	"time"
 
@@ -15,15 +16,25 @@
 // VM writes it, and however often.
 const Prefix = "crash/"
 
-// A Record is the record of one crash in the store.
+// A Record is the record of one crash, or of one trial of a quarantined request,
+// in the store.
 type Record struct {
 	limpetquarantine.Crash
-	// At is when the VM that wrote the record confirmed the crash.
+	// Trial is the number of the trial, from 1 on; 0 for a crash.
+	Trial int
+	// At is when the VM that wrote the record confirmed the crash, or began the
+	// trial.
 	At time.Time
 	// VM is the name of that VM, and Request the ID of the attempt.
 	VM, Request string
 }
 
+// trialPrefix takes the place of the server in the key of a trial, before its
+// number. A server's name has no slash.
+const trialPrefix = "trial/"
+
+func trialServer(number int) string { return trialPrefix + strconv.Itoa(number) }
+
 // Key returns the key of a record.
 func Key(fingerprint uint64, server string) string {
 	return Prefix + limpetquarantine.Name(fingerprint) + "/" + server
@@ -51,6 +62,11 @@
 		return Record{}, err
 	}
 	r := Record{Crash: limpetquarantine.Crash{Fingerprint: fingerprint, Server: server}}
+	if number, ok := strings.CutPrefix(server, trialPrefix); ok {
+		if r.Trial, err = strconv.Atoi(number); err != nil || r.Trial < 1 {
+			return Record{}, limpeterror.Invalid.New("key %s: the number of a trial is invalid", v.Key)
+		}
+	}
 	if v.Deleted {
 		return r, nil
 	}
--- a/internal/limpetcrash/share.go
+++ b/internal/limpetcrash/share.go
@@ -271,10 +271,19 @@
 			r.At = now
 		}
 		b.shared.records[v.Key] = &sharedRecord{Record: r, revision: v.Revision}
-		b.report(r, r.VM)
+		b.learn(r)
 	}
 }
 
+// learn applies a record that the store holds.
+func (b *Book) learn(r Record) {
+	if r.Trial > 0 {
+		b.state.RecordTrial(r.At, r.Fingerprint, r.Trial)
+		return
+	}
+	b.report(r, r.VM)
+}
+
 // forget drops a record that the store no longer holds.
 func (b *Book) forget(key string, r *sharedRecord) {
 	delete(b.shared.records, key)
--- a/internal/limpetforward/crash.go
+++ b/internal/limpetforward/crash.go
@@ -18,12 +18,8 @@
 // fingerprint identifies the request independently of its ID, which differs
 // between the caller's repetitions.
 func (d *dispatch) fingerprint() uint64 {
-	account := ""
-	if d.account != nil {
-		account = d.account.Name
-	}
 	r := d.request
-	return limpetquarantine.Fingerprint(account, r.Method+" "+r.Host+r.Target, r.Body)
+	return limpetquarantine.Fingerprint(d.accountName(), r.Method+" "+r.Host+r.Target, r.Body)
 }
 
 // verdict returns what is known of the request.
@@ -38,6 +34,42 @@
 	return v
 }
 
+// claimTrial makes the request a trial if it is quarantined and due for one, and
+// this VM gets to send it.
+func (d *dispatch) claimTrial(ctx context.Context) {
+	if d.verdict() != limpetcrash.DueForTrial {
+		return
+	}
+	if d.crashes.ClaimTrial(ctx, d.fingerprint(), d.accountName(), d.request.ID) {
+		d.trial = true
+		return
+	}
+	d.quarantined, d.quarantineEnd = true, d.forwarder.Now().Add(noServerRetryAfter)
+}
+
+// maySend reports whether the request may be sent to a server now. A trial goes
+// to one server only.
+func (d *dispatch) maySend() bool {
+	if d.trial {
+		return d.sent == 0
+	}
+	switch d.verdict() {
+	case limpetcrash.Quarantined, limpetcrash.DueForTrial:
+		d.quarantined = true
+		return false
+	}
+	return true
+}
+
+// accountName returns the name of the request's client account; empty if it
+// needs none.
+func (d *dispatch) accountName() string {
+	if d.account == nil {
+		return ""
+	}
+	return d.account.Name
+}
+
 // recordServed records that a server ran the request and did not crash.
 func (d *dispatch) recordServed() {
 	if !d.crashes.Empty() {
@@ -58,10 +90,7 @@
 		return
 	}
 	suspicion := limpetcrash.Suspicion{
-		Fingerprint: fingerprint, Request: d.request.ID, Server: server, Partial: events > 0, Silent: ending == limpetupstream.Silent,
-	}
-	if d.account != nil {
-		suspicion.Account = d.account.Name
+		Fingerprint: fingerprint, Account: d.accountName(), Request: d.request.ID, Server: server, Partial: events > 0, Silent: ending == limpetupstream.Silent,
 	}
 	d.broken++
 	decided := d.crashes.Suspect(suspicion)
--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -32,6 +32,8 @@
 	// quarantineEnd.
 	quarantined   bool
 	quarantineEnd time.Time
+	// trial is set if the request is quarantined and sent nevertheless.
+	trial bool
 
 	tried map[string]bool
 	// sent counts the attempts that may have run; refused counts those that
@@ -107,7 +109,7 @@
 	case Busy:
 		return busyRetryAfter
 	case Quarantined:
-		return d.quarantineEnd.Sub(d.forwarder.Now())
+		return max(0, d.quarantineEnd.Sub(d.forwarder.Now()))
 	default:
 		return noServerRetryAfter
 	}
@@ -124,6 +126,7 @@
 // awaitReply sends the request to servers until one of them replies or none is
 // left to try.
 func (d *dispatch) awaitReply(ctx context.Context) (*limpetupstream.Reply, Reason) {
+	d.claimTrial(ctx)
 	if !d.startAttempt() {
 		return d.exhausted()
 	}
@@ -200,7 +203,7 @@
 	f := d.forwarder
 	now := f.Now()
 	remaining := d.deadline.Sub(now)
-	if d.sent >= d.attemptLimit() || d.refused > maxRefusals || remaining <= 0 || d.verdict() == limpetcrash.Quarantined {
+	if d.sent >= d.attemptLimit() || d.refused > maxRefusals || remaining <= 0 || !d.maySend() {
 		return false
 	}
 	server := f.Tracker.Choose(f.View().Servers(d.service), f.Zone, func(id string) bool { return d.tried[id] }, now)
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -59,6 +59,8 @@
 	ConnectionFailed   = newEvent(1311, logrus.WarnLevel, "connection failed", "The HTTP server of this VM could not serve a connection or a request.")
 	CrashNotConfirmed  = newEvent(1312, logrus.InfoLevel, "crash not confirmed", "An attempt ended without an answer, and its server is not held to have crashed under it. The outcome says why: alive, left (a planned stop), served (another server answered the request), other_suspect, undetermined or dropped.")
 	CrashesNotShared   = newEvent(1313, logrus.InfoLevel, "crash records not shared", "The store did not accept this VM's crash records; they hold on this VM, and the write is retried.")
+	TrialStarted       = newEvent(1314, logrus.InfoLevel, "quarantined request sent for trial", "The request is sent to one server once more, in case it was not what crashed the others. An answer clears it; a further crash makes the next trial four times later.")
+	TrialNotClaimed    = newEvent(1315, logrus.InfoLevel, "trial not claimed", "Another VM sends the quarantined request for trial, or the store did not confirm that this one may.")
 	QuarantineReleased = newEvent(1307, logrus.InfoLevel, "quarantine released", "The request is no longer suspected or quarantined. The cause says why: an operator released it, a server answered it, or its time is over.")
 )
 
--- a/internal/limpetquarantine/limpetquarantine.go
+++ b/internal/limpetquarantine/limpetquarantine.go
@@ -106,11 +106,30 @@
 }
 
 // A CrashRecord holds the servers that a request is reported to have crashed,
-// with the weight of each crash. At is the time of the last report.
+// with the weight of each crash. At is the time of the last report or trial.
 type CrashRecord struct {
 	Account string
 	Servers map[string]int
 	At      time.Time
+	// Trials counts how often the request was sent although it was quarantined.
+	Trials int
+}
+
+// firstTrialDelay is the time from the last crash of a quarantined request until
+// it may be sent once more, in case it was not the cause. The delay grows by
+// trialDelayFactor with each trial.
+const (
+	firstTrialDelay  = 30 * time.Second
+	trialDelayFactor = 4
+)
+
+// NextTrial returns when a quarantined request may be sent once more.
+func (c CrashRecord) NextTrial() time.Time {
+	delay := firstTrialDelay
+	for range c.Trials {
+		delay *= trialDelayFactor
+	}
+	return c.At.Add(delay)
 }
 
 // isQuarantined reports whether enough distinct servers are recorded.
@@ -158,6 +177,20 @@
 	return s.rules.isQuarantined(c) && !before
 }
 
+// RecordTrial records that a request is sent for the given number of times
+// although it is quarantined. The crashes may be reported later.
+func (s *State) RecordTrial(at time.Time, fingerprint uint64, trials int) {
+	c := s.records[fingerprint]
+	if trials <= c.Trials {
+		return
+	}
+	c.Trials = trials
+	if at.After(c.At) {
+		c.At = at
+	}
+	s.records[fingerprint] = c
+}
+
 // limit drops records beyond the maximum number.
 func (s *State) limit() {
 	for s.rules.MaxRequests > 0 && len(s.records) > s.rules.MaxRequests {
@@ -232,6 +265,9 @@
 func (s *State) View() View {
 	v := View{Suspects: map[uint64]bool{}, Quarantined: map[uint64]CrashRecord{}}
 	for f, c := range s.records {
+		if len(c.Servers) == 0 {
+			continue
+		}
 		if s.rules.isQuarantined(c) {
 			v.Quarantined[f] = c
 		} else {
--- a/internal/limpetquarantine/limpetquarantine_test.go
+++ b/internal/limpetquarantine/limpetquarantine_test.go
@@ -78,6 +78,18 @@
 		So(s.View().Suspects, ShouldContainKey, uint64(101))
 		So(s.View().Suspects, ShouldNotContainKey, uint64(92))
 	})
+	Convey("trials of a quarantined request come ever more seldom, in whatever order they are learned", t, func() {
+		s := limpetquarantine.New(rules)
+		s.RecordTrial(now.Add(30*time.Second), 1, 1)
+		So(len(s.View().Suspects)+len(s.View().Quarantined), ShouldEqual, 0)
+		s.Report(now, crash(1, "e1/1"))
+		s.Report(now, crash(1, "e2/1"))
+		s.RecordTrial(now, 1, 1)
+		So(s.View().Quarantined[1].NextTrial(), ShouldEqual, now.Add(150*time.Second))
+		s.Report(now, crash(2, "e1/1"))
+		s.Report(now, crash(2, "e2/1"))
+		So(s.View().Quarantined[2].NextTrial(), ShouldEqual, now.Add(30*time.Second))
+	})
 	Convey("a view is not affected by later reports", t, func() {
 		s := limpetquarantine.New(rules)
 		s.Report(now, crash(1, "e1/1"))
--- a/internal/limpetsummary/print.go
+++ b/internal/limpetsummary/print.go
@@ -31,13 +31,13 @@
 		fmt.Fprintf(t, "%s\t%s\t%s\t%d of %d\t%d\t%s\t%d of %d\t%s\n", j.ID, j.Account, now.Sub(j.Arrived).Round(time.Second),
 			j.Listed, j.Total, j.Errored, j.stateText(), j.Whole, j.Groups, strings.Join(j.Stragglers, " "))
 	}
-	fmt.Fprintf(t, "\nrequest\taccount\tstate\tlast crash\tattempt\tservers\n")
+	fmt.Fprintf(t, "\nrequest\taccount\tstate\ttrials\tlast crash\tattempt\tservers\n")
 	for _, x := range s.Suspects {
 		state := "suspected"
 		if x.Quarantined {
 			state = "quarantined"
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s ago\t%s\t%s\n", x.Name, x.Account, state, now.Sub(x.Last).Round(time.Second), x.Request, strings.Join(x.Servers, " "))
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s ago\t%s\t%s\n", x.Name, x.Account, state, x.Trials, now.Sub(x.Last).Round(time.Second), x.Request, strings.Join(x.Servers, " "))
 	}
 	fmt.Fprintf(t, "\nusage window\tclient accounts\trequests\n")
 	for _, v := range s.Windows {
