Reward calls end with their job

Cause: a reward call has 4 s and several attempts, and nothing ended it with its job: an attempt that broke late was repeated up to 4 s after the end, where 3 s are allowed. Change: the end of a job, or another director, ends its reward calls.

--- a/internal/limpetdirector/env_test.go
+++ b/internal/limpetdirector/env_test.go
@@ -56,8 +56,14 @@
 	// sent holds the items in the order in which their runs started.
 	sent []string
 	view *limpetsite.Snapshot
+	// scores holds when reward calls reached a server, which loses its answer
+	// after scoreTime.
+	scores []time.Time
 }
 
+// scoreTime is how long a reward call takes until its connection breaks.
+const scoreTime = 700 * time.Millisecond
+
 type order struct {
 	holder string
 	fence  uint64
@@ -98,7 +104,15 @@
 	state.Apply(limpetsite.Record{Key: "config", Revision: 8, Config: &limpetsite.Config{Routes: []limpetsite.Route{{
 		Host: "h", Prefix: "/p/", Kind: limpetsite.Rollout, Attempts: 3, ItemTTL: 40 * time.Second, RunTarget: 7500 * time.Millisecond,
 		Targets: []limpetsite.Target{{Service: "llm", Weight: 1}},
+	}, {
+		Host: "h", Prefix: "/score/", Kind: limpetsite.Idempotent, Attempts: 6, Public: true, Targets: []limpetsite.Target{{Service: scorerService, Weight: 1}},
 	}}}}, time.Now())
+	for n := range 6 {
+		revision++
+		state.Apply(limpetsite.Record{Key: fmt.Sprintf("%sscorer%d", limpetsite.ServerKey, n), Revision: revision, Server: &limpetsite.Server{
+			ID: fmt.Sprintf("scorer%d", n), Service: scorerService, Address: "s", Zone: "a", Slots: 4,
+		}}, time.Now())
+	}
 	view := state.Snapshot()
 	env.mu.Lock()
 	env.view = view
@@ -135,6 +149,9 @@
 }
 
 func (env *testEnv) send(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
+	if c.Server.Service == scorerService {
+		return env.score(ctx)
+	}
 	env.mu.Lock()
 	env.runs++
 	env.sent = append(env.sent, c.ID)
@@ -157,6 +174,28 @@
 	}}, nil
 }
 
+// score loses the answer to a reward call.
+func (env *testEnv) score(ctx context.Context) (*limpetupstream.Reply, error) {
+	env.mu.Lock()
+	env.scores = append(env.scores, time.Now())
+	env.mu.Unlock()
+	limpettask.Sleep(ctx, scoreTime)
+	return nil, limpeterror.Disconnected.New("reset")
+}
+
+// lastScore returns the number of reward calls that reached a server, and when
+// the last did.
+func (env *testEnv) lastScore() (int, time.Time) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	if len(env.scores) == 0 {
+		return 0, time.Time{}
+	}
+	return len(env.scores), env.scores[len(env.scores)-1]
+}
+
+const scorerService = "scorer"
+
 func (env *testEnv) order(_ context.Context, o limpetupstream.Order) error {
 	env.mu.Lock()
 	defer env.mu.Unlock()
@@ -362,6 +401,10 @@
 	for n := range items {
 		j.Items = append(j.Items, limpetjob.Item{ID: fmt.Sprintf("%s-%d", id, n), Path: "/p/1", Group: fmt.Sprint(n), ExpectedTokens: 64 * events})
 	}
+	env.accept(t, j)
+}
+
+func (env *testEnv) accept(t *testing.T, j *limpetjob.Job) {
 	if err := limpetjob.Accept(context.Background(), env.store.Client(), j); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -85,7 +85,7 @@
 		j := d.scheduler.Jobs()[id]
 		d.Log.Emit(limpetlog.JobEnded, limpetlog.Job(id), limpetlog.Value("listed", j.Committed()),
 			limpetlog.Value("total", len(j.Items)), limpetlog.Value("age_ms", now.Sub(j.Arrived).Milliseconds()))
-		d.cancelRuns(d.scheduler.RemoveJob(id, now), "job ended")
+		d.removeJob(id, now, "job ended")
 	}
 }
 
--- a/internal/limpetdirector/lease.go
+++ b/internal/limpetdirector/lease.go
@@ -144,7 +144,7 @@
 	// Executors keep their runs for the next director.
 	d.closeSessions()
 	for id := range d.scheduler.Jobs() {
-		d.cancelRuns(d.scheduler.RemoveJob(id, now), "another VM took over")
+		d.removeJob(id, now, "another VM took over")
 	}
 	d.acceptedJobs = map[string]limpetjob.Summary{}
 	d.loadingJobs = map[string]bool{}
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -97,8 +97,10 @@
 	dutyWatch  *limpettask.Group
 	leadership *leadership
 	cancels    map[*limpetbatch.Run]context.CancelFunc
-	view       *limpetsite.Snapshot
-	record     dutyRecord
+	// rewardCancels ends the reward calls in progress.
+	rewardCancels map[*limpetbatch.Entry]context.CancelFunc
+	view          *limpetsite.Snapshot
+	record        dutyRecord
 	// lastHeldAt is when the VM last entered a term, or held the duty after
 	// actAfter.
 	lastHeldAt time.Time
@@ -201,7 +203,7 @@
 	return &Director{
 		Deps: deps, scheduler: limpetbatch.New(), inbox: make(chan message, inboxSize), stopped: make(chan struct{}), sessions: map[string]*session{}, cachedResults: newResultCache(),
 		holder:  limpetlease.New(deps.Store, deps.VM, deps.Incarnation, ttl, deps.Now),
-		cancels: map[*limpetbatch.Run]context.CancelFunc{}, view: limpetsite.EmptySnapshot(),
+		cancels: map[*limpetbatch.Run]context.CancelFunc{}, rewardCancels: map[*limpetbatch.Entry]context.CancelFunc{}, view: limpetsite.EmptySnapshot(),
 		acceptedJobs: map[string]limpetjob.Summary{}, endedJobs: map[string]bool{}, loadingJobs: map[string]bool{}, fullyCommitted: map[string]bool{},
 		updateStarted: map[string]time.Time{}, suspendedUntil: map[string]time.Time{}, orderCounts: map[modelVersion]int{},
 	}
--- a/internal/limpetdirector/limpetdirector_test.go
+++ b/internal/limpetdirector/limpetdirector_test.go
@@ -217,6 +217,32 @@
 	})
 }
 
+// Guards against reward calls that go on for seconds after their job has ended.
+func TestEndedJobStopsRewardCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(2)
+		a := env.candidate("a", 0)
+		time.Sleep(time.Second)
+		env.accept(t, &limpetjob.Job{
+			ID: "j", Account: "acme", Host: "h", Path: "/p/", Model: "m", MinVersion: 1, DesiredGroups: 1, Arrived: time.Now(),
+			Items: []limpetjob.Item{{ID: "j-0", Path: "/p/1", Group: "0", ExpectedTokens: 64, Scorer: &limpetjob.Scorer{ID: "s", Host: "h", Path: "/score/1"}}},
+		})
+		time.Sleep(events*eventInterval + 600*time.Millisecond)
+		before, _ := env.lastScore()
+		if err := limpetjob.End(context.Background(), env.store.Client(), "j"); err != nil {
+			t.Fatal(err)
+		}
+		ended := time.Now()
+		time.Sleep(10 * time.Second)
+		_, last := env.lastScore()
+		Convey("no reward call reaches a server later than the director learns of the end", t, func() {
+			So(before, ShouldBeGreaterThan, 0)
+			So(last.Sub(ended), ShouldBeLessThan, 300*time.Millisecond)
+		})
+		a.stop(t)
+	})
+}
+
 func TestSuccessorWaitsForEndedJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(4)
--- a/internal/limpetdirector/runs.go
+++ b/internal/limpetdirector/runs.go
@@ -126,9 +126,12 @@
 	d.Log.Emit(limpetlog.ItemErrored, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Value("cause", cause))
 }
 
-// callScorer makes a reward call.
+// callScorer makes a reward call, which ends with its job.
 func (d *Director) callScorer(r limpetbatch.RewardCall) {
-	d.group.Go(func(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(d.group.Context())
+	d.rewardCancels[r.Entry] = cancel
+	d.group.Go(func(context.Context) error {
+		defer cancel()
 		answer, allowed := d.Forwarder.ForwardInternal(ctx, &limpetforward.Request{
 			ID: r.Scorer.ID, Method: http.MethodPost, Target: r.Scorer.Path, Path: r.Scorer.Path, Host: r.Scorer.Host,
 			Header: http.Header{}, Body: r.Scorer.Body, Arrived: d.Now(), Timeout: rewardTimeout,
@@ -145,6 +148,17 @@
 	})
 }
 
+// removeJob removes a job from the scheduler and ends its runs and reward calls.
+func (d *Director) removeJob(id string, now time.Time, cause string) {
+	for e, cancel := range d.rewardCancels {
+		if e.Job.ID == id {
+			cancel()
+			delete(d.rewardCancels, e)
+		}
+	}
+	d.cancelRuns(d.scheduler.RemoveJob(id, now), cause)
+}
+
 type scoreResult struct {
 	entry             *limpetbatch.Entry
 	signature         string
@@ -154,6 +168,10 @@
 
 func (m scoreResult) apply(d *Director) {
 	e := m.entry
+	if d.rewardCancels[e] == nil {
+		return
+	}
+	delete(d.rewardCancels, e)
 	if d.scheduler.HandleScore(e, m.signature, m.failures, max(m.allowed, e.Job.Rules.MaxAttempts), d.Now()) {
 		d.logErrored(e, "all allowed reward calls failed")
 	}
