The director cancels runs that it does not know

Cause: progress of a run that the director had canceled was ignored, so that a lost cancel left the run to its end, after its job's if need be. Change: it is answered by a cancel. Evidence: TestUnknownRunsAreCanceled, red before (no cancel).

--- a/internal/limpetdirector/executors.go
+++ b/internal/limpetdirector/executors.go
@@ -252,6 +252,9 @@
 	if r == nil {
 		if h := s.unmatched[p.Run]; h != nil {
 			h.Apply(p)
+		} else if !p.Ended {
+			// The run was canceled, and the executor may not have heard of it.
+			s.out.cancel(p.Run)
 		}
 		return
 	}
--- a/internal/limpetdirector/executors_test.go
+++ b/internal/limpetdirector/executors_test.go
@@ -188,6 +188,35 @@
 	})
 }
 
+// Guards against runs that nobody ends, because the order to cancel them was lost.
+func TestUnknownRunsAreCanceled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(4)
+		a := env.candidate("a", 0)
+		time.Sleep(time.Second)
+		var canceled []string
+		group := limpettask.New(context.Background())
+		group.Go(func(ctx context.Context) error {
+			return a.AcceptOffer(ctx, limpetexecutor.Offer{VM: "x", Zone: "a", Session: "x"}, func(b limpetexecutor.Batch) error {
+				canceled = append(canceled, b.CancelRuns...)
+				return nil
+			})
+		})
+		time.Sleep(50 * time.Millisecond)
+		event := limpetexecutor.Event{Event: limpetupstream.Event{ID: 1, Data: "x"}}
+		a.Deliver(context.Background(), limpetexecutor.Delivery{Session: "x", Progress: []limpetexecutor.Progress{
+			{Run: "ghost", Responded: true, Events: []limpetexecutor.Event{event}}, {Run: "over", Ended: true},
+		}})
+		time.Sleep(100 * time.Millisecond)
+		Convey("the director cancels a run that it does not know and that goes on", t, func() {
+			So(canceled, ShouldResemble, []string{"ghost"})
+		})
+		// Ending the session returns an error, which is expected.
+		_ = group.Stop()
+		a.stop(t)
+	})
+}
+
 func TestUnreachableEnginesUseOtherExecutors(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const items = 32
