VMs get only the entries of servers that they send requests to

Cause: the director told every VM each change of every engine, though only its own orders name engines; docs/CAPACITY.md has 246 KB/s at 300 machines. A value that leaves a relevant topic is a deletion, a change of the relevant topics a full update together with the configuration that causes it; other changes wake no VM. Rejected: each VM names its interest: 390 filters for the same answer; a call for each engine at an executor: the order names its address already. Evidence: limpetrelay TestRelevantTopics, limpethost TestOtherVMsGetTheEntriesThatTheyUse.

--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -102,8 +102,9 @@
 	watchGroup *limpettask.Group
 
 	// crashes knows the requests that crash backend servers.
-	crashes *limpetcrash.Book
-	feeds   []feed
+	crashes   *limpetcrash.Book
+	feeds     []feed
+	relevance relevance
 }
 
 const (
@@ -274,12 +275,14 @@
 		w := &limpetwatch.Watcher{
 			Store: store, Prefix: f.prefix, Wait: watchWait,
 			OnList: func(l limpetstore.Listing) {
-				h.mirror.ApplyListing(f.prefix, l)
-				f.applyListing(l)
+				h.mirror.Apply(h.relevance.changes(l.Values, f.applyListing(l), func(values []limpetrelay.Value) limpetrelay.Apply {
+					return limpetrelay.Listing(f.prefix, values, l.Revision)
+				})...)
 			},
 			OnChange: func(values []limpetstore.Value) {
-				h.mirror.ApplyChanges(f.prefix, values)
-				f.applyChanges(values)
+				h.mirror.Apply(h.relevance.changes(values, f.applyChanges(values), func(values []limpetrelay.Value) limpetrelay.Apply {
+					return limpetrelay.Changes(f.prefix, values)
+				})...)
 			},
 			OnOutage: func(err error) {
 				h.Log.Emit(limpetlog.StoreDown, limpetlog.Value("prefix", f.prefix), limpetlog.Error(err))
--- a/internal/limpetrelay/limpetrelay.go
+++ b/internal/limpetrelay/limpetrelay.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,13 +23,23 @@
 	feed     string
 	value    limpetstore.Value
 	position uint64
+	// topic is what the value is about; empty if all VMs need it.
+	topic string
+}
+
+// A Value is a value of the store with its topic, which is empty if all VMs need
+// the value.
+type Value struct {
+	limpetstore.Value
+	Topic string
 }
 
 // A Mirror holds a copy of the store's feeds that a VM follows, for other VMs
-// to read. It is safe for concurrent use.
+// to read. Other VMs get the values of relevant topics only. It is safe for
+// concurrent use.
 type Mirror struct {
-	epoch string
-	now   func() time.Time
+	name string
+	now  func() time.Time
 
 	// waiters counts the calls of Since that wait for changes, one per VM.
 	waiters atomic.Int64
@@ -38,6 +49,10 @@
 	mu       sync.Mutex
 	position uint64
 	values   map[string]entry
+	// relevant holds the relevant topics; nil if all are. generation counts its
+	// changes that affected a value, after which each VM gets a full update.
+	relevant   map[string]bool
+	generation int
 	// deleted holds deletions, oldest first. Deletions up to prunedPosition
 	// have been dropped.
 	deleted        []entry
@@ -50,39 +65,73 @@
 	changed chan struct{}
 }
 
-// NewMirror returns an empty mirror. The epoch distinguishes it from other
-// mirrors.
-func NewMirror(epoch string, now func() time.Time) *Mirror {
-	return &Mirror{epoch: epoch, now: now, values: map[string]entry{}, feeds: map[string]uint64{}, changed: make(chan struct{}), fullUpdates: make(chan struct{}, maxFullUpdates)}
+// NewMirror returns an empty mirror in which all topics are relevant. The name
+// distinguishes it from other mirrors.
+func NewMirror(name string, now func() time.Time) *Mirror {
+	return &Mirror{name: name, now: now, values: map[string]entry{}, feeds: map[string]uint64{}, changed: make(chan struct{}), fullUpdates: make(chan struct{}, maxFullUpdates)}
 }
 
-// ApplyListing applies a complete listing of a feed.
-func (m *Mirror) ApplyListing(feed string, l limpetstore.Listing) {
+// An Apply changes a mirror. All changes of one call of Mirror.Apply reach other
+// VMs together.
+type Apply func(m *Mirror)
+
+// Apply applies changes.
+func (m *Mirror) Apply(changes ...Apply) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	present := map[string]bool{}
-	for _, v := range l.Values {
-		present[v.Key] = true
-		m.put(feed, v)
-	}
-	for key, e := range m.values {
-		if e.feed == feed && !present[key] && e.value.Revision <= l.Revision {
-			m.put(feed, limpetstore.Value{Key: key, Revision: l.Revision, Deleted: true})
+	before := m.position
+	generation := m.generation
+	for _, apply := range changes {
+		apply(m)
+	}
+	if m.position != before || m.generation != generation {
+		m.notify()
+	}
+}
+
+// Listing applies a complete listing of a feed at a revision.
+func Listing(feed string, values []Value, revision uint64) Apply {
+	return func(m *Mirror) {
+		present := map[string]bool{}
+		for _, v := range values {
+			present[v.Key] = true
+			m.put(feed, v)
+		}
+		for key, e := range m.values {
+			if e.feed == feed && !present[key] && e.value.Revision <= revision {
+				m.put(feed, Value{Value: limpetstore.Value{Key: key, Revision: revision, Deleted: true}})
+			}
 		}
+		m.feeds[feed] = max(m.feeds[feed], revision)
 	}
-	m.feeds[feed] = max(m.feeds[feed], l.Revision)
-	m.notify()
 }
 
-// ApplyChanges applies changes of a feed.
-func (m *Mirror) ApplyChanges(feed string, values []limpetstore.Value) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, v := range values {
-		m.put(feed, v)
-		m.feeds[feed] = max(m.feeds[feed], v.Revision)
+// Changes applies changes of a feed.
+func Changes(feed string, values []Value) Apply {
+	return func(m *Mirror) {
+		for _, v := range values {
+			m.put(feed, v)
+			m.feeds[feed] = max(m.feeds[feed], v.Revision)
+		}
+	}
+}
+
+// Relevant sets the topics that other VMs need.
+func Relevant(topics map[string]bool) Apply {
+	return func(m *Mirror) {
+		before := m.relevant
+		m.relevant = topics
+		for _, e := range m.values {
+			if isRelevant(before, e.topic) != isRelevant(topics, e.topic) {
+				m.generation++
+				return
+			}
+		}
 	}
-	m.notify()
+}
+
+func isRelevant(topics map[string]bool, topic string) bool {
+	return topic == "" || topics == nil || topics[topic]
 }
 
 // MarkConfirmed records that the store answered a request that was sent at the
@@ -95,25 +144,43 @@
 	}
 }
 
-// put applies a value, unless a newer one is known. The caller holds m.mu.
-func (m *Mirror) put(feed string, v limpetstore.Value) {
+// put applies a value, unless a newer one is known. The position advances only
+// if other VMs need the change. The caller holds m.mu.
+func (m *Mirror) put(feed string, v Value) {
 	known, ok := m.values[v.Key]
 	if ok && v.Revision <= known.value.Revision {
 		return
 	}
-	m.position++
-	e := entry{feed: feed, value: v, position: m.position}
+	wasRelevant := ok && isRelevant(m.relevant, known.topic)
 	if !v.Deleted {
+		e := entry{feed: feed, value: v.Value, position: m.position, topic: v.Topic}
+		if isRelevant(m.relevant, v.Topic) {
+			m.position++
+			e.position = m.position
+		} else if wasRelevant {
+			m.addTombstone(feed, limpetstore.Value{Key: v.Key, Revision: v.Revision, Deleted: true})
+		}
 		m.values[v.Key] = e
 		return
 	}
 	delete(m.values, v.Key)
-	if m.deleted = append(m.deleted, e); len(m.deleted) > maxTombstones {
+	if wasRelevant {
+		m.addTombstone(feed, v.Value)
+	}
+}
+
+// addTombstone records a deletion for other VMs. The caller holds m.mu.
+func (m *Mirror) addTombstone(feed string, v limpetstore.Value) {
+	m.position++
+	if m.deleted = append(m.deleted, entry{feed: feed, value: v, position: m.position}); len(m.deleted) > maxTombstones {
 		m.prunedPosition = m.deleted[0].position
 		m.deleted = m.deleted[1:]
 	}
 }
 
+// epoch identifies the mirror and the relevant topics. The caller holds m.mu.
+func (m *Mirror) epoch() string { return m.name + "." + strconv.Itoa(m.generation) }
+
 // notify wakes the calls of Since that wait. The caller holds m.mu.
 func (m *Mirror) notify() {
 	close(m.changed)
@@ -218,8 +285,8 @@
 
 // since is Since without waiting. The caller holds m.mu.
 func (m *Mirror) since(epoch string, position uint64) Update {
-	u := Update{Epoch: m.epoch, Position: m.position, Feeds: map[string]uint64{}, Age: m.now().Sub(m.confirmedAt)}
-	u.Full = epoch != m.epoch || position < m.prunedPosition
+	u := Update{Epoch: m.epoch(), Position: m.position, Feeds: map[string]uint64{}, Age: m.now().Sub(m.confirmedAt)}
+	u.Full = epoch != u.Epoch || position < m.prunedPosition
 	for feed, revision := range m.feeds {
 		u.Feeds[feed] = revision
 	}
@@ -227,7 +294,7 @@
 		return u
 	}
 	for _, e := range m.values {
-		if u.Full || e.position > position {
+		if isRelevant(m.relevant, e.topic) && (u.Full || e.position > position) {
 			u.Changes = append(u.Changes, Change{Feed: e.feed, Value: e.value})
 		}
 	}
