limpetd: a VM that starts is told of earlier crashes

Callers would see: a quarantined request runs again on a VM that was replaced, and crashes two more servers. Change: of the live VMs the three ranked first for a new incarnation send it their records, by the call that tells of a crash; reports are idempotent. Evidence: limpetcluster TestStartedVMKnowsQuarantinedRequests, red before.

--- a/internal/limpetcluster/failure_test.go
+++ b/internal/limpetcluster/failure_test.go
@@ -401,6 +401,28 @@
 	})
 }
 
+// Guards against a VM that starts anew and knows of no crash.
+func TestStartedVMKnowsQuarantinedRequests(t *testing.T) {
+	s := newSystem(t, limpetcluster.Options{VMs: 2}, 3)
+	Convey("a VM that starts is told of the requests that crashed servers before", t, func() {
+		for _, e := range s.Engines() {
+			e.Lock()
+			e.CrashOn = "poison"
+			e.Unlock()
+		}
+		quarantined := func(vm int) func() bool {
+			return func() bool { return len(s.Nodes[vm].View().Quarantine.Quarantined) == 1 }
+		}
+		_, err := s.stream(0, "poison", 5)
+		So(err, ShouldBeNil)
+		So(limpetcluster.WaitUntil(s.ctx, "quarantine", quarantined(1)), ShouldBeNil)
+		So(s.Nodes[1].Kill(), ShouldBeNil)
+		So(s.StartNode(1), ShouldBeNil)
+		So(limpetcluster.WaitUntil(s.ctx, "quarantine on the started VM", quarantined(1)), ShouldBeNil)
+		So(s.runsOf("poison"), ShouldEqual, 2)
+	})
+}
+
 // Guards against a quarantine of all requests of an account that have the same
 // body, such as an empty one, whatever they ask for.
 func TestQuarantineDependsOnTheTarget(t *testing.T) {
--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -32,10 +32,13 @@
 	loaded bool
 	table  *limpetmember.Table
 	// suspended holds the suspensions by key name.
-	suspended   map[string]suspension
-	servers     map[string]*serverState
-	prices      map[string]limpetorder.Price
-	quarantine  *limpetquarantine.State
+	suspended  map[string]suspension
+	servers    map[string]*serverState
+	prices     map[string]limpetorder.Price
+	quarantine *limpetquarantine.State
+	// briefed holds the incarnations of the live VMs that need not be told of
+	// earlier crashes.
+	briefed     map[string]bool
 	draining    bool
 	acceptKeys  bool
 	downMembers map[string]bool
@@ -135,6 +138,7 @@
 func (c *control) tick(now time.Time) {
 	c.quarantine.Expire(now)
 	c.table.Expire(now)
+	c.briefNewcomers(now)
 	live := map[string]bool{}
 	for _, m := range c.table.Live(now) {
 		live[m.Name] = true
@@ -151,6 +155,26 @@
 	}
 }
 
+// maxBriefers is the number of VMs that tell a newcomer of crashes.
+const maxBriefers = 3
+
+// briefNewcomers tells VMs that have started of the requests that crashed
+// servers. The VMs ranked first for a newcomer do so.
+func (c *control) briefNewcomers(now time.Time) {
+	live := c.table.Live(now)
+	briefed := make(map[string]bool, len(live))
+	for _, m := range live {
+		briefed[m.Incarnation] = true
+		if c.briefed[m.Incarnation] || limpetmember.Rank("crashes/"+m.Incarnation, c.node.self.Name, memberNames(live)) >= maxBriefers {
+			continue
+		}
+		if crashes := c.quarantine.All(); len(crashes) > 0 {
+			c.node.sendCrashes(m.VM, crashes)
+		}
+	}
+	c.briefed = briefed
+}
+
 // configStatus returns the inputs to the decision whether to accept keys.
 func (c *control) configStatus(now time.Time) limpetmember.ConfigStatus {
 	agreeing := 0
--- a/internal/limpetnode/sync.go
+++ b/internal/limpetnode/sync.go
@@ -409,11 +409,43 @@
 	})
 }
 
-const broadcastAttempts = 3
+// sendCrashes tells a VM of crashes in the background.
+func (n *Node) sendCrashes(vm limpetmember.VM, crashes []limpetquarantine.Crash) {
+	n.group.Go(func(ctx context.Context) error {
+		for _, crash := range crashes {
+			err := n.callPeer(ctx, vm, func(ctx context.Context, c limpetwire.PeerServiceClient) error {
+				_, err := c.ReportCrash(ctx, connect.NewRequest(&limpetwire.ReportCrashRequest{Fingerprint: crash.Fingerprint, Account: crash.Account, Server: crash.Server}))
+				return err
+			})
+			if err != nil {
+				n.log.Emit(limpetlog.PeerCallFailed, limpetlog.Value("member", vm.Name), limpetlog.Error(err))
+				return nil
+			}
+		}
+		return nil
+	})
+}
+
+const maxPeerAttempts = 3
+
+// callPeer calls another VM, with up to maxPeerAttempts attempts, and returns the
+// last error.
+func (n *Node) callPeer(ctx context.Context, vm limpetmember.VM, call func(context.Context, limpetwire.PeerServiceClient) error) error {
+	var err error
+	for range maxPeerAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+		err = call(callCtx, n.client.Peer(vm.Peer))
+		cancel()
+		if err == nil {
+			return nil
+		}
+		limpettask.Sleep(ctx, limpettask.Jitter(retryDelay))
+	}
+	return err
+}
 
-// broadcast calls every other VM that is listed or has reported its state. It
-// makes up to broadcastAttempts attempts for each, and returns the names of the
-// VMs whose call succeeded.
+// broadcast calls every other VM that is listed or has reported its state, and
+// returns the names of the VMs whose call succeeded.
 func (n *Node) broadcast(ctx context.Context, call func(context.Context, limpetwire.PeerServiceClient) error) []string {
 	var vms []limpetmember.VM
 	n.withControl(func(c *control) {
@@ -424,17 +456,10 @@
 	var g errgroup.Group
 	for _, v := range vms {
 		g.Go(func() error {
-			for range broadcastAttempts {
-				callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
-				err := call(callCtx, n.client.Peer(v.Peer))
-				cancel()
-				if err == nil {
-					mu.Lock()
-					reached = append(reached, v.Name)
-					mu.Unlock()
-					return nil
-				}
-				limpettask.Sleep(ctx, limpettask.Jitter(retryDelay))
+			if n.callPeer(ctx, v, call) == nil {
+				mu.Lock()
+				reached = append(reached, v.Name)
+				mu.Unlock()
 			}
 			return nil
 		})
--- a/internal/limpetquarantine/limpetquarantine.go
+++ b/internal/limpetquarantine/limpetquarantine.go
@@ -243,6 +243,20 @@
 	return expired
 }
 
+// All returns all crashes that are remembered, in a fixed order.
+func (s *State) All() []Crash {
+	var all []Crash
+	for f, c := range s.records {
+		for server, weight := range c.Servers {
+			all = append(all, Crash{Fingerprint: f, Account: c.Account, Server: server, Partial: weight < fullWeight})
+		}
+	}
+	slices.SortFunc(all, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), strings.Compare(a.Server, b.Server))
+	})
+	return all
+}
+
 // Has reports whether a request is remembered.
 func (s *State) Has(fingerprint uint64) bool {
 	_, known := s.records[fingerprint]
