TestUnknownRunsAreCanceled reads the list after its session has ended

Cause: the test's own recorder is written by the session's goroutine and was read while the session was open. A sleep orders nothing between goroutines. Ruled out: a race in the product; both stacks end in the test.

--- a/internal/limpetdirector/executors_test.go
+++ b/internal/limpetdirector/executors_test.go
@@ -208,12 +208,13 @@
 			{Run: "ghost", Responded: true, Events: []limpetexecutor.Event{event}}, {Run: "over", Ended: true},
 		}})
 		time.Sleep(100 * time.Millisecond)
+		// The session writes canceled until it has ended. It ends with an error,
+		// which is expected.
+		_ = group.Stop()
+		a.stop(t)
 		Convey("the director cancels a run that it does not know and that goes on", t, func() {
 			So(canceled, ShouldResemble, []string{"ghost"})
 		})
-		// Ending the session returns an error, which is expected.
-		_ = group.Stop()
-		a.stop(t)
 	})
 }
 
