Relayed reports keep an account's totals

Callers would see: in a system of more than 17 VMs an account is limited for tokens that it used long ago, again after each relayed report of a VM that served it. Cause: a relayed report has no totals and replaced the state with them; the next report of that VM itself then counted as new from zero. Ruled out: systems of up to 17 VMs, where nothing is relayed. Evidence: TestRelayedReportKeepsTotals, red before (0 of 900 tokens kept).

--- a/internal/limpetmember/limpetmember.go
+++ b/internal/limpetmember/limpetmember.go
@@ -25,7 +25,8 @@
 // A State is a VM's most recent report about itself. Applied is the index of the
 // configuration that it uses, and ConfirmedAt is when that was last known to be
 // the newest. ReportedAt is the time of the report on the local clock, computed
-// from the age that a relaying VM states.
+// from the age that a relaying VM states. Consumed holds the tokens that the
+// incarnation has used, by service and account; relayed reports have none.
 type State struct {
 	VM
 	Applied     uint64
@@ -78,6 +79,9 @@
 	if known && !s.ReportedAt.After(old.ReportedAt) {
 		return false
 	}
+	if known && old.Incarnation == s.Incarnation && len(s.Consumed) == 0 {
+		s.Consumed = old.Consumed
+	}
 	t.states[s.Name] = s
 	return !known || old.Incarnation != s.Incarnation || now.Sub(old.ReportedAt) > t.downTimeout()
 }
--- a/internal/limpetmember/limpetmember_test.go
+++ b/internal/limpetmember/limpetmember_test.go
@@ -97,6 +97,27 @@
 	})
 }
 
+// Guards against charging an account again for all that it consumed on a VM of a
+// large system, after a relayed report, which has no totals.
+func TestRelayedReportKeepsTotals(t *testing.T) {
+	now := time.Now()
+	table := limpetmember.New(limpetmember.VM{Name: "vm0", Zone: "a"})
+	direct := state("vm1", "a", now)
+	direct.Consumed = map[string]uint64{"drafts/a1": 900}
+	table.Merge(now, direct)
+	totals := func() map[string]uint64 { return table.Known()[0].Consumed }
+	Convey("a relayed report of the same process leaves the totals as they are", t, func() {
+		table.Merge(now, state("vm1", "a", now.Add(time.Second)))
+		So(totals(), ShouldResemble, direct.Consumed)
+	})
+	Convey("another process has none yet", t, func() {
+		restarted := state("vm1", "a", now.Add(2*time.Second))
+		restarted.Incarnation = "vm1-2"
+		table.Merge(now, restarted)
+		So(len(totals()), ShouldEqual, 0)
+	})
+}
+
 func TestRankIsConsistent(t *testing.T) {
 	Convey("all VMs compute the same ranking, and items are spread evenly", t, func() {
 		names := []string{"vm1", "vm2", "vm3", "vm4"}
