VMs of a large system exchange signs instead of a few whole states

Cause: a heartbeat relayed 8 of the states at random, so that news of a VM comes the more seldom the more VMs there are. Change: a heartbeat has the signs of all VMs, 7 bytes each; the answer has the signs that are newer, and the states that the sender lacks. One partner every 2 s, in the own zone and outside of it in turn. Ruled out: a longer silence before a VM is down (failures are noticed later); one partner drawn from all VMs (a zone that is cut off has hardly any news of itself). VMs of the release before take part: they get up to 32 states for each heartbeat.

--- a/internal/limpetmember/limpetmember.go
+++ b/internal/limpetmember/limpetmember.go
@@ -29,6 +29,10 @@
 // incarnation has used, by service and account; relayed reports have none.
 type State struct {
 	VM
+	// Version counts the changes of the fields below but ConfirmedAt and
+	// Consumed, and Applied while the store is up. Reports of an incarnation
+	// with the same version differ in these only.
+	Version     uint64
 	Applied     uint64
 	ConfirmedAt time.Time
 	StoreDown   bool
@@ -50,7 +54,7 @@
 
 // FullMeshLimit is the largest number of other VMs at which every VM exchanges
 // heartbeats with every other. In a larger system each VM contacts only a few,
-// and states spread by gossip, so the timeout for a silent VM is longer.
+// and signs and states spread by gossip, so the timeout for a silent VM is longer.
 const FullMeshLimit = 16
 
 // Time without a report after which a VM counts as down.
@@ -69,21 +73,26 @@
 }
 
 // Merge merges a reported state. It reports whether the VM was unknown, was
-// down or had another incarnation before. Reports that are no newer than the
-// known state are ignored.
+// down or had another incarnation before. Of the reports of an incarnation those
+// with an older version are ignored, and of others those that are no newer than
+// the known state.
 func (t *Table) Merge(now time.Time, s State) bool {
 	if s.Name == t.self.Name || s.Name == "" {
 		return false
 	}
 	old, known := t.states[s.Name]
-	if known && !s.ReportedAt.After(old.ReportedAt) {
+	same := known && old.Incarnation == s.Incarnation
+	switch newer := s.ReportedAt.After(old.ReportedAt); {
+	case same && s.Version < old.Version, known && !newer && !(same && s.Version > old.Version):
 		return false
+	case same && !newer:
+		s.ReportedAt = old.ReportedAt
 	}
-	if known && old.Incarnation == s.Incarnation && len(s.Consumed) == 0 {
+	if same && len(s.Consumed) == 0 {
 		s.Consumed = old.Consumed
 	}
 	t.states[s.Name] = s
-	return !known || old.Incarnation != s.Incarnation || now.Sub(old.ReportedAt) > t.downTimeout()
+	return !same || now.Sub(old.ReportedAt) > t.downTimeout()
 }
 
 // SetListed replaces the platform's list of VMs. The list only adds VMs to
@@ -124,8 +133,9 @@
 // name.
 func (t *Table) Live(now time.Time) []State {
 	var live []State
+	timeout := t.downTimeout()
 	for _, s := range t.states {
-		if now.Sub(s.ReportedAt) <= t.downTimeout() && !s.Leaving {
+		if now.Sub(s.ReportedAt) <= timeout && !s.Leaving {
 			live = append(live, s)
 		}
 	}
@@ -158,6 +168,36 @@
 // includes a VM of another availability zone if there is one. VMs that are
 // down are selected too, so that the end of a network partition is detected.
 func (t *Table) RandomPeers(count int, r *rand.Rand) []VM {
+	vms := t.contacts()
+	r.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	if len(vms) <= count {
+		return vms
+	}
+	if i := slices.IndexFunc(vms, func(v VM) bool { return v.Zone != t.self.Zone }); i >= count {
+		vms[0], vms[i] = vms[i], vms[0]
+	}
+	return vms[:count]
+}
+
+// RandomPeer selects one VM in this VM's availability zone or outside of it, or
+// anywhere if there is none. A zone that is cut off keeps to itself that way, and
+// news still cross zones. VMs that are down are selected too.
+func (t *Table) RandomPeer(ownZone bool, r *rand.Rand) []VM {
+	vms := t.contacts()
+	suitable := slices.DeleteFunc(slices.Clone(vms), func(v VM) bool { return (v.Zone == t.self.Zone) != ownZone })
+	if len(suitable) > 0 {
+		vms = suitable
+	}
+	if len(vms) == 0 {
+		return nil
+	}
+	i := r.IntN(len(vms))
+	return vms[i : i+1]
+}
+
+// contacts returns the VMs that are listed or have a known state, sorted by
+// name.
+func (t *Table) contacts() []VM {
 	all := map[string]VM{}
 	for name, v := range t.listed {
 		all[name] = v
@@ -170,14 +210,7 @@
 		vms = append(vms, v)
 	}
 	sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
-	r.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
-	if len(vms) <= count {
-		return vms
-	}
-	if i := slices.IndexFunc(vms, func(v VM) bool { return v.Zone != t.self.Zone }); i >= count {
-		vms[0], vms[i] = vms[i], vms[0]
-	}
-	return vms[:count]
+	return vms
 }
 
 // Rank returns the rank of the VM self among the live VMs for a duty or claim
--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -44,6 +44,8 @@
 	downMembers map[string]bool
 	// heartbeatTicks counts the heartbeat periods since the start.
 	heartbeatTicks int
+	// own is this VM's state as last sent.
+	own limpetmember.State
 	// waiters are the channels to close after the next snapshot is published.
 	waiters []chan struct{}
 }
@@ -350,6 +352,11 @@
 	}
 }
 
+// A signsEvent delivers signs of other VMs.
+type signsEvent []limpetmember.Sign
+
+func (e signsEvent) apply(c *control, _ time.Time) { c.table.Refresh(e) }
+
 func (c *control) suspend(now time.Time, key, hash string) {
 	if c.suspended[key].hash == hash || c.doc.Keys[key].Hash != hash {
 		return
--- a/internal/limpetnode/peers.go
+++ b/internal/limpetnode/peers.go
@@ -29,17 +29,15 @@
 func (p *peerService) Heartbeat(_ context.Context, q *connect.Request[limpetwire.HeartbeatRequest]) (*connect.Response[limpetwire.HeartbeatResponse], error) {
 	now := time.Now()
 	p.node.receiveState(q.Msg.GetState(), limpetpeer.DecodeState(q.Msg.GetState(), now), false)
-	for _, o := range q.Msg.GetOthers() {
-		p.node.receiveState(o, limpetpeer.DecodeState(o, now), false)
-	}
+	p.node.receiveRelayed(q.Msg.GetOthers(), q.Msg.GetSigns(), now)
 	if state := q.Msg.GetState(); state.GetApplied() > p.node.View().Config.Index && state.GetFrom().GetPeer() != "" {
 		p.node.group.Go(func(ctx context.Context) error {
 			p.node.pullConfig(ctx, state.GetFrom().GetPeer())
 			return nil
 		})
 	}
-	own, others := p.node.localState()
-	return connect.NewResponse(&limpetwire.HeartbeatResponse{State: own, Others: others}), nil
+	others, signs := p.node.replyToSigns(q.Msg.GetSigns(), now)
+	return connect.NewResponse(&limpetwire.HeartbeatResponse{State: p.node.ownState(), Others: others, Signs: signs}), nil
 }
 
 func (p *peerService) PullConfig(_ context.Context, q *connect.Request[limpetwire.PullConfigRequest]) (*connect.Response[limpetwire.PullConfigResponse], error) {
--- a/internal/limpetnode/sync.go
+++ b/internal/limpetnode/sync.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -152,32 +154,22 @@
 	// peerCallTimeout bounds each heartbeat, broadcast call and replication of
 	// usage counts.
 	peerCallTimeout = time.Second
-	// largeSystemPeers is the number of VMs that receive each heartbeat in a
-	// large system, and maxRelayedStates the largest number of other VMs'
-	// states in it.
-	largeSystemPeers = 3
-	maxRelayedStates = 8
+	// drainingPeers is the number of VMs that each heartbeat of a VM goes to that
+	// shuts down in a large system.
+	drainingPeers = 3
+	// maxRelayedStates is the largest number of other VMs' states in a reply.
+	maxRelayedStates = 32
 	// largeSystemFactor is the time between two heartbeats in a large system,
 	// in heartbeat periods.
-	largeSystemFactor = 4
+	largeSystemFactor = 2
 )
 
-// heartbeat exchanges states with all VMs. In a large system it does so only with
-// a random few, and only once in largeSystemFactor calls unless this VM is
-// shutting down.
+// heartbeat exchanges states with all VMs. In a large system it does so only once
+// in largeSystemFactor calls, with one VM, in its own zone and outside of it in
+// turn.
 func (n *Node) heartbeat(ctx context.Context) {
 	var peers []limpetmember.VM
-	n.withControl(func(c *control) {
-		count := c.table.Count()
-		c.heartbeatTicks++
-		if count > limpetmember.FullMeshLimit {
-			count = largeSystemPeers
-			if c.heartbeatTicks%largeSystemFactor != 0 && !c.draining {
-				count = 0
-			}
-		}
-		peers = c.table.RandomPeers(count, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	})
+	n.withControl(func(c *control) { peers = c.nextPeers() })
 	var g errgroup.Group
 	for _, p := range peers {
 		if p.Peer == "" {
@@ -191,26 +183,60 @@
 	_ = g.Wait()
 }
 
+// nextPeers returns the VMs for the next heartbeat.
+func (c *control) nextPeers() []limpetmember.VM {
+	random := newRand()
+	c.heartbeatTicks++
+	switch round := c.heartbeatTicks / largeSystemFactor; {
+	case !c.inLargeSystem():
+		return c.table.RandomPeers(c.table.Count(), random)
+	case c.draining:
+		return c.table.RandomPeers(drainingPeers, random)
+	case c.heartbeatTicks%largeSystemFactor != 0:
+		return nil
+	default:
+		return c.table.RandomPeer(round%2 == 0, random)
+	}
+}
+
+func (c *control) inLargeSystem() bool { return c.table.Count() > limpetmember.FullMeshLimit }
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 func (n *Node) exchangeHeartbeat(ctx context.Context, p limpetmember.VM) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	sent := time.Now()
-	state, others := n.localState()
-	reply, err := n.client.Peer(p.Peer).Heartbeat(ctx, connect.NewRequest(&limpetwire.HeartbeatRequest{State: state, Others: others}))
+	q := &limpetwire.HeartbeatRequest{State: n.ownState()}
+	n.withControl(func(c *control) {
+		if c.inLargeSystem() {
+			q.Signs = limpetpeer.EncodeSigns(c.table.Signs(sent), sent)
+		}
+	})
+	reply, err := n.client.Peer(p.Peer).Heartbeat(ctx, connect.NewRequest(q))
 	if err != nil {
 		n.log.Emit(limpetlog.PeerCallFailed, limpetlog.Value("peer", p.Name), limpetlog.Error(err))
 		return
 	}
 	s := limpetpeer.DecodeState(reply.Msg.GetState(), sent)
 	n.receiveState(reply.Msg.GetState(), s, true)
-	for _, o := range reply.Msg.GetOthers() {
-		n.receiveState(o, limpetpeer.DecodeState(o, sent), false)
-	}
+	n.receiveRelayed(reply.Msg.GetOthers(), reply.Msg.GetSigns(), sent)
 	if s.Applied > n.View().Config.Index {
 		n.pullConfig(ctx, p.Peer)
 	}
 }
 
+// receiveRelayed receives what a VM said of others. Its ages are relative to
+// base.
+func (n *Node) receiveRelayed(others []*limpetwire.NodeState, signs *limpetwire.Signs, base time.Time) {
+	for _, o := range others {
+		n.receiveState(o, limpetpeer.DecodeState(o, base), false)
+	}
+	if decoded := limpetpeer.DecodeSigns(signs, base); len(decoded) > 0 {
+		n.send(signsEvent(decoded))
+	}
+}
+
 func (n *Node) receiveState(m *limpetwire.NodeState, s limpetmember.State, isReply bool) {
 	suspended := map[string]string{}
 	for _, k := range m.GetSuspended() {
@@ -219,37 +245,45 @@
 	n.send(stateEvent{state: s, suspended: suspended, isReply: isReply})
 }
 
-// localState returns this VM's state and, in a large system, the states of a few
-// random other VMs to relay.
-func (n *Node) localState() (own *limpetwire.NodeState, others []*limpetwire.NodeState) {
+// ownState returns this VM's state.
+func (n *Node) ownState() (own *limpetwire.NodeState) {
 	now := time.Now()
 	var consumed []*limpetwire.AccountTokens
 	for k, tokens := range n.dispatcher.Consumed() {
 		consumed = append(consumed, &limpetwire.AccountTokens{Account: k.Account, Service: k.Service, Tokens: tokens})
 	}
-	var duties []string
-	for d := range n.holder.Duties() {
-		duties = append(duties, d)
-	}
+	duties := slices.Sorted(maps.Keys(n.holder.Duties()))
 	n.withControl(func(c *control) {
 		var suspended []*limpetwire.Suspension
 		for key, s := range c.suspended {
 			suspended = append(suspended, &limpetwire.Suspension{Key: key, Hash: s.hash})
 		}
-		own = limpetpeer.EncodeState(limpetmember.State{
+		next := limpetmember.State{
 			VM: n.self, Applied: c.doc.Index, ConfirmedAt: c.confirmedAt, StoreDown: n.health.isDown(now),
 			Leaving: c.draining, Duties: duties, ReportedAt: now,
-		}, now, suspended, consumed)
-		if c.table.Count() <= limpetmember.FullMeshLimit {
+		}
+		next.Version = c.own.NextVersion(next)
+		c.own = next
+		own = limpetpeer.EncodeState(next, now, suspended, consumed)
+	})
+	return own
+}
+
+// replyToSigns returns what another VM lacks according to its signs; nothing in a
+// small system.
+func (n *Node) replyToSigns(signs *limpetwire.Signs, base time.Time) (others []*limpetwire.NodeState, fresher *limpetwire.Signs) {
+	n.withControl(func(c *control) {
+		if !c.inLargeSystem() {
 			return
 		}
-		live := c.table.Live(now)
-		rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-		for _, s := range live[:min(maxRelayedStates, len(live))] {
+		now := time.Now()
+		states, newer := c.table.Missing(now, limpetpeer.DecodeSigns(signs, base), maxRelayedStates, newRand())
+		for _, s := range states {
 			others = append(others, limpetpeer.EncodeState(s, now, nil, nil))
 		}
+		fresher = limpetpeer.EncodeSigns(newer, now)
 	})
-	return own, others
+	return others, fresher
 }
 
 // pullConfig updates the configuration from a peer that has a newer one.
--- a/internal/limpetpeer/limpetpeer.go
+++ b/internal/limpetpeer/limpetpeer.go
@@ -117,6 +117,7 @@
 		From:    &limpetwire.VM{Name: s.Name, Incarnation: s.Incarnation, Zone: s.Zone, Peer: s.Peer, StartedMs: s.Started.UnixMilli()},
 		Applied: s.Applied, ConfirmedAgeMs: age, StoreDown: s.StoreDown, Leaving: s.Leaving,
 		Duties: s.Duties, Suspended: suspended, Consumed: consumed, HeardAgeMs: now.Sub(s.ReportedAt).Milliseconds(),
+		Version: s.Version,
 	}
 }
 
@@ -132,6 +133,7 @@
 		},
 		Applied: n.GetApplied(), StoreDown: n.GetStoreDown(), Leaving: n.GetLeaving(), Duties: n.GetDuties(),
 		Consumed:   map[string]uint64{},
+		Version:    n.GetVersion(),
 		ReportedAt: base.Add(-time.Duration(n.GetHeardAgeMs()) * time.Millisecond),
 	}
 	if n.GetConfirmedAgeMs() >= 0 {
@@ -143,6 +145,35 @@
 	return s
 }
 
+// signAgeUnit is the unit of ages in Signs.
+const signAgeUnit = 100 * time.Millisecond
+
+// EncodeSigns converts signs to their wire message, with ages as of now, rounded
+// up.
+func EncodeSigns(signs []limpetmember.Sign, now time.Time) *limpetwire.Signs {
+	m := &limpetwire.Signs{}
+	for _, s := range signs {
+		age := max(0, now.Sub(s.ReportedAt)+signAgeUnit-1)
+		m.Ids, m.Ages, m.Versions = append(m.Ids, s.ID), append(m.Ages, uint32(age/signAgeUnit)), append(m.Versions, s.Version)
+	}
+	return m
+}
+
+// DecodeSigns converts a wire message to signs. Ages are subtracted from base, as
+// in DecodeState. Of fields with different numbers of elements the rest is
+// ignored.
+func DecodeSigns(m *limpetwire.Signs, base time.Time) []limpetmember.Sign {
+	count := min(len(m.GetIds()), len(m.GetAges()), len(m.GetVersions()))
+	signs := make([]limpetmember.Sign, count)
+	for i := range signs {
+		signs[i] = limpetmember.Sign{
+			ID: m.GetIds()[i], Version: m.GetVersions()[i],
+			ReportedAt: base.Add(-time.Duration(m.GetAges()[i]) * signAgeUnit),
+		}
+	}
+	return signs
+}
+
 // Claim sends a claim to the VM at address and returns the claim in force.
 func (c *Client) Claim(ctx context.Context, address string, r limpetclaim.Request) (limpetclaim.Entry, error) {
 	reply, err := c.Peer(address).Claim(ctx, connect.NewRequest(&limpetwire.ClaimRequest{
