A new director reports its own VM's counts that only its predecessor had

What the platform would see: a usage window too low by what the VM of the new director counted and had told the former one, who ended before saving it (1.5 s). Cause: counters send all again when they connect to a director; a VM that becomes the director connects to none. Evidence: TestNewDirectorHasItsOwnCounts, red before (0 of 1 requests reported).

--- a/internal/limpetwindow/limpetwindow_test.go
+++ b/internal/limpetwindow/limpetwindow_test.go
@@ -61,7 +61,7 @@
 func reporter(stub *limpetstub.Store, endpoint *usageEndpoint, received *limpetwindow.ReceivedCounts) *limpetwindow.Reporter {
 	return &limpetwindow.Reporter{
 		Store: stub.Client(), Length: length, ReportDeadline: reportDeadline, Send: endpoint.send, ReceivedCounts: received, VM: "vm", Now: time.Now, Log: limpetlog.Discard(),
-		Fence: func(time.Duration) (uint64, bool) { return 7, true },
+		Fence: func(time.Duration) (uint64, bool) { return 7, true }, ResendOwn: func() {},
 	}
 }
 
@@ -225,6 +225,39 @@
 	})
 }
 
+// Guards against counts of the new director's own VM that only its predecessor
+// had.
+func TestNewDirectorHasItsOwnCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub, endpoint, received := limpetstub.NewStore(), &usageEndpoint{}, limpetwindow.NewReceivedCounts()
+		c := limpetwindow.NewCounter(stub.Client(), "a", length, time.Now, limpetlog.Discard())
+		var directs atomic.Bool
+		c.SendToDirector = func(_ context.Context, counter string, windows map[int64]limpetwindow.Counts) bool {
+			if directs.Load() {
+				received.Merge(counter, windows)
+			}
+			return true
+		}
+		g := limpettask.New(context.Background())
+		g.Go(c.Run)
+		window := limpetwindow.WindowAt(time.Now(), length)
+		c.CountRequest("acme", time.Now())
+		// The former director gets the count and ends before it saves it.
+		time.Sleep(1200 * time.Millisecond)
+		directs.Store(true)
+		r := reporter(stub, endpoint, received)
+		r.ResendOwn = c.ResendAll
+		g.Go(r.Run)
+		time.Sleep(length + reportDeadline)
+		if err := g.Stop(); err != nil {
+			t.Error(err)
+		}
+		Convey("the report includes them", t, func() {
+			So(endpoint.reportedFor(window), ShouldResemble, []limpetwindow.Counts{{"acme": 1}})
+		})
+	})
+}
+
 func TestCountsSurvivePowerLoss(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		stub, endpoint := limpetstub.NewStore(), &usageEndpoint{}
--- a/internal/limpetwindow/reporter.go
+++ b/internal/limpetwindow/reporter.go
@@ -41,9 +41,11 @@
 	// ReceivedCounts holds the counts that VMs sent to the director instead of
 	// writing them to the store.
 	ReceivedCounts *ReceivedCounts
-	VM             string
-	Now            func() time.Time
-	Log            *limpetlog.Logger
+	// ResendOwn makes this VM's counter send all its counts again.
+	ResendOwn func()
+	VM        string
+	Now       func() time.Time
+	Log       *limpetlog.Logger
 }
 
 const (
@@ -75,6 +77,7 @@
 	done := map[int64]bool{}
 	began := r.Now()
 	saved := began
+	r.ResendOwn()
 	for limpettask.Sleep(ctx, reportInterval) {
 		now := r.Now()
 		collectTime := time.Duration(collectFraction * float64(r.ReportDeadline))
