A new director waits for counts only as long as some are missing

Change: counters send theirs at once when they find the director, not with the next flush (1 s); the wait ends when all counters that former directors saved have sent theirs. A counter that died is waited for as before. Evidence: TestNewDirectorWaitsForSavedCountersOnly, TestCountsAreSentAgainAtOnce, both red before.

--- a/internal/limpetwindow/limpetwindow.go
+++ b/internal/limpetwindow/limpetwindow.go
@@ -15,7 +15,6 @@
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetstore"
-	"limpetmount.org/internal/limpettask"
 )
 
 const (
@@ -63,6 +62,9 @@
 	// the director accepted them; otherwise they are written to the store.
 	SendToDirector func(ctx context.Context, counter string, windows map[int64]Counts) bool
 
+	// resend wakes Run.
+	resend chan struct{}
+
 	mu      sync.Mutex
 	windows map[int64]*windowCounts
 }
@@ -79,7 +81,7 @@
 // NewCounter returns an empty counter. The name must be unique to the VM and
 // its incarnation.
 func NewCounter(store limpetstore.Store, name string, length time.Duration, now func() time.Time, log *limpetlog.Logger) *Counter {
-	return &Counter{store: store, name: name, length: length, now: now, log: log, windows: map[int64]*windowCounts{}}
+	return &Counter{store: store, name: name, length: length, now: now, log: log, resend: make(chan struct{}, 1), windows: map[int64]*windowCounts{}}
 }
 
 // CountRequest counts a request that a server began to run at the given time.
@@ -96,12 +98,20 @@
 	w.changed = true
 }
 
-// Run sends or writes the counts periodically until ctx ends.
+// Run sends or writes the counts periodically, and at once after ResendAll, until
+// ctx ends.
 func (c *Counter) Run(ctx context.Context) error {
-	for limpettask.Sleep(ctx, flushInterval) {
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-c.resend:
+		}
 		c.Flush(ctx, false)
 	}
-	return nil
 }
 
 // Flush sends the changed counts to the director. If that fails, it writes
@@ -161,6 +171,10 @@
 	for _, w := range c.windows {
 		w.changed = true
 	}
+	select {
+	case c.resend <- struct{}{}:
+	default:
+	}
 }
 
 // takeDue returns a transaction that writes the changed counts of the windows
--- a/internal/limpetwindow/limpetwindow_test.go
+++ b/internal/limpetwindow/limpetwindow_test.go
@@ -225,6 +225,56 @@
 	})
 }
 
+// Guards against windows that are reported late because a new director waited for
+// counts that it had already, and the store went down in that time.
+func TestNewDirectorWaitsForSavedCountersOnly(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// delay is the time from the start of the director until the second
+		// counter sends its counts again.
+		delay time.Duration
+		// reportedAfter is when the report is due at the latest.
+		reportedAfter time.Duration
+	}{
+		{"all counters sent theirs", 500 * time.Millisecond, 1500 * time.Millisecond},
+		{"one is late", 2800 * time.Millisecond, 4 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stub, endpoint := limpetstub.NewStore(), &usageEndpoint{}
+				window := limpetwindow.WindowAt(time.Now(), length)
+				end := limpetwindow.WindowEnd(window, length)
+				former := limpetwindow.NewReceivedCounts()
+				first := limpettask.New(context.Background())
+				first.Go(reporter(stub, endpoint, former).Run)
+				former.Merge("a", map[int64]limpetwindow.Counts{window: {"acme": 2}})
+				former.Merge("b", map[int64]limpetwindow.Counts{window: {"acme": 1}})
+				time.Sleep(time.Until(end.Add(3 * time.Second)))
+				if err := first.Stop(); err != nil {
+					t.Error(err)
+				}
+				fresh := limpetwindow.NewReceivedCounts()
+				next := reporter(stub, endpoint, fresh)
+				next.Fence = func(time.Duration) (uint64, bool) { return 9, true }
+				second := limpettask.New(context.Background())
+				second.Go(next.Run)
+				began := time.Now()
+				time.Sleep(500 * time.Millisecond)
+				fresh.Merge("a", map[int64]limpetwindow.Counts{window: {"acme": 2}})
+				time.Sleep(c.delay - 500*time.Millisecond)
+				fresh.Merge("b", map[int64]limpetwindow.Counts{window: {"acme": 4}})
+				time.Sleep(time.Until(began.Add(c.reportedAfter)))
+				if err := second.Stop(); err != nil {
+					t.Error(err)
+				}
+				Convey("the report has all counts and does not wait longer", t, func() {
+					So(endpoint.reportedFor(window), ShouldResemble, []limpetwindow.Counts{{"acme": 6}})
+				})
+			})
+		})
+	}
+}
+
 // Guards against counts of the new director's own VM that only its predecessor
 // had.
 func TestNewDirectorHasItsOwnCounts(t *testing.T) {
@@ -258,6 +308,34 @@
 	})
 }
 
+// Guards against counts that reach a new director only with the next regular
+// flush.
+func TestCountsAreSentAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sent atomic.Int32
+		c := limpetwindow.NewCounter(limpetstub.NewStore().Client(), "a", length, time.Now, limpetlog.Discard())
+		c.SendToDirector = func(context.Context, string, map[int64]limpetwindow.Counts) bool {
+			sent.Add(1)
+			return true
+		}
+		g := limpettask.New(context.Background())
+		g.Go(c.Run)
+		c.CountRequest("acme", time.Now())
+		time.Sleep(1100 * time.Millisecond)
+		before := sent.Load()
+		c.ResendAll()
+		time.Sleep(100 * time.Millisecond)
+		after := sent.Load()
+		if err := g.Stop(); err != nil {
+			t.Error(err)
+		}
+		Convey("a new director has them within 0.1 s", t, func() {
+			So(before, ShouldEqual, 1)
+			So(after, ShouldEqual, 2)
+		})
+	})
+}
+
 func TestCountsSurvivePowerLoss(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		stub, endpoint := limpetstub.NewStore(), &usageEndpoint{}
--- a/internal/limpetwindow/received.go
+++ b/internal/limpetwindow/received.go
@@ -18,17 +18,20 @@
 	// unsaved holds the windows whose counts changed since they were last
 	// saved.
 	unsaved map[int64]bool
+	// senders holds the counters that sent counts in this term.
+	senders map[string]bool
 }
 
 // NewReceivedCounts returns an empty set of counts.
 func NewReceivedCounts() *ReceivedCounts {
-	return &ReceivedCounts{windows: map[int64]map[string]Counts{}, unsaved: map[int64]bool{}}
+	return &ReceivedCounts{windows: map[int64]map[string]Counts{}, unsaved: map[int64]bool{}, senders: map[string]bool{}}
 }
 
 // Merge takes over the counts of a counter, which never decrease.
 func (r *ReceivedCounts) Merge(counter string, windows map[int64]Counts) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.senders[counter] = true
 	newest := int64(0)
 	for number, counts := range windows {
 		w := r.windows[number]
@@ -48,6 +51,25 @@
 	}
 }
 
+// beginTerm forgets which counters have sent counts.
+func (r *ReceivedCounts) beginTerm() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.senders)
+}
+
+// hasHeardAll reports whether all of the counters have sent counts in this term.
+func (r *ReceivedCounts) hasHeardAll(counters map[string]bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range counters {
+		if !r.senders[name] {
+			return false
+		}
+	}
+	return true
+}
+
 // countsFor returns a copy of a window's counts by counter.
 func (r *ReceivedCounts) countsFor(window int64) map[string]Counts {
 	r.mu.Lock()
--- a/internal/limpetwindow/reporter.go
+++ b/internal/limpetwindow/reporter.go
@@ -58,7 +58,8 @@
 	// valid when a report is sent.
 	minLeaseRemaining = 300 * time.Millisecond
 	// resendWait is how long a new director waits for VMs to send it again the
-	// counts that its predecessor held, unless a report would be late.
+	// counts that its predecessor held, unless a report would be late. It waits
+	// less if the counters are known and all of them have sent theirs.
 	resendWait = 3 * time.Second
 	// sendMargin is how long before its deadline a report must be sent.
 	sendMargin = 1500 * time.Millisecond
@@ -77,7 +78,9 @@
 	done := map[int64]bool{}
 	began := r.Now()
 	saved := began
+	r.ReceivedCounts.beginTerm()
 	r.ResendOwn()
+	var expected map[string]bool
 	for limpettask.Sleep(ctx, reportInterval) {
 		now := r.Now()
 		collectTime := time.Duration(collectFraction * float64(r.ReportDeadline))
@@ -86,9 +89,16 @@
 			saved = now
 			r.save(ctx, newest+1)
 		}
+		resent := now.Sub(began) >= resendWait
+		if !resent {
+			if expected == nil {
+				expected = r.savedCounters(ctx)
+			}
+			resent = len(expected) > 0 && r.ReceivedCounts.hasHeardAll(expected)
+		}
 		for window := newest - lookBackWindows; window <= newest; window++ {
 			age := now.Sub(WindowEnd(window, r.Length))
-			if done[window] || age > r.ReportDeadline+r.Length || (now.Sub(began) < resendWait && age < r.ReportDeadline-sendMargin) {
+			if done[window] || age > r.ReportDeadline+r.Length || (!resent && age < r.ReportDeadline-sendMargin) {
 				continue
 			}
 			if err := r.report(ctx, window); err != nil {
@@ -105,6 +115,34 @@
 	return nil
 }
 
+// savedCounters returns the names of the counters whose counts former directors
+// saved; nil if they cannot be read. A VM that died is among them, so that its
+// counts are waited for in vain.
+func (r *Reporter) savedCounters(ctx context.Context) map[string]bool {
+	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	l, err := r.Store.Scan(ctx, countPrefix, "")
+	if err != nil {
+		// It is tried again with the next round.
+		return nil
+	}
+	names := map[string]bool{}
+	for _, v := range l.Values {
+		if _, name, _ := strings.Cut(strings.TrimPrefix(v.Key, countPrefix), "/"); !strings.HasPrefix(name, directorKeyPrefix) {
+			continue
+		}
+		found, err := decodeReceived(v)
+		if err != nil {
+			r.Log.Emit(limpetlog.ValueIgnored, limpetlog.Value("key", v.Key), limpetlog.Error(err))
+			continue
+		}
+		for name := range found {
+			names[name] = true
+		}
+	}
+	return names
+}
+
 // save writes the received counts of windows from oldest on to the store,
 // which is the only copy left if all VMs lose power.
 func (r *Reporter) save(ctx context.Context, oldest int64) {
