--- a/internal/limpetrelay/limpetrelay_test.go
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -103,31 +103,31 @@
 	Convey("other VMs get values without a topic and those of relevant topics", t, func() {
 		mirror := limpetrelay.NewMirror("e", time.Now)
 		mirror.Apply(limpetrelay.Relevant(desk), changes("conf/", value("conf/1", 1)),
-			limpetrelay.Changes("servers/", append(ofTopic("desk", value("servers/d", 2)), ofTopic("llm", value("servers/e", 3))...)))
+			limpetrelay.Changes("f/", append(ofTopic("desk", value("f/d", 2)), ofTopic("llm", value("f/e", 3))...)))
 		f := &follower{}
 		f.apply(mirror.Since(ctx, "", 0, 0))
-		So(f.values, ShouldResemble, map[string]uint64{"conf/1": 1, "servers/d": 2})
+		So(f.values, ShouldResemble, map[string]uint64{"conf/1": 1, "f/d": 2})
 		Convey("changes of other topics wake nobody, and do not accumulate", func() {
-			mirror.Apply(limpetrelay.Changes("servers/", ofTopic("llm", value("servers/e", 4))))
-			mirror.Apply(limpetrelay.Changes("servers/", ofTopic("", limpetstore.Value{Key: "servers/e", Revision: 5, Deleted: true})))
+			mirror.Apply(limpetrelay.Changes("f/", ofTopic("llm", value("f/e", 4))))
+			mirror.Apply(limpetrelay.Changes("f/", ofTopic("", limpetstore.Value{Key: "f/e", Revision: 5, Deleted: true})))
 			u := mirror.Since(ctx, f.epoch, f.position, 0)
 			So(u.Full, ShouldBeFalse)
 			So(u.Changes, ShouldBeEmpty)
 			So(u.Position, ShouldEqual, f.position)
 		})
 		Convey("a value that moves to another topic is deleted, and one that moves here appears", func() {
-			mirror.Apply(limpetrelay.Changes("servers/", append(ofTopic("llm", value("servers/d", 6)), ofTopic("desk", value("servers/e", 7))...)))
+			mirror.Apply(limpetrelay.Changes("f/", append(ofTopic("llm", value("f/d", 6)), ofTopic("desk", value("f/e", 7))...)))
 			u := mirror.Since(ctx, f.epoch, f.position, 0)
 			So(u.Full, ShouldBeFalse)
 			f.apply(u)
-			So(f.values, ShouldResemble, map[string]uint64{"conf/1": 1, "servers/e": 7})
+			So(f.values, ShouldResemble, map[string]uint64{"conf/1": 1, "f/e": 7})
 		})
 		Convey("when another topic becomes relevant, its values come together with the change that caused it", func() {
 			mirror.Apply(limpetrelay.Relevant(map[string]bool{"desk": true, "llm": true}), changes("conf/", value("conf/1", 8)))
 			u := mirror.Since(ctx, f.epoch, f.position, 0)
 			So(u.Full, ShouldBeTrue)
 			f.apply(u)
-			So(f.values, ShouldResemble, map[string]uint64{"conf/1": 8, "servers/d": 2, "servers/e": 3})
+			So(f.values, ShouldResemble, map[string]uint64{"conf/1": 8, "f/d": 2, "f/e": 3})
 		})
 		Convey("topics without a value change nothing", func() {
 			mirror.Apply(limpetrelay.Relevant(map[string]bool{"desk": true, "new": true}))
@@ -140,7 +140,7 @@
 		first := mirror.Since(ctx, "", 0, 0)
 		start := time.Now()
 		time.AfterFunc(200*time.Millisecond, func() {
-			mirror.Apply(limpetrelay.Changes("servers/", ofTopic("llm", value("servers/e", 4))))
+			mirror.Apply(limpetrelay.Changes("f/", ofTopic("llm", value("f/e", 4))))
 		})
 		mirror.Since(ctx, first.Epoch, first.Position, time.Second)
 		Convey("a waiting VM is not woken by a change of another topic", t, func() { So(time.Since(start), ShouldEqual, time.Second) })
