limpetd: a suspect that is served is cleared on all VMs

Callers would see: a sound request under which one server ended is quarantined until an operator releases it when another server ends beside it within ten minutes. Change: a VM that gets a whole answer for a suspect tells all VMs to forget it. A quarantined request is still released by an operator only. Ruled out: a field of the report of a crash (VMs of the release before would take it for a crash); they answer the new call with an error, which is logged. Evidence: TestServedSuspectIsCleared, red before (still a suspect after 60 s).

--- a/internal/limpetcluster/failure_test.go
+++ b/internal/limpetcluster/failure_test.go
@@ -423,6 +423,30 @@
 	})
 }
 
+// Guards against a suspicion that outlives its reason: a request that was served
+// after one crash was quarantined by the next one beside it.
+func TestServedSuspectIsCleared(t *testing.T) {
+	s := newSystem(t, limpetcluster.Options{VMs: 2}, 3)
+	Convey("no VM suspects a request that another server ran", t, func() {
+		engine := s.Engines()[0]
+		engine.Lock()
+		engine.CrashOn = "sound"
+		engine.Unlock()
+		crashed := func() bool {
+			r, err := s.stream(0, "sound", 5)
+			So(err, ShouldBeNil)
+			So(r.Complete, ShouldBeTrue)
+			engine.Lock()
+			defer engine.Unlock()
+			return engine.Runs["sound"] > 0
+		}
+		So(limpetcluster.WaitUntil(s.ctx, "a crash", crashed), ShouldBeNil)
+		for _, n := range s.Nodes {
+			So(limpetcluster.WaitUntil(s.ctx, "no suspects", func() bool { return len(n.View().Quarantine.Suspects) == 0 }), ShouldBeNil)
+		}
+	})
+}
+
 // Guards against a quarantine of all requests of an account that have the same
 // body, such as an empty one, whatever they ask for.
 func TestQuarantineDependsOnTheTarget(t *testing.T) {
--- a/internal/limpetdispatch/call.go
+++ b/internal/limpetdispatch/call.go
@@ -232,6 +232,8 @@
 	response, err := d.plain.do(ctx, candidate.Address, c)
 	if err != nil {
 		d.ReportFailure(candidate.Server)
+	} else {
+		d.clear(c.Fingerprint)
 	}
 	if limpeterror.Is(err, limpeterror.Unknown) && refusesConnections(ctx, candidate.Address) {
 		d.blame(candidate, c.ID, c.Account.Name, c.Fingerprint)
--- a/internal/limpetdispatch/complete.go
+++ b/internal/limpetdispatch/complete.go
@@ -244,6 +244,8 @@
 	e.serverTime += d.Now().Sub(began)
 	if err != nil {
 		e.handleFailure(candidate, err)
+	} else if !c.Owed {
+		d.clear(c.Fingerprint)
 	}
 	d.endRequest(candidate.Server, c.Fingerprint)
 	return err
@@ -341,6 +343,13 @@
 	d.ReportCrash(fingerprint, account, candidate.ID)
 }
 
+// clear reports a request that was served, if it is a suspect.
+func (d *Dispatcher) clear(fingerprint uint64) {
+	if d.View().Quarantine.Suspects[fingerprint] {
+		d.ReportServed(fingerprint)
+	}
+}
+
 const probeTimeout = time.Second
 
 // crashed reports whether a server is unreachable or runs as another
--- a/internal/limpetdispatch/limpetdispatch.go
+++ b/internal/limpetdispatch/limpetdispatch.go
@@ -62,6 +62,8 @@
 	Claim func(ctx context.Context, r limpetclaim.Request) (limpetclaim.Entry, error)
 	// ReportCrash reports that a request is suspected of crashing a server.
 	ReportCrash func(fingerprint uint64, account, server string)
+	// ReportServed reports that a server ran a suspect and did not crash.
+	ReportServed func(fingerprint uint64)
 	// ReportFailure reports that an attempt on a server failed.
 	ReportFailure func(server *limpetroute.Server)
 	Tally         *limpetusage.Tally
--- a/internal/limpetdispatch/limpetdispatch_test.go
+++ b/internal/limpetdispatch/limpetdispatch_test.go
@@ -159,6 +159,11 @@
 			engines.crashes = append(engines.crashes, fingerprint)
 			state.Report(time.Now(), limpetquarantine.Crash{Fingerprint: fingerprint, Account: account, Server: server})
 		},
+		ReportServed: func(fingerprint uint64) {
+			engines.mu.Lock()
+			defer engines.mu.Unlock()
+			state.Release(fingerprint)
+		},
 		ReportFailure: func(*limpetroute.Server) {},
 		Tally:         limpetusage.NewTally("vm1", "vm1-1", time.Minute),
 		Metrics:       limpetmetric.New(), Log: limpetlog.Discard(), Now: time.Now,
--- a/internal/limpetnode/broadcast.go
+++ b/internal/limpetnode/broadcast.go
@@ -35,6 +35,19 @@
 	})
 }
 
+// reportServed clears a suspected request that was served, on this VM and in the
+// background on all others.
+func (n *Node) reportServed(fingerprint uint64) {
+	n.send(servedEvent(fingerprint))
+	n.group.Go(func(ctx context.Context) error {
+		n.broadcast(ctx, func(ctx context.Context, c limpetwire.PeerServiceClient) error {
+			_, err := c.ReportServed(ctx, connect.NewRequest(&limpetwire.ReportServedRequest{Fingerprint: fingerprint}))
+			return err
+		})
+		return nil
+	})
+}
+
 // sendCrashes tells a VM of crashes in the background.
 func (n *Node) sendCrashes(vm limpetmember.VM, crashes []limpetquarantine.Crash) {
 	n.group.Go(func(ctx context.Context) error {
--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -494,6 +494,18 @@
 	}
 }
 
+// A servedEvent reports that a suspected request was served. It does not release
+// quarantined ones, which only an operator does.
+type servedEvent uint64
+
+func (e servedEvent) apply(c *control, _ time.Time) {
+	fingerprint := uint64(e)
+	if c.quarantine.View().Suspects[fingerprint] {
+		c.quarantine.Release(fingerprint)
+		c.node.log.Emit(limpetlog.QuarantineReleased, limpetlog.Value("fingerprint", limpetquarantine.Name(fingerprint)), limpetlog.Value("cause", "the request was served"))
+	}
+}
+
 // A drainEvent makes the node unready before it shuts down.
 type drainEvent struct{}
 
--- a/internal/limpetnode/limpetnode.go
+++ b/internal/limpetnode/limpetnode.go
@@ -171,7 +171,7 @@
 	n.client = limpetpeer.New(n.keyPair.ClientConfig(), n.deps.Dial)
 	n.dispatcher = limpetdispatch.New(limpetdispatch.Dependencies{
 		View: n.View, Policy: n.deps.Policy, Engine: n.deps.Engine, Claim: n.claim,
-		ReportCrash: n.reportCrash, ReportFailure: n.reportFailure,
+		ReportCrash: n.reportCrash, ReportServed: n.reportServed, ReportFailure: n.reportFailure,
 		Tally: n.tally, Metrics: n.metrics, Log: n.log, Now: time.Now, NewID: newID,
 	}, n.settings.VM.Zone, n.settings.Limits, n.settings.Timing)
 	n.frontend = limpetcaller.New(limpetcaller.Dependencies{
--- a/internal/limpetnode/peers.go
+++ b/internal/limpetnode/peers.go
@@ -79,6 +79,11 @@
 	return connect.NewResponse(&limpetwire.ReportCrashResponse{}), nil
 }
 
+func (p *peerService) ReportServed(_ context.Context, q *connect.Request[limpetwire.ReportServedRequest]) (*connect.Response[limpetwire.ReportServedResponse], error) {
+	p.node.send(servedEvent(q.Msg.GetFingerprint()))
+	return connect.NewResponse(&limpetwire.ReportServedResponse{}), nil
+}
+
 func (p *peerService) Claim(ctx context.Context, q *connect.Request[limpetwire.ClaimRequest]) (*connect.Response[limpetwire.ClaimResponse], error) {
 	e, err := p.node.claims.Do(ctx, limpetpeer.DecodeClaim(q.Msg))
 	if err != nil {
--- a/internal/limpetwire/limpetwire.connect.go
+++ b/internal/limpetwire/limpetwire.connect.go
@@ -52,6 +52,9 @@
 	PeerServiceCollectProcedure = "/limpetmount.v1.PeerService/Collect"
 	// PeerServiceReportCrashProcedure is the fully-qualified name of the PeerService's ReportCrash RPC.
 	PeerServiceReportCrashProcedure = "/limpetmount.v1.PeerService/ReportCrash"
+	// PeerServiceReportServedProcedure is the fully-qualified name of the PeerService's ReportServed
+	// RPC.
+	PeerServiceReportServedProcedure = "/limpetmount.v1.PeerService/ReportServed"
 	// PeerServiceHoldUsageProcedure is the fully-qualified name of the PeerService's HoldUsage RPC.
 	PeerServiceHoldUsageProcedure = "/limpetmount.v1.PeerService/HoldUsage"
 	// OperatorServiceRunProcedure is the fully-qualified name of the OperatorService's Run RPC.
@@ -89,6 +92,9 @@
 	// ReportCrash reports that a request is suspected of having crashed a
 	// backend server.
 	ReportCrash(context.Context, *connect.Request[ReportCrashRequest]) (*connect.Response[ReportCrashResponse], error)
+	// ReportServed reports that a backend server ran a suspected request and did
+	// not crash.
+	ReportServed(context.Context, *connect.Request[ReportServedRequest]) (*connect.Response[ReportServedResponse], error)
 	// HoldUsage stores a replica of the sender's usage counts that are not yet in
 	// the store.
 	HoldUsage(context.Context, *connect.Request[HoldUsageRequest]) (*connect.Response[HoldUsageResponse], error)
@@ -147,6 +153,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("ReportCrash")),
 			connect.WithClientOptions(opts...),
 		),
+		reportServed: connect.NewClient[ReportServedRequest, ReportServedResponse](
+			httpClient,
+			baseURL+PeerServiceReportServedProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ReportServed")),
+			connect.WithClientOptions(opts...),
+		),
 		holdUsage: connect.NewClient[HoldUsageRequest, HoldUsageResponse](
 			httpClient,
 			baseURL+PeerServiceHoldUsageProcedure,
@@ -158,14 +170,15 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	heartbeat   *connect.Client[HeartbeatRequest, HeartbeatResponse]
-	pullConfig  *connect.Client[PullConfigRequest, PullConfigResponse]
-	suspendKey  *connect.Client[SuspendKeyRequest, SuspendKeyResponse]
-	claim       *connect.Client[ClaimRequest, ClaimResponse]
-	callJob     *connect.Client[CallJobRequest, CallJobResponse]
-	collect     *connect.Client[CollectRequest, CollectResponse]
-	reportCrash *connect.Client[ReportCrashRequest, ReportCrashResponse]
-	holdUsage   *connect.Client[HoldUsageRequest, HoldUsageResponse]
+	heartbeat    *connect.Client[HeartbeatRequest, HeartbeatResponse]
+	pullConfig   *connect.Client[PullConfigRequest, PullConfigResponse]
+	suspendKey   *connect.Client[SuspendKeyRequest, SuspendKeyResponse]
+	claim        *connect.Client[ClaimRequest, ClaimResponse]
+	callJob      *connect.Client[CallJobRequest, CallJobResponse]
+	collect      *connect.Client[CollectRequest, CollectResponse]
+	reportCrash  *connect.Client[ReportCrashRequest, ReportCrashResponse]
+	reportServed *connect.Client[ReportServedRequest, ReportServedResponse]
+	holdUsage    *connect.Client[HoldUsageRequest, HoldUsageResponse]
 }
 
 // Heartbeat calls limpetmount.v1.PeerService.Heartbeat.
@@ -203,6 +216,11 @@
 	return c.reportCrash.CallUnary(ctx, req)
 }
 
+// ReportServed calls limpetmount.v1.PeerService.ReportServed.
+func (c *peerServiceClient) ReportServed(ctx context.Context, req *connect.Request[ReportServedRequest]) (*connect.Response[ReportServedResponse], error) {
+	return c.reportServed.CallUnary(ctx, req)
+}
+
 // HoldUsage calls limpetmount.v1.PeerService.HoldUsage.
 func (c *peerServiceClient) HoldUsage(ctx context.Context, req *connect.Request[HoldUsageRequest]) (*connect.Response[HoldUsageResponse], error) {
 	return c.holdUsage.CallUnary(ctx, req)
@@ -229,6 +247,9 @@
 	// ReportCrash reports that a request is suspected of having crashed a
 	// backend server.
 	ReportCrash(context.Context, *connect.Request[ReportCrashRequest]) (*connect.Response[ReportCrashResponse], error)
+	// ReportServed reports that a backend server ran a suspected request and did
+	// not crash.
+	ReportServed(context.Context, *connect.Request[ReportServedRequest]) (*connect.Response[ReportServedResponse], error)
 	// HoldUsage stores a replica of the sender's usage counts that are not yet in
 	// the store.
 	HoldUsage(context.Context, *connect.Request[HoldUsageRequest]) (*connect.Response[HoldUsageResponse], error)
@@ -283,6 +304,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("ReportCrash")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceReportServedHandler := connect.NewUnaryHandler(
+		PeerServiceReportServedProcedure,
+		svc.ReportServed,
+		connect.WithSchema(peerServiceMethods.ByName("ReportServed")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceHoldUsageHandler := connect.NewUnaryHandler(
 		PeerServiceHoldUsageProcedure,
 		svc.HoldUsage,
@@ -305,6 +332,8 @@
 			peerServiceCollectHandler.ServeHTTP(w, r)
 		case PeerServiceReportCrashProcedure:
 			peerServiceReportCrashHandler.ServeHTTP(w, r)
+		case PeerServiceReportServedProcedure:
+			peerServiceReportServedHandler.ServeHTTP(w, r)
 		case PeerServiceHoldUsageProcedure:
 			peerServiceHoldUsageHandler.ServeHTTP(w, r)
 		default:
@@ -344,6 +373,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.PeerService.ReportCrash is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) ReportServed(context.Context, *connect.Request[ReportServedRequest]) (*connect.Response[ReportServedResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.PeerService.ReportServed is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) HoldUsage(context.Context, *connect.Request[HoldUsageRequest]) (*connect.Response[HoldUsageResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.PeerService.HoldUsage is not implemented"))
 }
