A sign of a changed state takes no duty and no lost store for granted

What operators would see: in a system of more than 17 VMs a duty that was given up stays without a holder until its former holder's new state has come round. Cause: in a sign made a known state younger, also one that had changed since. The same made a VM count as one without the store, on which depends whether keys are accepted. Evidence: TestSignOfAChangedState, red before.

--- a/internal/limpetmember/digest.go
+++ b/internal/limpetmember/digest.go
@@ -52,12 +52,17 @@
 	return s.Version + 1
 }
 
-// Refresh applies the signs of another VM to the states that are known.
+// Refresh applies the signs of another VM to the states that are known. Of a VM
+// whose state has changed since, neither its duties nor a lost store are taken
+// for granted until the state arrives.
 func (t *Table) Refresh(signs []Sign) {
 	byID := signsByID(signs)
 	for name, s := range t.states {
 		if sign, ok := byID[SignID(s.Incarnation)]; ok && sign.ReportedAt.After(s.ReportedAt) {
 			s.ReportedAt = sign.ReportedAt
+			if sign.Version > s.Version {
+				s.Duties, s.StoreDown = nil, false
+			}
 			t.states[name] = s
 		}
 	}
--- a/internal/limpetmember/gossip_test.go
+++ b/internal/limpetmember/gossip_test.go
@@ -116,6 +116,38 @@
 	return wrong
 }
 
+// Guards against a VM that is taken for the holder of a duty that it gave up, or
+// for one without the store, for as long as signs show it alive.
+func TestSignOfAChangedState(t *testing.T) {
+	now := time.Now()
+	table := limpetmember.New(limpetmember.VM{Name: "vm0", Zone: "a"})
+	old := state("vm1", "a", now)
+	old.Version, old.Duties, old.StoreDown = 1, []string{"orders"}, true
+	table.Merge(now, old)
+	known := func() limpetmember.State { return table.Known()[0] }
+	sign := limpetmember.Sign{ID: limpetmember.SignID(old.Incarnation), Version: 1, ReportedAt: now.Add(time.Second)}
+	Convey("a sign of the known version leaves the state as it is", t, func() {
+		table.Refresh([]limpetmember.Sign{sign})
+		So(known().ReportedAt, ShouldEqual, sign.ReportedAt)
+		So(known().Duties, ShouldResemble, old.Duties)
+		So(known().StoreDown, ShouldBeTrue)
+	})
+	Convey("after one of a newer version its duties are unknown, and it counts as one that reaches the store", t, func() {
+		sign.Version, sign.ReportedAt = 2, now.Add(2*time.Second)
+		table.Refresh([]limpetmember.Sign{sign})
+		So(known().ReportedAt, ShouldEqual, sign.ReportedAt)
+		So(known().Duties, ShouldBeEmpty)
+		So(known().StoreDown, ShouldBeFalse)
+	})
+	Convey("the newer state counts, although the report that it came with is older than the sign", t, func() {
+		next := state("vm1", "a", now.Add(1500*time.Millisecond))
+		next.Version, next.Duties = 2, []string{"usage"}
+		table.Merge(now, next)
+		So(known().ReportedAt, ShouldEqual, sign.ReportedAt)
+		So(known().Duties, ShouldResemble, next.Duties)
+	})
+}
+
 // Guards against VMs of a large system that take each other for down although all
 // are up.
 func TestLargeSystemStaysLive(t *testing.T) {
