Failed reward calls of an item outlive the director that counted them

What servers would see: a reward call that fails is made again as often as allowed by each new director. Cause: as with answers of 500: the count was kept in memory only. Evidence: TestTakeover, red before (not errored after 3 failures under 3 directors).

--- a/internal/limpetbatch/draft.go
+++ b/internal/limpetbatch/draft.go
@@ -33,13 +33,13 @@
 			continue
 		}
 		for _, e := range j.entries {
-			if e.phase < settled && (e.text.lastEvent >= minDraftEvents || e.failures > 0) {
+			if e.phase < settled && (e.text.lastEvent >= minDraftEvents || e.failures+e.rewardFailures > 0) {
 				found = append(found, e)
 			}
 		}
 	}
 	slices.SortFunc(found, func(a, b *Entry) int {
-		return cmp.Or(cmp.Compare(b.failures, a.failures), cmp.Compare(b.text.lastEvent, a.text.lastEvent), cmp.Compare(a.Item.ID, b.Item.ID))
+		return cmp.Or(cmp.Compare(b.failures+b.rewardFailures, a.failures+a.rewardFailures), cmp.Compare(b.text.lastEvent, a.text.lastEvent), cmp.Compare(a.Item.ID, b.Item.ID))
 	})
 	var sets []DraftSet
 	at := map[*Job]int{}
@@ -71,7 +71,7 @@
 		if e == nil {
 			continue
 		}
-		e.failures = max(e.failures, d.Failures)
+		e.failures, e.rewardFailures = max(e.failures, d.Failures), max(e.rewardFailures, d.RewardFailures)
 		if e.phase != waiting || e.text.lastEvent >= d.LastEvent || !j.canUse(d) {
 			continue
 		}
@@ -88,7 +88,7 @@
 	return limpetjob.Draft{
 		Item: e.Item.ID, Pieces: slices.Clone(e.text.pieces), LastEvent: e.text.lastEvent,
 		Versions: slices.Clone(e.text.versions), Version: e.text.version, Complete: e.text.complete,
-		Failures: e.failures,
+		Failures: e.failures, RewardFailures: e.rewardFailures,
 	}
 }
 
--- a/internal/limpetbatch/limpetbatch_test.go
+++ b/internal/limpetbatch/limpetbatch_test.go
@@ -281,6 +281,28 @@
 			So(drafts, ShouldResemble, []limpetjob.Draft{{Item: "j-g0-0", Failures: director + 1}})
 		}
 	})
+	Convey("failed reward calls are kept with the drafts", t, func() {
+		// Guards against an item whose reward call each new director makes anew as
+		// often as it may fail.
+		const allowed = 3
+		var drafts []limpetjob.Draft
+		for director := range allowed {
+			s := scheduler(v)
+			spec := job("j", 1, []int{1})
+			spec.Items[0].Scorer = &limpetjob.Scorer{}
+			j := s.AddJob(spec, rules, nil, epoch)
+			s.Resume(j, drafts, epoch)
+			if starts := s.Dispatch(v, epoch); len(starts) > 0 {
+				finish(s, starts[0], 2, 3, epoch)
+			}
+			calls := s.StartRewardCalls(epoch)
+			So(len(calls), ShouldEqual, 1)
+			So(s.HandleScore(calls[0].Entry, "", 1, allowed, epoch), ShouldEqual, director == allowed-1)
+			if sets := s.Drafts(8); len(sets) > 0 {
+				drafts = sets[0].Drafts
+			}
+		}
+	})
 	Convey("results that another VM committed detach the runs of their items", t, func() {
 		s := scheduler(v)
 		j := s.AddJob(job("j", 1, []int{1}), rules, nil, epoch)
--- a/internal/limpetbatch/reward.go
+++ b/internal/limpetbatch/reward.go
@@ -45,6 +45,7 @@
 		return false
 	}
 	e.rewardFailures += failures
+	e.Job.draftsDirty = true
 	if e.rewardFailures >= max(allowed, 1) {
 		s.settle(e, errored)
 		return true
--- a/internal/limpetjob/draft.go
+++ b/internal/limpetjob/draft.go
@@ -29,6 +29,8 @@
 	Complete bool  `json:"whole,omitempty"`
 	// Failures is the number of responses with status 500 to the item's runs.
 	Failures int `json:"failures,omitempty"`
+	// RewardFailures is the number of its reward calls that failed.
+	RewardFailures int `json:"reward_failures,omitempty"`
 }
 
 // EncodeDrafts returns the stored form of a job's drafts.
--- a/internal/limpetwindow/reporter.go
+++ b/internal/limpetwindow/reporter.go
@@ -124,6 +124,7 @@
 	l, err := r.Store.Scan(ctx, countPrefix, "")
 	if err != nil {
 		// It is tried again with the next round.
+		r.Log.Emit(limpetlog.WindowReportFailed, limpetlog.Value("prefix", countPrefix), limpetlog.Error(err))
 		return nil
 	}
 	names := map[string]bool{}
