TestServedSuspectIsCleared does not depend on which engine is chosen

Cause: the test let one of three engines crash and waited until a request came there; a prompt goes to the engine that has it cached, which may be another one for good. Change: one engine, which crashes under the request, is suspected on both VMs, and runs it then. As strict: the suspicion itself is checked now, too. Evidence: 8 of 8 with -race; red (1 suspect for 60 s) without the clearing.

--- a/internal/limpetcluster/failure_test.go
+++ b/internal/limpetcluster/failure_test.go
@@ -426,24 +426,27 @@
 // Guards against a suspicion that outlives its reason: a request that was served
 // after one crash was quarantined by the next one beside it.
 func TestServedSuspectIsCleared(t *testing.T) {
-	s := newSystem(t, limpetcluster.Options{VMs: 2}, 3)
-	Convey("no VM suspects a request that another server ran", t, func() {
+	s := newSystem(t, limpetcluster.Options{VMs: 2}, 1)
+	Convey("no VM suspects a request any more that a server ran", t, func() {
 		engine := s.Engines()[0]
-		engine.Lock()
-		engine.CrashOn = "sound"
-		engine.Unlock()
-		crashed := func() bool {
-			r, err := s.stream(0, "sound", 5)
-			So(err, ShouldBeNil)
-			So(r.Complete, ShouldBeTrue)
+		setCrashOn := func(text string) {
 			engine.Lock()
-			defer engine.Unlock()
-			return engine.Runs["sound"] > 0
+			engine.CrashOn = text
+			engine.Unlock()
 		}
-		So(limpetcluster.WaitUntil(s.ctx, "a crash", crashed), ShouldBeNil)
-		for _, n := range s.Nodes {
-			So(limpetcluster.WaitUntil(s.ctx, "no suspects", func() bool { return len(n.View().Quarantine.Suspects) == 0 }), ShouldBeNil)
+		waitForSuspects := func(count int) {
+			for _, n := range s.Nodes {
+				So(limpetcluster.WaitUntil(s.ctx, fmt.Sprint(count, " suspects"), func() bool { return len(n.View().Quarantine.Suspects) == count }), ShouldBeNil)
+			}
 		}
+		setCrashOn("sound")
+		r, err := s.stream(0, "sound", 5)
+		So(err, ShouldBeNil)
+		So(r.Complete, ShouldBeFalse)
+		waitForSuspects(1)
+		setCrashOn("")
+		So(limpetcluster.WaitUntil(s.ctx, "an answer", func() bool { r, err := s.stream(0, "sound", 5); return err == nil && r.Complete }), ShouldBeNil)
+		waitForSuspects(0)
 	})
 }
 
