--- a/internal/limpethost/crash_test.go
+++ b/internal/limpethost/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -39,16 +40,28 @@
 	maxLaterRetries = 3
 )
 
-// A crashFleet is a service whose servers crash when they begin to run a
-// request with crashBody. A crashed server ends all its requests, refuses
-// connections, and registers again as another incarnation.
+// A crashFleet is a service whose servers crash when they run a request with
+// crashBody. A crashed server ends all its requests, refuses connections, and
+// registers again as another incarnation at its address. The fields up to newIDs
+// may be set before the first request.
 type crashFleet struct {
 	store limpetstore.Store
+	// queue returns how long a request waits before a server begins to run it;
+	// nil if it does not wait.
+	queue func() time.Duration
+	// crashDelay is the time from the start of a run until its server crashes.
+	crashDelay time.Duration
+	// answersAtDeadline is set if a server gives up a request shortly before
+	// the deadline that it was sent, and says so.
+	answersAtDeadline bool
+	restartTime       time.Duration
+	// newIDs is set if each start of a server has an ID of its own.
+	newIDs bool
 
 	mu           sync.Mutex
 	incarnations map[string]int64
-	// down is closed when the server's current incarnation crashes; nil while
-	// it is down.
+	// down is closed when the server at an address crashes; nil while none runs
+	// there.
 	down map[string]chan struct{}
 	// crashes holds the times at which a request with crashBody crashed a
 	// server, and reached its repetitions that reached one, by ID.
@@ -59,22 +72,39 @@
 
 func newCrashFleet(t *testing.T, store *limpetstub.Store, servers int) *crashFleet {
 	t.Helper()
-	f := &crashFleet{store: store.Client(), incarnations: map[string]int64{}, down: map[string]chan struct{}{}, reached: map[string]time.Time{}}
+	f := &crashFleet{
+		store: store.Client(), restartTime: restartTime, incarnations: map[string]int64{}, down: map[string]chan struct{}{}, reached: map[string]time.Time{},
+	}
 	for n := range servers {
 		f.register(t, fmt.Sprintf("s%d", n))
 	}
 	return f
 }
 
-func (f *crashFleet) register(t *testing.T, id string) {
+// id returns the ID of the server that started last at an address.
+func (f *crashFleet) id(address string) string {
+	if f.newIDs && f.incarnations[address] > 1 {
+		return fmt.Sprintf("%s-%d", address, f.incarnations[address])
+	}
+	return address
+}
+
+// register starts a server at an address.
+func (f *crashFleet) register(t *testing.T, address string) {
 	t.Helper()
 	f.mu.Lock()
-	f.incarnations[id]++
-	f.down[id] = make(chan struct{})
-	data, err := json.Marshal(limpetsite.Server{ID: id, Service: "desk", Address: id, Zone: "a", Slots: 6, Incarnation: f.incarnations[id]})
+	earlier := f.id(address)
+	f.incarnations[address]++
+	f.down[address] = make(chan struct{})
+	id := f.id(address)
+	data, err := json.Marshal(limpetsite.Server{ID: id, Service: "desk", Address: address, Zone: "a", Slots: 6, Incarnation: f.incarnations[address]})
 	f.mu.Unlock()
+	change := limpetstore.Transaction{Writes: []limpetstore.Write{{Key: serverPrefix + id, Data: data}}}
+	if earlier != id {
+		change.Deletes = []string{serverPrefix + earlier}
+	}
 	if err == nil {
-		_, err = f.store.Commit(context.Background(), limpetstore.Transaction{Writes: []limpetstore.Write{{Key: serverPrefix + id, Data: data}}})
+		_, err = f.store.Commit(context.Background(), change)
 	}
 	if err != nil {
 		t.Error(err)
@@ -93,25 +123,61 @@
 	}}
 }
 
+// deadlineMargin is how long before the deadline that it was sent a server gives
+// up a request, if it answers then at all.
+const deadlineMargin = 5 * time.Millisecond
+
 // send is the Send of a client of the fleet.
 func (f *crashFleet) send(ctx context.Context, t *testing.T, c limpetupstream.Call) (*limpetupstream.Reply, error) {
 	f.mu.Lock()
-	crashed := f.down[c.Server.ID]
+	crashed, current := f.down[c.Server.Address], f.id(c.Server.Address) == c.Server.ID
 	f.mu.Unlock()
-	if crashed == nil {
+	switch {
+	case crashed == nil:
 		return nil, limpeterror.Unavailable.New("connection refused")
+	case !current:
+		return &limpetupstream.Reply{Status: http.StatusMisdirectedRequest, NotRun: true, Misdirected: true, Close: func() {}}, nil
+	}
+	crashing := string(c.Body) == crashBody && !f.isCalm()
+	if crashing {
+		f.recordReached(c.ID)
 	}
-	if string(c.Body) == crashBody && !f.isCalm() {
-		f.crash(t, c.Server.ID, c.ID)
+	deadline := (<-chan time.Time)(nil)
+	if f.answersAtDeadline {
+		deadline = time.After(c.Remaining - deadlineMargin)
+	}
+	reply := func(status int, notRun bool) (*limpetupstream.Reply, error) {
+		return &limpetupstream.Reply{Status: status, NotRun: notRun, Signature: "s", Close: func() {}}, nil
+	}
+	if f.queue != nil {
+		select {
+		case <-time.After(f.queue()):
+		case <-deadline:
+			return reply(http.StatusServiceUnavailable, true)
+		case <-crashed:
+			return nil, limpeterror.Disconnected.New("connection reset")
+		case <-ctx.Done():
+			return nil, limpeterror.Silent.New("given up")
+		}
+	}
+	work := runTime
+	if crashing {
+		work = f.crashDelay
 	}
 	select {
+	case <-time.After(work):
+	case <-deadline:
+		return reply(http.StatusGatewayTimeout, false)
 	case <-crashed:
 		return nil, limpeterror.Disconnected.New("connection reset")
 	case <-ctx.Done():
 		return nil, limpeterror.Silent.New("given up")
-	case <-time.After(runTime):
-		return &limpetupstream.Reply{Status: http.StatusOK, Signature: "s", Close: func() {}}, nil
 	}
+	if crashing {
+		f.crash(t, c.Server.Address)
+		return nil, limpeterror.Disconnected.New("connection reset")
+	}
+	return reply(http.StatusOK, false)
 }
 
 // setCalm lets servers run requests with crashBody like any other.
@@ -131,24 +197,32 @@
 func (f *crashFleet) check(_ context.Context, s *limpetsite.Server, _ string) limpetupstream.Condition {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down[s.ID] == nil || f.incarnations[s.ID] != s.Incarnation {
+	if f.down[s.Address] == nil || f.incarnations[s.Address] != s.Incarnation {
 		return limpetupstream.Ended
 	}
 	return limpetupstream.Alive
 }
 
-// crash ends a server because of a request, and starts it again later.
-func (f *crashFleet) crash(t *testing.T, id, request string) {
+// recordReached records that a repetition of the crashing request reached a
+// server.
+func (f *crashFleet) recordReached(request string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reached[request] = time.Now()
-	if f.down[id] == nil {
+}
+
+// crash ends the server at an address because of a request, and starts another
+// one there later.
+func (f *crashFleet) crash(t *testing.T, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down[address] == nil {
 		return
 	}
 	f.crashes = append(f.crashes, time.Now())
-	close(f.down[id])
-	f.down[id] = nil
-	time.AfterFunc(restartTime, func() { f.register(t, id) })
+	close(f.down[address])
+	f.down[address] = nil
+	time.AfterFunc(f.restartTime, func() { f.register(t, address) })
 }
 
 // laterRetries counts the repetitions that reached a server later than
@@ -279,3 +353,63 @@
 		})
 	})
 }
+
+// deskRequest is a request whose caller waits for a short time only.
+func deskRequest(id, body string) *limpetforward.Request {
+	r := plainRequest(id, body)
+	r.Target, r.Path, r.Timeout = "/desk/x", "/desk/x", 325*time.Millisecond
+	return r
+}
+
+// Guards against incident 24: a server's 500 or 504 cleared, on all VMs, a
+// request that crashes servers, although it says nothing of what the server
+// would have done next.
+func TestServersThatGiveUpDoNotClearACrashingRequest(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		maxQueue time.Duration
+		delay    time.Duration
+		duration time.Duration
+	}{
+		{"as reported", 330 * time.Millisecond, 58 * time.Millisecond, time.Minute},
+		{"for several trials", 330 * time.Millisecond, 58 * time.Millisecond, 9 * time.Minute},
+		{"slow crashes", 330 * time.Millisecond, 150 * time.Millisecond, time.Minute},
+		{"slow crashes, for several trials", 330 * time.Millisecond, 150 * time.Millisecond, 9 * time.Minute},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					// The load of the report: the request waits in queues of servers, crashes
+					// them some time after its start, and is repeated at any VM.
+					between := newUniform(seed)
+					store := limpetstub.NewStore()
+					fleet := newCrashFleet(t, store, 7)
+					fleet.queue = func() time.Duration { return between(0, c.maxQueue) }
+					fleet.crashDelay, fleet.answersAtDeadline, fleet.restartTime, fleet.newIDs = c.delay, true, 2*time.Second, true
+					vms := fleet.startVMs(t, store, 6)
+					for n, began := 0, time.Now(); time.Since(began) < c.duration; n++ {
+						vms[n%len(vms)].Forwarder.Forward(context.Background(), deskRequest(fmt.Sprintf("r%d", n), crashBody))
+						time.Sleep(between(100*time.Millisecond, 400*time.Millisecond))
+					}
+					t.Log("servers crashed", len(fleet.crashes), "repetitions reached a server", len(fleet.reached), "of them later", fleet.laterRetries())
+					check(t, len(fleet.crashes), convey.ShouldBeGreaterThanOrEqualTo, crashLimit)
+					check(t, fleet.laterRetries(), convey.ShouldBeLessThanOrEqualTo, maxLaterRetries)
+					for _, h := range vms {
+						stopHost(t, h)
+					}
+				})
+			})
+		}
+	}
+}
+
+// newUniform returns a seeded function that draws a duration between two bounds.
+func newUniform(seed uint64) func(least, most time.Duration) time.Duration {
+	random := rand.New(rand.NewPCG(seed, 24))
+	var mu sync.Mutex
+	return func(least, most time.Duration) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return least + time.Duration(random.Int64N(int64(most-least)))
+	}
+}
--- a/internal/limpethost/limpethost_test.go
+++ b/internal/limpethost/limpethost_test.go
@@ -40,6 +40,7 @@
 		Routes: []limpetsite.Route{
 			{Host: "h", Prefix: "/jobs/", Kind: limpetsite.Rollout, Targets: []limpetsite.Target{{Service: "llm", Weight: 1}}},
 			{Host: "h", Prefix: "/plain/", Kind: limpetsite.Idempotent, Targets: []limpetsite.Target{{Service: "desk", Weight: 1}}},
+			{Host: "h", Prefix: "/desk/", Kind: limpetsite.Idempotent, Targets: []limpetsite.Target{{Service: "desk", Weight: 1}}, LatencyGoal: 150 * time.Millisecond},
 		},
 		Accounts: []limpetsite.Account{
 			{Name: "acme", Keys: [][32]byte{limpetsite.HashKey("good")}}, {Name: "other", Keys: [][32]byte{limpetsite.HashKey("theirs")}},
