Log which answer released a crashing request

Event 1307 told that "the request was served", but not by which answer, so that a false release could not be told from a true one. It names request, server, status and the number of crashes forgotten now.

--- a/internal/limpetcrash/limpetcrash.go
+++ b/internal/limpetcrash/limpetcrash.go
@@ -157,11 +157,20 @@
 	return done
 }
 
+// A Proof is a server's answer that shows that a request does not crash servers.
+type Proof struct {
+	Fingerprint uint64
+	// Request is the ID of the attempt, Server that of the server that answered
+	// it, and Status its answer's status.
+	Request, Server string
+	Status          int
+}
+
 // Served records that a server answered a request and did not crash, which
 // clears the request.
-func (b *Book) Served(fingerprint uint64) {
+func (b *Book) Served(p Proof) {
 	if !b.Empty() {
-		b.post(served(fingerprint))
+		b.post(served(p))
 	}
 }
 
@@ -227,24 +236,26 @@
 	b.view.Store(&v)
 }
 
-// served is the fingerprint of a request that was served.
-type served uint64
+// served tells that a request was served.
+type served Proof
 
 func (m served) apply(b *Book) {
-	fingerprint := uint64(m)
-	b.closeCases(fingerprint)
-	if b.state.Has(fingerprint) {
-		b.clear(fingerprint, true, "the request was served")
+	b.closeCases(m.Fingerprint)
+	if b.state.Has(m.Fingerprint) {
+		b.clear(m.Fingerprint, true, "the request was served", limpetlog.Request(m.Request), limpetlog.Server(m.Server), limpetlog.Value("status", m.Status))
 	}
 }
 
 // clear forgets a request and withdraws its records from the store, at once or
-// with the next write.
-func (b *Book) clear(fingerprint uint64, atOnce bool, cause string) {
+// with the next write. The fields are those of the log line that depend on the
+// cause.
+func (b *Book) clear(fingerprint uint64, atOnce bool, cause string, fields ...limpetlog.Field) {
+	crashes := b.state.Crashes(fingerprint)
 	b.state.Release(fingerprint)
 	b.shared.withdraw(fingerprint, atOnce)
 	b.publish()
-	b.Log.Emit(limpetlog.QuarantineReleased, limpetlog.Value("fingerprint", limpetquarantine.Name(fingerprint)), limpetlog.Value("cause", cause))
+	b.Log.Emit(limpetlog.QuarantineReleased, append(fields, limpetlog.Value("fingerprint", limpetquarantine.Name(fingerprint)),
+		limpetlog.Value("crashes", crashes), limpetlog.Value("cause", cause))...)
 }
 
 // expireInterval is the time between searches for records that have expired.
--- a/internal/limpetcrash/limpetcrash_test.go
+++ b/internal/limpetcrash/limpetcrash_test.go
@@ -310,7 +310,7 @@
 	inBubble(t, 2, func(e *env) {
 		Convey("a request that is served right after a crash leaves no record", t, func() {
 			e.suspect(e.books[0], 7, "s0")
-			e.books[0].Served(7)
+			e.books[0].Served(limpetcrash.Proof{Fingerprint: 7})
 			time.Sleep(settleTime)
 			So(e.verdicts(7), ShouldResemble, []limpetcrash.Verdict{clear, clear})
 			writes, _ := e.store.Calls()
@@ -322,7 +322,7 @@
 			}
 			time.Sleep(settleTime)
 			So(e.verdicts(8), ShouldResemble, []limpetcrash.Verdict{quarantined, quarantined})
-			e.books[1].Served(8)
+			e.books[1].Served(limpetcrash.Proof{Fingerprint: 8})
 			time.Sleep(settleTime)
 			So(e.verdicts(8), ShouldResemble, []limpetcrash.Verdict{clear, clear})
 			So(e.stored(t), ShouldBeEmpty)
@@ -330,7 +330,7 @@
 		Convey("a request that is served while it is asked whether its server crashed is not suspected", t, func() {
 			decided := e.books[0].Suspect(suspicion(9, "s6"))
 			time.Sleep(time.Millisecond)
-			e.books[0].Served(9)
+			e.books[0].Served(limpetcrash.Proof{Fingerprint: 9})
 			<-decided
 			e.setCondition(limpetupstream.Ended, "s6")
 			time.Sleep(10 * time.Second)
@@ -425,7 +425,7 @@
 		})
 		Convey("a trial that is served clears the request everywhere, its trials included", t, func() {
 			time.Sleep(settleTime)
-			e.books[0].Served(7)
+			e.books[0].Served(limpetcrash.Proof{Fingerprint: 7})
 			time.Sleep(settleTime)
 			So(e.verdicts(7), ShouldResemble, []limpetcrash.Verdict{clear, clear, clear, clear})
 			So(e.stored(t), ShouldBeEmpty)
@@ -542,7 +542,7 @@
 		So(b.Empty(), ShouldBeTrue)
 		v, _ := b.Verdict(1)
 		So(v, ShouldEqual, clear)
-		b.Served(1)
+		b.Served(limpetcrash.Proof{Fingerprint: 1})
 		<-b.Suspect(suspicion(1, "s0"))
 	})
 }
--- a/internal/limpetforward/crash.go
+++ b/internal/limpetforward/crash.go
@@ -71,9 +71,9 @@
 }
 
 // recordServed records that a server ran the request and did not crash.
-func (d *dispatch) recordServed() {
+func (d *dispatch) recordServed(server *limpetsite.Server, status int) {
 	if !d.crashes.Empty() {
-		d.crashes.Served(d.fingerprint())
+		d.crashes.Served(limpetcrash.Proof{Fingerprint: d.fingerprint(), Request: d.request.ID, Server: server.ID, Status: status})
 	}
 }
 
--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -269,7 +269,7 @@
 	}
 	d.countUsage(r, now)
 	if r.reply.Status >= http.StatusInternalServerError {
-		d.recordServed()
+		d.recordServed(r.server, r.reply.Status)
 		f.Tracker.Done(r.server.ID, limpetbalancer.Failed, r.took, r.reply.Load, now)
 		d.keepFailure(r.reply)
 		if r.reply.Status == http.StatusInternalServerError {
@@ -280,7 +280,7 @@
 	f.Tracker.Done(r.server.ID, limpetbalancer.Answered, r.took, r.reply.Load, now)
 	d.server = r.server
 	if r.reply.Events == nil {
-		d.recordServed()
+		d.recordServed(r.server, r.reply.Status)
 	}
 	return r.reply, false
 }
--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -24,7 +24,7 @@
 				return event, nil
 			}
 			if errors.Is(err, io.EOF) {
-				d.recordServed()
+				d.recordServed(d.server, first.Status)
 				return event, err
 			}
 			current.Close()
