limpetd: a server's failure does not clear a plain call that crashes servers

What callers saw: a call that crashes servers of a plain service went on to do so when one of them, or a sick one, answered it with 500 or more in between. Cause: Dispatcher.callOnce cleared the suspicion after any complete response. Change: only a status that proves that the request ran to its end clears it, as on a prepared platform.

--- a/internal/limpetdispatch/call.go
+++ b/internal/limpetdispatch/call.go
@@ -21,6 +21,7 @@
 	"limpetmount.org/internal/limpetretry"
 	"limpetmount.org/internal/limpetroute"
 	"limpetmount.org/internal/limpettask"
+	"limpetmount.org/internal/limpetupstream"
 	"limpetmount.org/internal/limpetusage"
 )
 
@@ -230,9 +231,10 @@
 	d.startRequest(candidate.Server, c.Fingerprint, c.Account.Name)
 	defer d.endRequest(candidate.Server, c.Fingerprint)
 	response, err := d.plain.do(ctx, candidate.Address, c)
-	if err != nil {
+	switch {
+	case err != nil:
 		d.ReportFailure(candidate.Server)
-	} else {
+	case limpetupstream.StatusProvesRun(response.Status):
 		d.clear(c.Fingerprint)
 	}
 	if limpeterror.Is(err, limpeterror.Unknown) && refusesConnections(ctx, candidate.Address) {
--- a/internal/limpetdispatch/limpetdispatch_test.go
+++ b/internal/limpetdispatch/limpetdispatch_test.go
@@ -437,6 +437,9 @@
 	listener net.Listener
 	next     http.Handler
 	ended    *atomic.Int64
+	// givesUp is set while servers answer such requests with 504 before they
+	// end.
+	givesUp *atomic.Bool
 }
 
 const crashBody = "crash"
@@ -446,6 +449,10 @@
 	if err != nil {
 		return
 	}
+	if string(body) == crashBody && c.givesUp.Load() {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
 	if string(body) == crashBody {
 		c.ended.Add(1)
 		_ = c.listener.Close()
@@ -456,19 +463,20 @@
 }
 
 // replaceServers replaces the servers of the plain service by some that crash.
-// It returns the number of those that did.
-func (env *plainEnv) replaceServers(t *testing.T, n int) (ended *atomic.Int64) {
-	ended = &atomic.Int64{}
+// It returns the number of those that did, and whether they give crashing
+// requests up.
+func (env *plainEnv) replaceServers(t *testing.T, n int) (ended *atomic.Int64, givesUp *atomic.Bool) {
+	ended, givesUp = &atomic.Int64{}, &atomic.Bool{}
 	env.view.Servers["records"] = nil
 	for i := range n {
-		c := &crashingServer{next: env.service, ended: ended}
+		c := &crashingServer{next: env.service, ended: ended, givesUp: givesUp}
 		h := httptest.NewServer(c)
 		t.Cleanup(h.Close)
 		c.listener = h.Listener
 		s := limpetroute.NewServer(limpetorder.Server{ID: fmt.Sprintf("c%d", i), Service: "records", Zone: "a", Address: h.Listener.Addr().String()})
 		env.view.Servers["records"] = append(env.view.Servers["records"], limpetroute.Candidate{Server: s, Capacity: 8})
 	}
-	return ended
+	return ended, givesUp
 }
 
 // Guards against incident 21: plain calls were checked for quarantine, but their
@@ -478,7 +486,7 @@
 		t.Run(name, func(t *testing.T) {
 			Convey("a plain call that crashed two servers is refused, others are served: "+name, t, func() {
 				env := newPlainEnv(t)
-				ended := env.replaceServers(t, 4)
+				ended, _ := env.replaceServers(t, 4)
 				var err error
 				for range 5 {
 					_, err = env.call(http.MethodPost, "", crashBody, idempotent)
@@ -492,6 +500,21 @@
 	}
 }
 
+// Guards against incident 24 at limpetd: a server's 504 cleared a call that had
+// crashed another server.
+func TestServerErrorsDoNotClearPlainCalls(t *testing.T) {
+	Convey("a plain call that crashed two servers is refused, although a third one gave it up in between", t, func() {
+		env := newPlainEnv(t)
+		ended, givesUp := env.replaceServers(t, 4)
+		for _, given := range []bool{false, true, false, false} {
+			givesUp.Store(given)
+			response, _ := env.call(http.MethodPost, "", crashBody, false)
+			So(response.Status == http.StatusGatewayTimeout, ShouldEqual, given)
+		}
+		So(ended.Load(), ShouldEqual, 2)
+	})
+}
+
 func TestIdempotencyKeyReuse(t *testing.T) {
 	Convey("a resent request gets the recorded response", t, func() {
 		env := newPlainEnv(t)
