A server that starts at an address shows that the earlier one has ended

A crash that no check of the server happened to notice was found by a later incarnation of the same ID only, which such servers never have; the case was given up as undetermined after 6 s. Class: knowledge is sought at one name of a thing that has several. Change: limpetsite keeps the server that started last at each address, and a case is confirmed if another one started there later than the server it is about. Test: TestCrashesThatAreNoticedLate, "another server registers at its address", was red; an older entry at the same address confirms nothing.

--- a/internal/limpetcrash/cases.go
+++ b/internal/limpetcrash/cases.go
@@ -104,7 +104,10 @@
 )
 
 func (b *Book) observe(s *limpetsite.Server) observation {
-	switch now := b.View().Server(s.ID); {
+	view := b.View()
+	switch now := view.Server(s.ID); {
+	case view.Successor(s) != nil:
+		return restarted
 	case now == nil:
 		return missing
 	case now.Incarnation != s.Incarnation:
--- a/internal/limpetcrash/limpetcrash_test.go
+++ b/internal/limpetcrash/limpetcrash_test.go
@@ -107,12 +107,15 @@
 	return b
 }
 
-func (e *env) register(id string, incarnation int64) {
+// register registers a server whose address is its ID.
+func (e *env) register(id string, incarnation int64) { e.registerAt(id, id, incarnation) }
+
+func (e *env) registerAt(address, id string, incarnation int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.revision++
 	e.site.Apply(limpetsite.Record{Key: limpetsite.ServerKey + id, Revision: e.revision, Server: &limpetsite.Server{
-		ID: id, Service: "desk", Address: id, Zone: "a", Slots: 4, Incarnation: incarnation,
+		ID: id, Service: "desk", Address: address, Zone: "a", Slots: 4, Incarnation: incarnation,
 	}}, time.Now())
 }
 
@@ -261,6 +264,7 @@
 			e.unregister("s5")
 			e.setCondition(limpetupstream.Ended, "s5")
 		}, false},
+		{"a server that started earlier is still registered at its address", func(e *env) { e.registerAt("s5", "s5-earlier", 0) }, true},
 		{"the server was silent and lives", func(e *env) { e.setCondition(limpetupstream.Alive, "s5") }, true},
 		{"the server was silent and its entry lapses, but it may only be cut off", func(e *env) { time.AfterFunc(time.Second, func() { e.unregister("s5") }) }, true},
 	} {
@@ -290,6 +294,9 @@
 			time.AfterFunc(2*time.Second, func() { e.setCondition(limpetupstream.Ended, "s5") })
 		}},
 		{"the server registers as another incarnation", func(e *env) { time.AfterFunc(3*time.Second, func() { e.register("s5", 2) }) }},
+		// Guards against incident 24: a crash that no check noticed was forgotten if
+		// the server started again under another ID.
+		{"another server registers at its address", func(e *env) { time.AfterFunc(3*time.Second, func() { e.registerAt("s5", "s5-next", 2) }) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			inBubble(t, 2, func(e *env) {
--- a/internal/limpetsite/snapshot.go
+++ b/internal/limpetsite/snapshot.go
@@ -22,6 +22,8 @@
 	services map[string]*Service
 	servers  map[string][]*Server
 	byID     map[string]*Server
+	// latest holds the server that started last at each address.
+	latest map[string]*Server
 }
 
 // EmptySnapshot returns a snapshot without a configuration or servers.
@@ -113,6 +115,15 @@
 // Server returns the server with the given ID, draining or not, or nil.
 func (s *Snapshot) Server(id string) *Server { return s.byID[id] }
 
+// Successor returns the server that started later than s at its address, which
+// proves that s has ended; nil if none did.
+func (s *Snapshot) Successor(server *Server) *Server {
+	if latest := s.latest[server.Address]; latest != nil && latest.ID != server.ID && latest.Incarnation > server.Incarnation {
+		return latest
+	}
+	return nil
+}
+
 // AllServers returns all servers by ID, including draining ones. The map is
 // shared and must not be modified.
 func (s *Snapshot) AllServers() map[string]*Server { return s.byID }
--- a/internal/limpetsite/state.go
+++ b/internal/limpetsite/state.go
@@ -198,7 +198,7 @@
 func (s *State) Snapshot() *Snapshot {
 	view := &Snapshot{
 		Revision: s.revision, Config: s.config, PublishedVersions: map[string]int{}, Retiring: maps.Clone(s.retiring),
-		servers: map[string][]*Server{}, byID: map[string]*Server{},
+		servers: map[string][]*Server{}, byID: map[string]*Server{}, latest: map[string]*Server{},
 	}
 	for _, p := range s.published {
 		view.PublishedVersions[p.Model] = p.Version
@@ -206,6 +206,9 @@
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
 		server := s.servers[id].server
 		view.byID[id] = server
+		if latest := view.latest[server.Address]; latest == nil || server.Incarnation > latest.Incarnation {
+			view.latest[server.Address] = server
+		}
 		if !server.Draining {
 			view.servers[server.Service] = append(view.servers[server.Service], server)
 		}
