A crash is counted although the request's caller has left

What callers saw: servers that crash without a sign went on to do so under one request without end. Cause: no suspicion was recorded for an attempt whose caller disconnected before the attempt ended. Callers with a short deadline leave at it, and the server's silence ends the attempt only then, so that none of its crashes was counted. Class: a fact about the server was dropped with the one who asked. Change: attempts of requests that were not served are examined, whether or not the caller still waits. The price is one check of a server for each caller that leaves with an attempt open there (checks of one server are shared).

--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -344,7 +344,9 @@
 	case r.abandoned:
 		outcome = limpetbalancer.Canceled
 	}
-	if r.err != nil && reason != Served && reason != CallerGone {
+	// What the server did under the attempt does not depend on whether its caller
+	// still waited.
+	if r.err != nil && reason != Served {
 		d.recordBroken(d.group.Context(), r.server, r.err, 0)
 	}
 	if !limpeterror.Is(r.err, limpeterror.Unavailable) && (r.err != nil || !r.reply.NotRun) {
--- a/internal/limpethost/crash_test.go
+++ b/internal/limpethost/crash_test.go
@@ -20,6 +20,7 @@
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpetstub"
+	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -57,6 +58,11 @@
 	restartTime       time.Duration
 	// newIDs is set if each start of a server has an ID of its own.
 	newIDs bool
+	// silent is set if nothing answers at the address of a crashed server until
+	// one starts there again. Its registration is removed after lapse; if that is
+	// 0, with the next start.
+	silent bool
+	lapse  time.Duration
 
 	mu           sync.Mutex
 	incarnations map[string]int64
@@ -133,6 +139,9 @@
 	crashed, current := f.down[c.Server.Address], f.id(c.Server.Address) == c.Server.ID
 	f.mu.Unlock()
 	switch {
+	case crashed == nil && f.silent:
+		<-ctx.Done()
+		return nil, limpeterror.Unavailable.New("not connected")
 	case crashed == nil:
 		return nil, limpeterror.Unavailable.New("connection refused")
 	case !current:
@@ -149,13 +158,21 @@
 	reply := func(status int, notRun bool) (*limpetupstream.Reply, error) {
 		return &limpetupstream.Reply{Status: status, NotRun: notRun, Signature: "s", Close: func() {}}, nil
 	}
+	// ended is the end of an attempt at a server that crashed.
+	ended := func() (*limpetupstream.Reply, error) {
+		if f.silent {
+			<-ctx.Done()
+			return nil, limpeterror.Silent.New("given up")
+		}
+		return nil, limpeterror.Disconnected.New("connection reset")
+	}
 	if f.queue != nil {
 		select {
 		case <-time.After(f.queue()):
 		case <-deadline:
 			return reply(http.StatusServiceUnavailable, true)
 		case <-crashed:
-			return nil, limpeterror.Disconnected.New("connection reset")
+			return ended()
 		case <-ctx.Done():
 			return nil, limpeterror.Silent.New("given up")
 		}
@@ -169,13 +186,13 @@
 	case <-deadline:
 		return reply(http.StatusGatewayTimeout, false)
 	case <-crashed:
-		return nil, limpeterror.Disconnected.New("connection reset")
+		return ended()
 	case <-ctx.Done():
 		return nil, limpeterror.Silent.New("given up")
 	}
 	if crashing {
 		f.crash(t, c.Server.Address)
-		return nil, limpeterror.Disconnected.New("connection reset")
+		return ended()
 	}
 	return reply(http.StatusOK, false)
 }
@@ -194,7 +211,14 @@
 }
 
 // check is the Check of a client of the fleet.
-func (f *crashFleet) check(_ context.Context, s *limpetsite.Server, _ string) limpetupstream.Condition {
+func (f *crashFleet) check(ctx context.Context, s *limpetsite.Server, _ string) limpetupstream.Condition {
+	f.mu.Lock()
+	down := f.down[s.Address] == nil
+	f.mu.Unlock()
+	if down && f.silent {
+		<-ctx.Done()
+		return limpetupstream.Undetermined
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down[s.Address] == nil || f.incarnations[s.Address] != s.Incarnation {
@@ -223,6 +247,14 @@
 	close(f.down[address])
 	f.down[address] = nil
 	time.AfterFunc(f.restartTime, func() { f.register(t, address) })
+	if f.lapse > 0 {
+		id := f.id(address)
+		time.AfterFunc(f.lapse, func() {
+			if _, err := f.store.Commit(context.Background(), limpetstore.Transaction{Deletes: []string{serverPrefix + id}}); err != nil {
+				t.Error(err)
+			}
+		})
+	}
 }
 
 // laterRetries counts the repetitions that reached a server later than
@@ -413,3 +445,48 @@
 		return least + time.Duration(random.Int64N(int64(most-least)))
 	}
 }
+
+// Guards against incident 24: a crash that ends no connection was not counted if
+// its caller had left.
+func TestSilentCrashesAreCounted(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		restart, lapse time.Duration
+		// callerLeaves is set if callers disconnect at their deadline.
+		callerLeaves bool
+	}{
+		{"servers start again soon", 2500 * time.Millisecond, 0, false},
+		{"servers start again soon, callers leave", 2500 * time.Millisecond, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := limpetstub.NewStore()
+				fleet := newCrashFleet(t, store, 7)
+				fleet.crashDelay, fleet.restartTime, fleet.newIDs, fleet.silent, fleet.lapse = 58*time.Millisecond, c.restart, true, true, c.lapse
+				vms := fleet.startVMs(t, store, 6)
+				group := limpettask.New(context.Background())
+				for n, began := 0, time.Now(); time.Since(began) < time.Minute; n++ {
+					group.Go(func(ctx context.Context) error {
+						r := deskRequest(fmt.Sprintf("r%d", n), crashBody)
+						ctx, cancel := context.WithCancel(ctx)
+						defer cancel()
+						if c.callerLeaves {
+							time.AfterFunc(r.Timeout-deadlineMargin, cancel)
+						}
+						vms[n%len(vms)].Forwarder.Forward(ctx, r)
+						return nil
+					})
+					time.Sleep(100 * time.Millisecond)
+				}
+				t.Log("servers crashed", len(fleet.crashes), "repetitions reached a server", len(fleet.reached), "of them later", fleet.laterRetries())
+				check(t, fleet.laterRetries(), convey.ShouldBeLessThanOrEqualTo, maxLaterRetries)
+				if err := group.Stop(); err != nil {
+					t.Error(err)
+				}
+				for _, h := range vms {
+					stopHost(t, h)
+				}
+			})
+		})
+	}
+}
