A server that cannot be reached is presumed to have crashed until it answers

What callers saw: servers that crash without a sign, and take seconds to start again, went on to do so under one request. Cause: only a refused connection or a new start confirms a crash. Until then the request was clear; when the servers returned, all that was known was that questions had timed out, and cases older than 6 s had been forgotten. Class: the absence of a proof is taken as a proof of the opposite. Change: two checks in a row, half a second apart, that do not even get a connection (a busy server takes one) record the crash on all VMs. The server is asked on, ever more seldom, for 30 s; an answer withdraws the record everywhere. Rejected: to presume it from checks without an answer (an overloaded server answers its health checks late), or from the entry's end (a cut server's ends too).

--- a/internal/limpetcrash/cases.go
+++ b/internal/limpetcrash/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"limpetmount.org/internal/limpetlog"
@@ -17,8 +18,16 @@
 	gatherDelay = 10 * time.Millisecond
 	// checkTimeout bounds one check of a server, and recheckInterval is the
 	// pause after one that told nothing.
-	checkTimeout    = 400 * time.Millisecond
+	checkTimeout    = 600 * time.Millisecond
 	recheckInterval = 500 * time.Millisecond
+	// unreachableChecks is the number of checks in a row that must find a server
+	// unreachable until it is presumed to have crashed: one alone can be the loss
+	// of a few packets.
+	unreachableChecks = 2
+	// presumptionTTL is how long a presumption can still be withdrawn. The checks
+	// for that are at most maxRecheckInterval apart.
+	presumptionTTL     = 30 * time.Second
+	maxRecheckInterval = 4 * time.Second
 	// caseTTL is how long it is tried to find out whether a server crashed. It
 	// covers the time in which a crashed server starts again.
 	caseTTL = 6 * time.Second
@@ -33,6 +42,7 @@
 // Outcomes of a case.
 const (
 	outcomeCrashed      = "crashed"
+	outcomePresumed     = "presumed"
 	outcomeOther        = "other_suspect"
 	outcomeAlive        = "alive"
 	outcomeLeft         = "left"
@@ -52,6 +62,11 @@
 type watchedServer struct {
 	server *limpetsite.Server
 	cases  []*openCase
+	// presumed holds the cases that were recorded as crashes because the server
+	// is unreachable. The records are withdrawn if it proves to be alive.
+	presumed []*openCase
+	// unreachable counts the checks in a row that did not reach the server.
+	unreachable int
 	// checking is set while a check is in progress that began at checkedAt.
 	checking  bool
 	checkedAt time.Time
@@ -124,16 +139,22 @@
 		if len(w.cases) > 0 && b.observe(w.server) == restarted {
 			b.confirm(w, w.takeCases(), now)
 		}
+		if len(w.presumed) > 0 && b.observe(w.server) == restarted {
+			b.confirm(w, nil, now)
+		}
 		w.dropOldCases(now, b.decide)
 		switch {
-		case len(w.cases) == 0 && !w.checking && now.Sub(w.crashedAt) > crashMemory:
+		case !w.open() && !w.checking && now.Sub(w.crashedAt) > crashMemory:
 			delete(b.servers, id)
-		case len(w.cases) > 0 && !w.checking && !now.Before(w.checkDue):
+		case w.open() && !w.checking && !now.Before(w.checkDue):
 			b.startCheck(id, w, now)
 		}
 	}
 }
 
+// open reports whether it is still of interest whether the server runs.
+func (w *watchedServer) open() bool { return len(w.cases)+len(w.presumed) > 0 }
+
 func (w *watchedServer) takeCases() []*openCase {
 	cases := w.cases
 	w.cases = nil
@@ -150,13 +171,14 @@
 		kept = append(kept, c)
 	}
 	w.cases = kept
+	w.presumed = slices.DeleteFunc(w.presumed, func(c *openCase) bool { return now.Sub(c.opened) > presumptionTTL })
 }
 
 // nextDue returns when the server must be looked at again; zero if only after a
 // message.
 func (w *watchedServer) nextDue() time.Time {
 	switch {
-	case len(w.cases) > 0 && !w.checking:
+	case w.open() && !w.checking:
 		return w.checkDue
 	case len(w.cases) > 0:
 		return w.cases[0].opened.Add(caseTTL + minTick)
@@ -194,11 +216,21 @@
 	if w == nil {
 		return
 	}
-	w.checking, w.checkDue = false, now.Add(recheckInterval)
+	if m.condition == limpetupstream.Unreachable {
+		w.unreachable++
+	} else {
+		w.unreachable = 0
+	}
+	w.checking, w.checkDue = false, now.Add(w.recheckInterval())
 	switch m.condition {
 	case limpetupstream.Ended:
 		b.confirm(w, w.takeCases(), now)
+	case limpetupstream.Unreachable:
+		if w.unreachable >= unreachableChecks {
+			b.presume(w, now)
+		}
 	case limpetupstream.Alive:
+		b.withdrawPresumed(w)
 		var later []*openCase
 		for _, c := range w.cases {
 			if c.opened.After(w.checkedAt) {
@@ -212,12 +244,51 @@
 	}
 }
 
-// confirm records the crash of a server under the requests of its cases. If
-// earlier suspects are among them, only they are blamed.
+// recheckInterval returns the pause before the next check: ever longer for a
+// server that stays unreachable.
+func (w *watchedServer) recheckInterval() time.Duration {
+	doublings := min(max(0, w.unreachable-unreachableChecks), 8)
+	return min(recheckInterval<<doublings, maxRecheckInterval)
+}
+
+// confirm records the crash of a server under the requests of its cases. What was
+// presumed holds.
 func (b *Book) confirm(w *watchedServer, cases []*openCase, now time.Time) {
 	if w.crashedAt.IsZero() {
 		w.crashedAt = now
 	}
+	w.presumed = nil
+	b.blame(w, cases, outcomeCrashed, now)
+}
+
+// presume records a crash under the requests of a server's cases until the server
+// proves to be alive. A server that crashes without a sign is not known to have
+// done so before it starts again, and the request would crash further ones in the
+// meantime.
+func (b *Book) presume(w *watchedServer, now time.Time) {
+	w.presumed = append(w.presumed, b.blame(w, w.takeCases(), outcomePresumed, now)...)
+}
+
+// withdrawPresumed withdraws the records of crashes that were presumed, since the
+// server runs.
+func (b *Book) withdrawPresumed(w *watchedServer) {
+	if len(w.presumed) == 0 {
+		return
+	}
+	for _, c := range w.presumed {
+		id := instance(c.Server)
+		b.state.Withdraw(c.Fingerprint, id)
+		b.shared.withdrawKey(Key(c.Fingerprint, id), true)
+		b.logNotConfirmed(c, outcomeAlive)
+	}
+	w.presumed = nil
+	b.publish()
+}
+
+// blame records the crash of a server under the requests of its cases, and
+// returns those that it recorded. If earlier suspects are among them, only they
+// are blamed.
+func (b *Book) blame(w *watchedServer, cases []*openCase, outcome string, now time.Time) (recorded []*openCase) {
 	v := b.view.Load()
 	known := map[uint64]bool{}
 	var running []uint64
@@ -238,13 +309,15 @@
 		outcomes[n] = outcomeOther
 		if blamed[c.Fingerprint] && (!w.suspectBlamed || known[c.Fingerprint]) {
 			b.record(c, now)
-			outcomes[n] = outcomeCrashed
+			outcomes[n] = outcome
+			recorded = append(recorded, c)
 		}
 	}
 	b.publish()
 	for n, c := range cases {
 		b.decide(c, outcomes[n])
 	}
+	return recorded
 }
 
 // record records the crash of a server under a request.
@@ -277,17 +350,22 @@
 func (b *Book) decide(c *openCase, outcome string) {
 	b.outcome.WithLabelValues(outcome).Inc()
 	if outcome != outcomeCrashed {
-		b.Log.Emit(limpetlog.CrashNotConfirmed, limpetlog.Request(c.Request), limpetlog.Server(c.Server.ID),
-			limpetlog.Value("fingerprint", limpetquarantine.Name(c.Fingerprint)), limpetlog.Value("outcome", outcome),
-			limpetlog.Value("age_ms", b.Now().Sub(c.opened).Milliseconds()))
+		b.logNotConfirmed(c, outcome)
 	}
 	b.open.Add(-1)
 	close(c.decided)
 }
 
+func (b *Book) logNotConfirmed(c *openCase, outcome string) {
+	b.Log.Emit(limpetlog.CrashNotConfirmed, limpetlog.Request(c.Request), limpetlog.Server(c.Server.ID),
+		limpetlog.Value("fingerprint", limpetquarantine.Name(c.Fingerprint)), limpetlog.Value("outcome", outcome),
+		limpetlog.Value("age_ms", b.Now().Sub(c.opened).Milliseconds()))
+}
+
 // closeCases closes the cases of a request that was served.
 func (b *Book) closeCases(fingerprint uint64) {
 	for _, w := range b.servers {
+		w.presumed = slices.DeleteFunc(w.presumed, func(c *openCase) bool { return c.Fingerprint == fingerprint })
 		kept := w.cases[:0]
 		for _, c := range w.cases {
 			if c.Fingerprint == fingerprint {
--- a/internal/limpetcrash/share.go
+++ b/internal/limpetcrash/share.go
@@ -75,17 +75,25 @@
 // deleted: at once, or with the next write.
 func (s *sharing) withdraw(fingerprint uint64, atOnce bool) {
 	for key, r := range s.records {
-		if r.Fingerprint != fingerprint {
-			continue
-		}
-		delete(s.records, key)
-		if r.revision > 0 || s.writing[key] {
-			s.obsolete[key] = true
-			s.deleteNow = s.deleteNow || atOnce
+		if r.Fingerprint == fingerprint {
+			s.withdrawKey(key, atOnce)
 		}
 	}
 }
 
+// withdrawKey drops one record as withdraw does.
+func (s *sharing) withdrawKey(key string, atOnce bool) {
+	r := s.records[key]
+	if r == nil {
+		return
+	}
+	delete(s.records, key)
+	if r.revision > 0 || s.writing[key] {
+		s.obsolete[key] = true
+		s.deleteNow = s.deleteNow || atOnce
+	}
+}
+
 // nextDue returns when a write is due; zero if none is.
 func (s *sharing) nextDue() time.Time {
 	if s.writing != nil {
--- a/internal/limpethost/crash_test.go
+++ b/internal/limpethost/crash_test.go
@@ -217,7 +217,7 @@
 	f.mu.Unlock()
 	if down && f.silent {
 		<-ctx.Done()
-		return limpetupstream.Undetermined
+		return limpetupstream.Unreachable
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -447,7 +447,7 @@
 }
 
 // Guards against incident 24: a crash that ends no connection was not counted if
-// its caller had left.
+// its caller had left, and only after the server's next start otherwise.
 func TestSilentCrashesAreCounted(t *testing.T) {
 	for _, c := range []struct {
 		name           string
@@ -457,6 +457,8 @@
 	}{
 		{"servers start again soon", 2500 * time.Millisecond, 0, false},
 		{"servers start again soon, callers leave", 2500 * time.Millisecond, 0, true},
+		{"servers start again late", 7 * time.Second, 1200 * time.Millisecond, false},
+		{"servers start again late, callers leave", 7 * time.Second, 1200 * time.Millisecond, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/limpetupstream/limpetupstream.go
+++ b/internal/limpetupstream/limpetupstream.go
@@ -161,6 +161,8 @@
 const (
 	// Undetermined checks brought no answer that says anything.
 	Undetermined Condition = iota
+	// Unreachable servers did not even take a connection, and did not refuse it.
+	Unreachable
 	// Alive servers answered, well or not.
 	Alive
 	// Ended servers no longer run: nothing listens at their address, or another
