An answer after a silence proves life only if no new start shows

A server may start again under the ID that it had; a check cannot tell the two starts apart, and the view shows the new one a little later. The answer of the new start closed the case as alive, or withdrew a presumed crash. Change: an answer that follows a check without one counts after 1 s, if the server has not registered anew until then. A first check right after the attempt counts at once: no server starts again within 10 ms. Test: TestCrashesThatAreNoticedLate, "the server answers again before its new registration is seen", was red.

--- a/internal/limpetcrash/cases.go
+++ b/internal/limpetcrash/cases.go
@@ -24,6 +24,10 @@
 	// unreachable until it is presumed to have crashed: one alone can be the loss
 	// of a few packets.
 	unreachableChecks = 2
+	// registrationDelay is how long a server that answers after a silence may take
+	// until this VM sees from its registration that it started anew. The check
+	// itself cannot tell starts of one ID apart.
+	registrationDelay = time.Second
 	// presumptionTTL is how long a presumption can still be withdrawn. The checks
 	// for that are at most maxRecheckInterval apart.
 	presumptionTTL     = 30 * time.Second
@@ -65,8 +69,13 @@
 	// presumed holds the cases that were recorded as crashes because the server
 	// is unreachable. The records are withdrawn if it proves to be alive.
 	presumed []*openCase
-	// unreachable counts the checks in a row that did not reach the server.
+	// unreachable counts the checks in a row that did not reach the server, and
+	// silent is set once a check got no answer.
 	unreachable int
+	silent      bool
+	// answeredAt is the start of a check that was answered after a silence, which
+	// proves that the server lived on if it has not registered anew by provenAt.
+	answeredAt, provenAt time.Time
 	// checking is set while a check is in progress that began at checkedAt.
 	checking  bool
 	checkedAt time.Time
@@ -142,6 +151,9 @@
 		if len(w.presumed) > 0 && b.observe(w.server) == restarted {
 			b.confirm(w, nil, now)
 		}
+		if !w.provenAt.IsZero() && !now.Before(w.provenAt) {
+			b.concludeAlive(w, w.answeredAt, now)
+		}
 		w.dropOldCases(now, b.decide)
 		switch {
 		case !w.open() && !w.checking && now.Sub(w.crashedAt) > crashMemory:
@@ -222,26 +234,35 @@
 		w.unreachable = 0
 	}
 	w.checking, w.checkDue = false, now.Add(w.recheckInterval())
-	switch m.condition {
-	case limpetupstream.Ended:
+	switch {
+	case m.condition == limpetupstream.Ended:
 		b.confirm(w, w.takeCases(), now)
-	case limpetupstream.Unreachable:
+	case m.condition != limpetupstream.Alive:
+		w.silent = true
 		if w.unreachable >= unreachableChecks {
 			b.presume(w, now)
 		}
-	case limpetupstream.Alive:
-		b.withdrawPresumed(w)
-		var later []*openCase
-		for _, c := range w.cases {
-			if c.opened.After(w.checkedAt) {
-				later = append(later, c)
-				continue
-			}
-			b.decide(c, outcomeAlive)
+	case w.silent:
+		w.answeredAt, w.provenAt = w.checkedAt, now.Add(registrationDelay)
+		w.checkDue = w.provenAt
+	default:
+		b.concludeAlive(w, w.checkedAt, now)
+	}
+}
+
+// concludeAlive decides all cases from before a time at which the server lived.
+func (b *Book) concludeAlive(w *watchedServer, at, now time.Time) {
+	b.withdrawPresumed(w)
+	var later []*openCase
+	for _, c := range w.cases {
+		if c.opened.After(at) {
+			later = append(later, c)
+			continue
 		}
-		w.cases = later
-		w.checkDue = now
+		b.decide(c, outcomeAlive)
 	}
+	w.cases, w.checkDue = later, now
+	w.silent, w.answeredAt, w.provenAt = false, time.Time{}, time.Time{}
 }
 
 // recheckInterval returns the pause before the next check: ever longer for a
--- a/internal/limpetcrash/limpetcrash_test.go
+++ b/internal/limpetcrash/limpetcrash_test.go
@@ -294,6 +294,13 @@
 			time.AfterFunc(2*time.Second, func() { e.setCondition(limpetupstream.Ended, "s5") })
 		}},
 		{"the server registers as another incarnation", func(e *env) { time.AfterFunc(3*time.Second, func() { e.register("s5", 2) }) }},
+		// Guards against incident 24: an answer of the next start under the same ID was
+		// taken for a proof that the server had not crashed.
+		{"the server answers again before its new registration is seen", func(e *env) {
+			e.setCondition(limpetupstream.Unreachable, "s5")
+			time.AfterFunc(1500*time.Millisecond, func() { e.setCondition(limpetupstream.Alive, "s5") })
+			time.AfterFunc(2500*time.Millisecond, func() { e.register("s5", 2) })
+		}},
 		// Guards against incident 24: a crash that no check noticed was forgotten if
 		// the server started again under another ID.
 		{"another server registers at its address", func(e *env) { time.AfterFunc(3*time.Second, func() { e.registerAt("s5", "s5-next", 2) }) }},
@@ -304,7 +311,7 @@
 				s := suspicion(7, "s5")
 				s.Silent = true
 				<-e.books[0].Suspect(s)
-				time.Sleep(settleTime)
+				time.Sleep(settleTime + 6*time.Second)
 				Convey("the crash is recorded: "+c.name, t, func() {
 					So(e.verdicts(7), ShouldResemble, []limpetcrash.Verdict{suspected, suspected})
 				})
