--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -18,6 +18,7 @@
 	"limpetmount.org/internal/limpetexecutor"
 	"limpetmount.org/internal/limpetforward"
 	"limpetmount.org/internal/limpetjob"
+	"limpetmount.org/internal/limpetlimit"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetrelay"
@@ -101,8 +102,10 @@
 	// watchGroup runs the watchers; nil while they are stopped.
 	watchGroup *limpettask.Group
 
-	// crashes knows the requests that crash backend servers.
+	// crashes knows the requests that crash backend servers, and limits the request
+	// rates that backend servers named.
 	crashes   *limpetcrash.Book
+	limits    *limpetlimit.Limits
 	feeds     []feed
 	relevance relevance
 }
@@ -137,6 +140,9 @@
 		mirror:        limpetrelay.NewMirror(deps.Incarnation, deps.Now), received: limpetwindow.NewReceivedCounts(), peers: map[string]time.Time{},
 	}
 	h.view.Store(limpetsite.EmptySnapshot())
+	h.limits = limpetlimit.NewLimits(deps.Now, log, metrics.Registry, nil)
+	deps.Upstream = h.observeLimits(deps.Upstream)
+	h.deps.Upstream = deps.Upstream
 	meter := limpetstore.NewMeter(metrics.Registry)
 	h.counter = limpetwindow.NewCounter(meter.Wrap(deps.Store, "usage"), settings.VM+"."+deps.Incarnation, settings.Bounds.UsageWindow, deps.Now, log)
 	h.reader = limpetjob.NewReader(meter.Wrap(deps.Store, "read"), deps.Now)
--- a/internal/limpethost/site.go
+++ b/internal/limpethost/site.go
@@ -65,6 +65,7 @@
 			h.Log.Emit(limpetlog.DeploymentChanged, limpetlog.Value("what", c.What), limpetlog.Value("name", c.Name), limpetlog.Value("revision", view.Revision))
 		}
 		h.Forwarder.Tracker.Forget(func(id string) bool { return view.Server(id) != nil })
+		h.limits.Forget(view)
 	}
 }
 
--- a/internal/limpetupstream/limpetupstream.go
+++ b/internal/limpetupstream/limpetupstream.go
@@ -79,7 +79,10 @@
 	// none.
 	Signature string
 	Load      *Load
-	Close     func()
+	// Limit is the number of requests a second that the server takes from all
+	// VMs together; 0 when it named none.
+	Limit float64
+	Close func()
 }
 
 // ProvesRun reports whether the answer shows that the server ran the request to
