Keep servers within the request rates that they name

Cause: nothing read the rate. Class: an answer's content is passed on without being understood. A limit kept by each VM alone would have been broken too (a test shows it for VMs without a director that assume to be alone: 23 of 17).

Change (limpetlimit): each VM records the rates from all its answers and reports changes to the director, which relays them to all VMs and hands out permits from one ledger for each server, so that the sum over the VMs is kept whichever VM the load comes through. One meter for requests, retries, resumed streams, reward calls, checks of servers, and the runs of items, which the director starts. Limited servers get what the others have no room for; hedges go to the others. Every 2 s one ordinary request shows whether a limit still holds. What no server takes within half of its latency goal is refused at once (503, not run) with the time at which one does. Without a director the VMs use half of the limits together, each an equal part.

Rejected: an equal part for each VM always (wastes what the load of one VM could use), counts told around (late), avoiding limited servers altogether (they could never say that the limit is over, and a service whose servers are all limited would stand still).

Tests, all red on the code before: TestServersStayWithinTheirLimits (the busiest server had 321 requests in 4 s, 12 allowed; now 2, with 2,400 of 2,400 served; with all servers limited 241 of 17 allowed, now 9, with 434 of 1,800 served where the limits allow 420 and the first seconds more), TestLimitsOutliveTheDirector, TestLimitsEnd, TestItemsKeepTheLimitsOfEngines. TestLedgerKeepsEachWindow goes red with a ledger that saves 5 s.

--- a/internal/limpetbalancer/limpetbalancer.go
+++ b/internal/limpetbalancer/limpetbalancer.go
@@ -4,6 +4,7 @@
 package limpetbalancer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -63,11 +64,16 @@
 func (t *Tracker) Choose(servers []*limpetsite.Server, zone string, exclude func(id string) bool, now time.Time) *limpetsite.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.choose(servers, zone, func(s *limpetsite.Server) bool { return !exclude(s.ID) }, now)
+}
+
+// choose chooses among the servers that qualify. The caller holds the lock.
+func (t *Tracker) choose(servers []*limpetsite.Server, zone string, qualifies func(*limpetsite.Server) bool, now time.Time) *limpetsite.Server {
 	var best *limpetsite.Server
 	var bestCost time.Duration
 	bestEjected := false
 	for _, s := range servers {
-		if exclude(s.ID) {
+		if !qualifies(s) {
 			continue
 		}
 		v := t.get(s.ID)
@@ -84,6 +90,21 @@
 	return best
 }
 
+// HasRoom reports whether a server that is not excluded has a free slot and is
+// not ejected after a failure or a refusal.
+func (t *Tracker) HasRoom(servers []*limpetsite.Server, exclude func(id string) bool, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(servers, func(s *limpetsite.Server) bool { return !exclude(s.ID) && t.hasRoom(s, 0, now) })
+}
+
+// hasRoom reports whether a server has a free slot beyond a share of its slots and
+// is not ejected. The caller holds the lock.
+func (t *Tracker) hasRoom(s *limpetsite.Server, reserve float64, now time.Time) bool {
+	v, usable := t.get(s.ID), max(1, s.Slots-int(reserve*float64(s.Slots)))
+	return v.currentLoad(now) < usable && !now.Before(v.ejectedUntil)
+}
+
 func (t *Tracker) get(id string) *stats {
 	v := t.servers[id]
 	if v == nil {
@@ -96,10 +117,7 @@
 // cost estimates the time until the response.
 func (v *stats) cost(s *limpetsite.Server, zone string, now time.Time) time.Duration {
 	latency := v.decayedLatency(now)
-	load := v.inFlight
-	if now.Sub(v.loadAt) < loadMaxAge {
-		load = max(load, v.load.Running+v.load.Waiting)
-	}
+	load := v.currentLoad(now)
 	slots := max(s.Slots, 1)
 	cost := latency + latency*time.Duration(load)/time.Duration(slots)
 	if load >= slots {
@@ -114,6 +132,14 @@
 	return cost
 }
 
+// currentLoad returns the number of requests that the server is known to have.
+func (v *stats) currentLoad(now time.Time) int {
+	if now.Sub(v.loadAt) < loadMaxAge {
+		return max(v.inFlight, v.load.Running+v.load.Waiting)
+	}
+	return v.inFlight
+}
+
 // decayedLatency returns the average latency, which decays towards priorLatency
 // with the age of the last sample.
 func (v *stats) decayedLatency(now time.Time) time.Duration {
--- a/internal/limpetbatch/dispatch.go
+++ b/internal/limpetbatch/dispatch.go
@@ -43,7 +43,7 @@
 	probeAllowed := e.mayProbe() || !s.hasHealthyEngine(e, view, typical, now)
 	for _, g := range s.enginesByID {
 		suspect := g.suspect(typical)
-		if !g.canStart(e, view, now) {
+		if !s.canStart(g, e, view, now) {
 			continue
 		}
 		cost := g.cost(e, typical, now)
@@ -149,5 +149,8 @@
 	}
 	e.run, e.phase = r, running
 	g.runs = append(g.runs, r)
+	if s.Limits.Take != nil {
+		s.Limits.Take(g.server.ID, now)
+	}
 	return r
 }
--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		for _, r := range runs {
-			if other.canStart(r.Entry, view, now) && !other.slow(s.typicalInterval(now), now) {
+			if s.canStart(other, r.Entry, view, now) && !other.slow(s.typicalInterval(now), now) {
 				spare += max(other.server.Slots, 1) - len(other.runs)
 				break
 			}
@@ -133,8 +133,8 @@
 }
 
 // canStart reports whether an engine can start an item now.
-func (g *engine) canStart(e *Entry, view *limpetsite.Snapshot, now time.Time) bool {
-	return g.canServe(e, view, now) && len(g.runs) < max(g.server.Slots, 1)
+func (s *Scheduler) canStart(g *engine, e *Entry, view *limpetsite.Snapshot, now time.Time) bool {
+	return g.canServe(e, view, now) && len(g.runs) < max(g.server.Slots, 1) && (s.Limits.Free == nil || s.Limits.Free(g.server.ID, now))
 }
 
 // canServe reports whether an engine can start an item once it has a free slot.
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -132,8 +132,19 @@
 // timed out.
 func (r *Run) TimedOut() bool { return r.timedOut }
 
+// Limits tells how many runs engines take that limit their requests. Nil
+// functions mean that none do.
+type Limits struct {
+	// Free reports whether an engine takes a run now.
+	Free func(engine string, now time.Time) bool
+	// Take accounts for a run that starts.
+	Take func(engine string, now time.Time)
+}
+
 // A Scheduler schedules the items of all jobs on all engines.
 type Scheduler struct {
+	Limits Limits
+
 	jobs    map[string]*Job
 	engines map[string]*engine
 	// jobsByArrival and enginesByID hold the same jobs and engines in a fixed
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -15,6 +15,7 @@
 	"limpetmount.org/internal/limpetforward"
 	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlease"
+	"limpetmount.org/internal/limpetlimit"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetsite"
@@ -34,9 +35,11 @@
 	Upstream    limpetupstream.Client
 	View        func() *limpetsite.Snapshot
 	Forwarder   *limpetforward.Forwarder
-	Log         *limpetlog.Logger
-	Metrics     *limpetmetric.Set
-	Now         func() time.Time
+	// Limits knows the servers that limit their requests; nil if none do.
+	Limits  *limpetlimit.Gate
+	Log     *limpetlog.Logger
+	Metrics *limpetmetric.Set
+	Now     func() time.Time
 	// RelayAddress is the address at which other VMs reach this one.
 	RelayAddress string
 	// FollowDeployment starts or stops following the deployment on this VM.
@@ -200,8 +203,10 @@
 // New returns a Director, which Run starts.
 func New(deps Deps) *Director {
 	ttl := max(leaseTTL, deps.MinLeaseTTL)
+	scheduler := limpetbatch.New()
+	scheduler.Limits = limpetbatch.Limits{Free: deps.Limits.Free, Take: deps.Limits.Take}
 	return &Director{
-		Deps: deps, scheduler: limpetbatch.New(), inbox: make(chan message, inboxSize), stopped: make(chan struct{}), sessions: map[string]*session{}, cachedResults: newResultCache(),
+		Deps: deps, scheduler: scheduler, inbox: make(chan message, inboxSize), stopped: make(chan struct{}), sessions: map[string]*session{}, cachedResults: newResultCache(),
 		holder:  limpetlease.New(deps.Store, deps.VM, deps.Incarnation, ttl, deps.Now),
 		cancels: map[*limpetbatch.Run]context.CancelFunc{}, rewardCancels: map[*limpetbatch.Entry]context.CancelFunc{}, view: limpetsite.EmptySnapshot(),
 		acceptedJobs: map[string]limpetjob.Summary{}, endedJobs: map[string]bool{}, loadingJobs: map[string]bool{}, fullyCommitted: map[string]bool{},
--- /dev/null
+++ b/internal/limpetforward/choose.go
@@ -0,0 +1,84 @@
+package limpetforward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"limpetmount.org/internal/limpetsite"
+)
+
+// A cause says why an attempt is started.
+type cause int
+
+const (
+	first cause = iota
+	// hedged attempts are started beside another one that is slow.
+	hedged
+	// retried attempts are started after another one failed.
+	retried
+)
+
+const (
+	// limitWaitFraction is the fraction of a route's latency goal for which a
+	// request may wait for a limited server, and defaultLimitWait the time if the
+	// route has no goal.
+	limitWaitFraction = 0.5
+	defaultLimitWait  = 250 * time.Millisecond
+	// minLimitedRetryAfter is the shortest retry delay that is returned to callers
+	// while all servers are at their limits.
+	minLimitedRetryAfter = 50 * time.Millisecond
+)
+
+// maxRetrySpread is the largest part by which the delays of refused requests
+// differ, so that they do not return together.
+const maxRetrySpread = 0.5
+
+// spread returns a random delay that is not shorter than d.
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + maxRetrySpread*rand.Float64()))
+}
+
+// choose returns the server for the next attempt, which is counted as in flight;
+// nil if none is available. Servers that limit their requests get those that the
+// others have no room for, and one now and then that shows whether their limit
+// still holds.
+func (d *dispatch) choose(ctx context.Context, cause cause) *limpetsite.Server {
+	f := d.forwarder
+	tried := func(id string) bool { return d.tried[id] }
+	servers := f.View().Servers(d.service)
+	limited := f.Limits.Among(servers, f.Zone, tried)
+	if cause == first && len(limited) > 0 && d.route.Repeatable() {
+		if id, ok := f.Limits.Look(ctx, d.service, limited); ok {
+			return d.take(id)
+		}
+	}
+	if len(limited) == 0 {
+		return f.Tracker.Choose(servers, f.Zone, tried, f.Now())
+	}
+	unavailable := func(id string) bool { return d.tried[id] || f.Limits.Limited(id) }
+	if cause != hedged && !f.Tracker.HasRoom(servers, unavailable, f.Now()) {
+		id, retryAfter, ok := f.Limits.Permit(ctx, d.service, limited, d.limitWait())
+		if ok {
+			return d.take(id)
+		}
+		d.limited, d.limitEnd = true, f.Now().Add(retryAfter)
+	}
+	return f.Tracker.Choose(servers, f.Zone, unavailable, f.Now())
+}
+
+// take returns the server of a permit, counted as in flight.
+func (d *dispatch) take(id string) *limpetsite.Server {
+	f := d.forwarder
+	return f.Tracker.Choose(f.View().Servers(d.service), f.Zone, func(other string) bool { return other != id }, f.Now())
+}
+
+// limitWait returns how long the request may wait for a limited server. A longer
+// wait would only make all requests late that are served at all.
+func (d *dispatch) limitWait() time.Duration {
+	wait := defaultLimitWait
+	if d.route.LatencyGoal > 0 {
+		wait = time.Duration(limitWaitFraction * float64(d.route.LatencyGoal))
+	}
+	return max(0, min(wait, d.deadline.Sub(d.forwarder.Now())-minHedgeTime))
+}
--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -34,6 +34,10 @@
 	quarantineEnd time.Time
 	// trial is set if the request is quarantined and sent nevertheless.
 	trial bool
+	// limited is set if no server was available but those at their limit, one of
+	// which takes a request at limitEnd.
+	limited  bool
+	limitEnd time.Time
 
 	tried map[string]bool
 	// sent counts the attempts that may have run; refused counts those that
@@ -110,6 +114,8 @@
 		return busyRetryAfter
 	case Quarantined:
 		return max(0, d.quarantineEnd.Sub(d.forwarder.Now()))
+	case Limited:
+		return spread(max(minLimitedRetryAfter, d.limitEnd.Sub(d.forwarder.Now())))
 	default:
 		return noServerRetryAfter
 	}
@@ -127,7 +133,7 @@
 // left to try.
 func (d *dispatch) awaitReply(ctx context.Context) (*limpetupstream.Reply, Reason) {
 	d.claimTrial(ctx)
-	if !d.startAttempt() {
+	if !d.startAttempt(ctx, first) {
 		return d.exhausted()
 	}
 	hedge := time.NewTimer(d.hedgeDelay())
@@ -138,7 +144,7 @@
 			return nil, d.expired(ctx)
 		case <-hedge.C:
 			if d.mayHedge() {
-				d.startAttempt()
+				d.startAttempt(ctx, hedged)
 			}
 		case r := <-d.results:
 			d.inFlight--
@@ -146,7 +152,7 @@
 			if reply != nil {
 				return reply, Served
 			}
-			if (retry && d.startAttempt()) || d.inFlight > 0 {
+			if (retry && d.startAttempt(ctx, retried)) || d.inFlight > 0 {
 				continue
 			}
 			return d.exhausted()
@@ -190,6 +196,8 @@
 		return nil, Failed
 	case d.quarantined:
 		return nil, Quarantined
+	case d.limited:
+		return nil, Limited
 	case d.refused > 0:
 		return nil, Busy
 	default:
@@ -199,17 +207,21 @@
 
 // startAttempt sends the request to the next server, and reports whether one
 // was available.
-func (d *dispatch) startAttempt() bool {
+func (d *dispatch) startAttempt(ctx context.Context, cause cause) bool {
 	f := d.forwarder
-	now := f.Now()
-	remaining := d.deadline.Sub(now)
-	if d.sent >= d.attemptLimit() || d.refused > maxRefusals || remaining <= 0 || !d.maySend() {
+	if d.sent >= d.attemptLimit() || d.refused > maxRefusals || !f.Now().Before(d.deadline) || !d.maySend() {
 		return false
 	}
-	server := f.Tracker.Choose(f.View().Servers(d.service), f.Zone, func(id string) bool { return d.tried[id] }, now)
+	server := d.choose(ctx, cause)
 	if server == nil {
 		return false
 	}
+	now := f.Now()
+	remaining := d.deadline.Sub(now)
+	if remaining <= 0 {
+		f.Tracker.Done(server.ID, limpetbalancer.Canceled, 0, nil, now)
+		return false
+	}
 	d.tried[server.ID] = true
 	d.sent++
 	d.inFlight++
--- a/internal/limpetforward/limpetforward.go
+++ b/internal/limpetforward/limpetforward.go
@@ -12,6 +12,7 @@
 
 	"limpetmount.org/internal/limpetbalancer"
 	"limpetmount.org/internal/limpetcrash"
+	"limpetmount.org/internal/limpetlimit"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetquarantine"
@@ -69,11 +70,14 @@
 	// Quarantined means that the request crashed several servers and is refused;
 	// this repetition did not run.
 	Quarantined
+	// Limited means that all servers that could take the request have reached the
+	// rate that they named; it did not run.
+	Limited
 )
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"served", "not_configured", "no_route", "no_key", "no_server", "busy", "failed", "timed_out", "expired", "caller_gone", "quarantined"}[r]
+	return [...]string{"served", "not_configured", "no_route", "no_key", "no_server", "busy", "failed", "timed_out", "expired", "caller_gone", "quarantined", "limited"}[r]
 }
 
 // An Answer is the outcome of a request for its caller. Reply is set if Reason
@@ -97,6 +101,9 @@
 	Tracker  *limpetbalancer.Tracker
 	// Crashes knows the requests that crash servers; nil if none are known.
 	Crashes *limpetcrash.Book
+	// Limits hands out permits for servers that limit their requests; nil if none
+	// do.
+	Limits  *limpetlimit.Gate
 	Log     *limpetlog.Logger
 	Metrics *limpetmetric.Set
 	// CountRequest is called when a server has begun to run a request of an
--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -47,7 +47,7 @@
 func (d *dispatch) resume(ctx context.Context, last int) *limpetupstream.Reply {
 	d.request.LastEventID = last
 	defer d.keepFailure(nil)
-	for d.startAttempt() {
+	for d.startAttempt(ctx, retried) {
 		r := <-d.results
 		reply, retry := d.handleResult(ctx, r)
 		if reply != nil && reply.Events != nil {
--- a/internal/limpethost/executor.go
+++ b/internal/limpethost/executor.go
@@ -14,7 +14,7 @@
 func (h *Host) newConnector() *limpetexecutor.Connector {
 	executor := limpetexecutor.New(h.group, h.Settings.VM, h.Settings.Zone, h.deps.Now, h.Log)
 	executor.Send, executor.Refuses = h.deps.Upstream.Send, h.refuses
-	httpClient := limpetrelay.NewHTTPClient()
+	httpClient := h.relayClient()
 	return &limpetexecutor.Connector{
 		Executor: executor, Session: h.Settings.VM + "." + h.deps.Incarnation, DirectorAddress: h.directorAddress,
 		Link: func(address string) limpetexecutor.Link {
--- a/internal/limpethost/feed.go
+++ b/internal/limpethost/feed.go
@@ -13,6 +13,8 @@
 // director.
 type feed struct {
 	prefix string
+	// relayedOnly is set if the feed is not in the store.
+	relayedOnly bool
 	// applyListing applies a complete listing of the prefix, and applyChanges
 	// changes of its values. They return the records of the values, or nil if
 	// these are not about the deployment.
@@ -20,9 +22,9 @@
 	applyChanges func(values []limpetstore.Value) []limpetsite.Record
 }
 
-// newFeeds returns the feeds of the deployment and that of crash records.
+// newFeeds returns the feeds of the deployment, of crash records and of limits.
 func (h *Host) newFeeds() []feed {
-	feeds := []feed{{
+	feeds := []feed{h.newLimitFeed(), {
 		prefix: limpetcrash.Prefix,
 		applyListing: func(l limpetstore.Listing) []limpetsite.Record {
 			h.crashes.ApplyListing(h.group.Context(), l.Values, l.Revision)
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net/http"
 	"runtime/debug"
 	"strings"
 	"sync"
@@ -54,6 +55,8 @@
 	// Scale orders a number of backend servers. A Fenced error means that none
 	// are available at present, or that a later lease holder has ordered.
 	Scale func(ctx context.Context, o limpetscaler.Order, holder string, fence uint64) error
+	// RelayTransport carries the calls to other VMs; nil for the network.
+	RelayTransport http.RoundTripper
 	// AskReady asks another VM whether it is ready.
 	AskReady func(ctx context.Context, address string) (bool, error)
 	// ReportRetired notifies the operator that a VM has been drained and may be
@@ -104,10 +107,13 @@
 
 	// crashes knows the requests that crash backend servers, and limits the request
 	// rates that backend servers named.
-	crashes   *limpetcrash.Book
-	limits    *limpetlimit.Limits
-	feeds     []feed
-	relevance relevance
+	crashes *limpetcrash.Book
+	limits  *limpetlimit.Limits
+	gate    *limpetlimit.Gate
+	// limitRevision counts the changes of limits in the mirror.
+	limitRevision atomic.Uint64
+	feeds         []feed
+	relevance     relevance
 }
 
 const (
@@ -140,9 +146,8 @@
 		mirror:        limpetrelay.NewMirror(deps.Incarnation, deps.Now), received: limpetwindow.NewReceivedCounts(), peers: map[string]time.Time{},
 	}
 	h.view.Store(limpetsite.EmptySnapshot())
-	h.limits = limpetlimit.NewLimits(deps.Now, log, metrics.Registry, nil)
-	deps.Upstream = h.observeLimits(deps.Upstream)
-	h.deps.Upstream = deps.Upstream
+	h.startLimits()
+	deps.Upstream = h.deps.Upstream
 	meter := limpetstore.NewMeter(metrics.Registry)
 	h.counter = limpetwindow.NewCounter(meter.Wrap(deps.Store, "usage"), settings.VM+"."+deps.Incarnation, settings.Bounds.UsageWindow, deps.Now, log)
 	h.reader = limpetjob.NewReader(meter.Wrap(deps.Store, "read"), deps.Now)
@@ -152,13 +157,14 @@
 	h.group.Go(h.crashes.Run)
 	h.feeds = h.newFeeds()
 	h.Forwarder = &limpetforward.Forwarder{
-		Zone: settings.Zone, View: h.View, Upstream: deps.Upstream, Tracker: limpetbalancer.New(), Crashes: h.crashes,
+		Zone: settings.Zone, View: h.View, Upstream: deps.Upstream, Tracker: limpetbalancer.New(), Crashes: h.crashes, Limits: h.gate,
 		Log: log, Metrics: metrics, CountRequest: h.counter.CountRequest, Now: deps.Now,
 	}
 	h.connector = h.newConnector()
 	h.watchers = h.newWatchers(meter.Wrap(deps.Store, "site"))
 	h.group.Go(h.runSite)
 	h.startDirector(meter.Wrap(deps.Store, "director"))
+	h.group.Go(h.gate.Run)
 	if settings.ServesCallers {
 		h.counter.SendToDirector = h.sendCounts
 		h.group.Go(h.followDeployment)
@@ -201,7 +207,7 @@
 	}
 	deps := limpetdirector.Deps{
 		VM: h.Settings.VM, Incarnation: h.deps.Incarnation, Store: store, Upstream: h.deps.Upstream, View: h.View,
-		Forwarder: h.Forwarder, Log: h.Log, Metrics: h.Metrics, Now: h.deps.Now, AcquireDelay: competeDelay,
+		Forwarder: h.Forwarder, Limits: h.gate, Log: h.Log, Metrics: h.Metrics, Now: h.deps.Now, AcquireDelay: competeDelay,
 		RelayAddress: h.Settings.RelayAddress, FollowDeployment: h.SetFollowing, StoreReachableElsewhere: h.storeReachableElsewhere, StoreReachable: h.StoreReachable, ReportRetired: h.deps.ReportRetired, DutyWatchTimeout: wait,
 		MinLeaseTTL: h.Settings.MinLeaseTTL, MinTakeoverInterval: h.Settings.Bounds.MinTakeoverInterval, JobRetention: h.Settings.Bounds.JobRetention,
 	}
@@ -278,6 +284,9 @@
 func (h *Host) newWatchers(store limpetstore.Store) []*limpetwatch.Watcher {
 	var watchers []*limpetwatch.Watcher
 	for _, f := range h.feeds {
+		if f.relayedOnly {
+			continue
+		}
 		w := &limpetwatch.Watcher{
 			Store: store, Prefix: f.prefix, Wait: watchWait,
 			OnList: func(l limpetstore.Listing) {
--- a/internal/limpethost/limpethost_test.go
+++ b/internal/limpethost/limpethost_test.go
@@ -55,18 +55,26 @@
 }
 
 func startVM(store *limpetstub.Store, vm string, upstream limpetupstream.Client, feeds ...limpethost.Feed) *limpethost.Host {
+	return startVMWith(store, vm, upstream, func(*limpethost.Settings, *limpethost.Deps) {}, feeds...)
+}
+
+// startVMWith starts a VM whose settings and dependencies are changed before.
+func startVMWith(store *limpetstub.Store, vm string, upstream limpetupstream.Client, change func(*limpethost.Settings, *limpethost.Deps), feeds ...limpethost.Feed) *limpethost.Host {
 	client := store.Client()
-	return limpethost.Start(context.Background(), limpethost.Settings{
+	settings := limpethost.Settings{
 		VM: vm, Zone: "a", ServesCallers: true,
 		Bounds: limpethost.Bounds{Grace: grace, Config: 2 * time.Second, Drain: 2 * time.Second, UsageWindow: 5 * time.Second, MinTakeoverInterval: 3 * time.Second, JobRetention: time.Minute},
-	}, limpethost.Deps{
+	}
+	deps := limpethost.Deps{
 		Store: client, Upstream: upstream, Feeds: append(feeds, limpethost.Feed{Prefix: "conf/", Decode: decodeConfig}),
 		Probe: func(ctx context.Context) error {
 			_, err := client.Scan(ctx, "conf/", "")
 			return err
 		},
 		Incarnation: "x", Now: time.Now, AskReady: func(context.Context, string) (bool, error) { return false, nil },
-	}, limpetlog.Discard(), limpetmetric.New())
+	}
+	change(&settings, &deps)
+	return limpethost.Start(context.Background(), settings, deps, limpetlog.Discard(), limpetmetric.New())
 }
 
 // startConfigured starts a VM and waits until it has its configuration.
--- a/internal/limpethost/source.go
+++ b/internal/limpethost/source.go
@@ -53,7 +53,7 @@
 // serves callers: from the director while its view is fresh, and from the
 // store otherwise.
 func (h *Host) followDeployment(ctx context.Context) error {
-	httpClient := limpetrelay.NewHTTPClient()
+	httpClient := h.relayClient()
 	var link directorLink
 	var lastLookup time.Time
 	lastHeard := h.deps.Now()
@@ -127,6 +127,7 @@
 	if h.relay.Swap(link.client) != link.client {
 		h.Log.Emit(limpetlog.RelayConnected, limpetlog.Value("address", link.address))
 		h.counter.ResendAll()
+		h.limits.Resend()
 		h.SetFollowing(false)
 	}
 	return u.Age, true
@@ -236,7 +237,7 @@
 			h.received.Merge(counter, windows)
 			return true
 		},
-		AcceptOffer: h.director.AcceptOffer, Deliver: h.director.Deliver,
+		Permit: h.decidePermit, AcceptOffer: h.director.AcceptOffer, Deliver: h.director.Deliver,
 	}
 }
 
--- /dev/null
+++ b/internal/limpetlimit/ledger.go
@@ -0,0 +1,157 @@
+package limpetlimit
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// burstTime is how far ahead of an even spacing requests may be sent. In any 4 s
+	// a server then gets at most 4.5 times its rate and one request.
+	burstTime = 500 * time.Millisecond
+	// lookInterval is how long a server may name a limit without being asked
+	// again. One request is sent to it then, if there is one that may be: a server
+	// that gets none could not say that the limit is over.
+	lookInterval = 2 * time.Second
+	// accountRetention is how long the account of a server without requests is
+	// kept.
+	accountRetention = 30 * time.Second
+)
+
+// A Ledger accounts for the requests to servers that are limited. It is safe for
+// concurrent use.
+type Ledger struct {
+	// share is the part of each limit that may be used.
+	share float64
+
+	mu       sync.Mutex
+	accounts map[string]*account
+	prunedAt time.Time
+}
+
+// An account is the state of one server.
+type account struct {
+	// due is when the server could take the next request if it got all of them
+	// evenly spaced.
+	due time.Time
+	// lastSent is when the last request was accounted for.
+	lastSent time.Time
+}
+
+// NewLedger returns an empty ledger that hands out the given share of each
+// server's limit.
+func NewLedger(share float64) *Ledger { return &Ledger{share: share, accounts: map[string]*account{}} }
+
+// SetShare changes the share of each limit.
+func (l *Ledger) SetShare(share float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.share = share
+}
+
+// interval returns the mean time between requests to a server. The caller holds
+// the lock.
+func (l *Ledger) interval(limit Limit) time.Duration {
+	return time.Duration(float64(time.Second) / (limit.Rate * l.share))
+}
+
+// delay returns the time until a server takes one more request. The caller holds
+// the lock.
+func (l *Ledger) delay(limit Limit, now time.Time) time.Duration {
+	return max(0, l.account(limit, now).due.Sub(now)-burstTime)
+}
+
+// account returns the account of a server. A new one has no requests saved, since
+// an earlier director may have handed out permits. In a ledger with a share of
+// the limits, the first request is due at a random time, so that the ledgers of
+// many VMs do not send theirs at once. The caller holds the lock.
+func (l *Ledger) account(limit Limit, now time.Time) *account {
+	a := l.accounts[limit.Server]
+	if a == nil {
+		a = &account{due: now.Add(burstTime), lastSent: now}
+		if l.share < 1 {
+			a.due = a.due.Add(time.Duration(rand.Float64() * float64(l.interval(limit))))
+		}
+		l.accounts[limit.Server] = a
+	}
+	return a
+}
+
+// take accounts for one request. The caller holds the lock.
+func (l *Ledger) take(limit Limit, now time.Time) {
+	a := l.account(limit, now)
+	if a.due.Before(now) {
+		a.due = now
+	}
+	a.due = a.due.Add(l.interval(limit))
+	a.lastSent = now
+}
+
+// Free reports whether a server takes a request now.
+func (l *Ledger) Free(limit Limit, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delay(limit, now) == 0
+}
+
+// Take accounts for a request that is sent whether or not the server takes it.
+func (l *Ledger) Take(limit Limit, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.take(limit, now)
+}
+
+// Grant accounts for a request to that server of those given which takes one
+// first, and returns the delay after which it must be sent. If all of them take
+// longer than maxDelay, it returns an empty server and the time until one takes a
+// request.
+func (l *Ledger) Grant(limits []Limit, maxDelay time.Duration, now time.Time) (server string, delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	best := -1
+	for n, limit := range limits {
+		if d := l.delay(limit, now); best < 0 || d < delay {
+			best, delay = n, d
+		}
+	}
+	if best < 0 || delay > maxDelay {
+		return "", delay
+	}
+	l.take(limits[best], now)
+	return limits[best].Server, delay
+}
+
+// longUnasked returns the limit of the server that was not asked for the longest
+// time, if that is more than lookInterval.
+func (l *Ledger) longUnasked(limits []Limit, now time.Time) []Limit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var longest []Limit
+	oldest := now.Add(-lookInterval)
+	for _, limit := range limits {
+		asked := limit.At
+		if a := l.accounts[limit.Server]; a != nil && a.lastSent.After(asked) {
+			asked = a.lastSent
+		}
+		if asked.Before(oldest) {
+			longest, oldest = []Limit{limit}, asked
+		}
+	}
+	return longest
+}
+
+// prune drops the accounts of servers that got no request for long. The caller
+// holds the lock.
+func (l *Ledger) prune(now time.Time) {
+	if now.Sub(l.prunedAt) < accountRetention {
+		return
+	}
+	l.prunedAt = now
+	for server, a := range l.accounts {
+		if now.Sub(a.lastSent) > accountRetention {
+			delete(l.accounts, server)
+		}
+	}
+}
--- a/internal/limpetlimit/limpetlimit.go
+++ b/internal/limpetlimit/limpetlimit.go
@@ -9,6 +9,7 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,7 +45,8 @@
 type Limits struct {
 	now func() time.Time
 	log *limpetlog.Logger
-	// publish is called for each limit whose rate has changed.
+	// publish is called for each limit whose rate has changed, in order. It must
+	// not call Limits.
 	publish func(Limit)
 	changes *prometheus.CounterVec
 	view    atomic.Pointer[map[string]Limit]
@@ -109,11 +111,11 @@
 // record records limits unless newer ones are known, and reports whether a rate
 // has changed. Own limits must be sent to the director.
 func (l *Limits) record(limits []Limit, source string, own bool) (changed bool) {
-	var published []Limit
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, limit := range limits {
 		before := l.known[limit.Server]
-		if before.At.After(limit.At) {
+		if before.At.After(limit.At) || math.IsNaN(limit.Rate) || limit.Rate < 0 {
 			continue
 		}
 		l.known[limit.Server] = limit
@@ -124,16 +126,12 @@
 		if own {
 			l.unsent[limit.Server] = true
 		}
-		published = append(published, limit)
 		l.report(limit, before.Rate, source)
-	}
-	l.rebuild()
-	l.mu.Unlock()
-	if l.publish != nil {
-		for _, limit := range published {
+		if l.publish != nil {
 			l.publish(limit)
 		}
 	}
+	l.rebuild()
 	return changed
 }
 
--- a/internal/limpetrelay/client.go
+++ b/internal/limpetrelay/client.go
@@ -7,8 +7,10 @@
 
 	"connectrpc.com/connect"
 
+	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpethttp"
 	"limpetmount.org/internal/limpetjob"
+	"limpetmount.org/internal/limpetlimit"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpetwindow"
 	"limpetmount.org/internal/limpetwire"
@@ -82,6 +84,28 @@
 	return page, r.Msg.Denied, r.Msg.Known, nil
 }
 
+// Permit asks the VM for a permit to send a request to a limited server. The error
+// has type Unavailable if the VM is not the director.
+func (c *Client) Permit(ctx context.Context, r limpetlimit.Request, now time.Time) (limpetlimit.Grant, error) {
+	request := &limpetwire.PermitRequest{Servers: r.Servers, MaxDelayUs: r.MaxDelay.Microseconds(), Look: r.Look}
+	for _, l := range r.Limits {
+		request.Limits = append(request.Limits, &limpetwire.ObservedLimit{
+			Server: l.Server, Incarnation: l.Incarnation, Rate: l.Rate, AgeMs: now.Sub(l.At).Milliseconds(),
+		})
+	}
+	reply, err := c.relay.Permit(ctx, connect.NewRequest(request))
+	if err != nil {
+		return limpetlimit.Grant{}, err
+	}
+	if !reply.Msg.Directing {
+		return limpetlimit.Grant{}, limpeterror.Unavailable.New("the VM is not the director")
+	}
+	return limpetlimit.Grant{
+		Server: reply.Msg.Server, Delay: time.Duration(reply.Msg.DelayUs) * time.Microsecond,
+		RetryAfter: time.Duration(reply.Msg.RetryAfterUs) * time.Microsecond, VMs: int(reply.Msg.Vms),
+	}, nil
+}
+
 // Count sends usage counts to the VM. It reports whether they were accepted.
 func (c *Client) Count(ctx context.Context, counter string, windows map[int64]limpetwindow.Counts) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, responseMargin)
--- a/internal/limpetrelay/limpetrelay_test.go
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -14,8 +14,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetexecutor"
 	"limpetmount.org/internal/limpetjob"
+	"limpetmount.org/internal/limpetlimit"
 	"limpetmount.org/internal/limpetrelay"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
@@ -298,6 +300,42 @@
 	})
 }
 
+func TestPermits(t *testing.T) {
+	asked := make(chan limpetlimit.Request, 1)
+	directing := atomic.Bool{}
+	handlers := &limpetrelay.Handlers{Permit: func(r limpetlimit.Request) (limpetlimit.Grant, bool) {
+		asked <- r
+		return limpetlimit.Grant{Server: "b", Delay: 20 * time.Millisecond, RetryAfter: 30 * time.Millisecond, VMs: 6}, directing.Load()
+	}}
+	server := httptest.NewServer(handlers.Handler())
+	t.Cleanup(server.Close)
+	c := limpetrelay.NewClient(server.Client(), server.Listener.Addr().String(), "")
+	now := time.Now()
+	request := limpetlimit.Request{
+		Servers: []string{"a", "b"}, MaxDelay: 75 * time.Millisecond, Look: true,
+		Limits: []limpetlimit.Limit{{Server: "a", Incarnation: 3, Rate: 1.9, At: now.Add(-time.Second)}},
+	}
+	Convey("a request for a permit and its answer arrive as they were sent", t, func() {
+		directing.Store(true)
+		grant, err := c.Permit(context.Background(), request, now)
+		So(err, ShouldBeNil)
+		So(grant, ShouldResemble, limpetlimit.Grant{Server: "b", Delay: 20 * time.Millisecond, RetryAfter: 30 * time.Millisecond, VMs: 6})
+		got := <-asked
+		So(got.Servers, ShouldResemble, request.Servers)
+		So(got.MaxDelay, ShouldEqual, request.MaxDelay)
+		So(got.Look, ShouldBeTrue)
+		So(got.Limits[0].Rate, ShouldEqual, 1.9)
+		So(got.Limits[0].Incarnation, ShouldEqual, 3)
+		So(got.Limits[0].At, ShouldHappenWithin, 500*time.Millisecond, request.Limits[0].At)
+	})
+	Convey("a VM that is not the director grants nothing", t, func() {
+		directing.Store(false)
+		_, err := c.Permit(context.Background(), request, now)
+		So(limpeterror.Is(err, limpeterror.Unavailable), ShouldBeTrue)
+		<-asked
+	})
+}
+
 func TestOfferAndDeliver(t *testing.T) {
 	text := limpetjob.Draft{Item: "i", Pieces: []string{"a", "b"}, LastEvent: 2, Versions: []int{3, 4}, Version: 4}
 	batch := limpetexecutor.Batch{CancelRuns: []string{"old"}, Unsure: true, Orders: []limpetexecutor.Order{{
--- a/internal/limpetrelay/serve.go
+++ b/internal/limpetrelay/serve.go
@@ -9,6 +9,7 @@
 
 	"limpetmount.org/internal/limpetexecutor"
 	"limpetmount.org/internal/limpetjob"
+	"limpetmount.org/internal/limpetlimit"
 	"limpetmount.org/internal/limpetwindow"
 	"limpetmount.org/internal/limpetwire"
 )
@@ -31,6 +32,9 @@
 	// Count accepts the usage counts of another VM. It reports whether they
 	// were accepted.
 	Count func(counter string, windows map[int64]limpetwindow.Counts) bool
+	// Permit answers a request for a permit to send to a limited server. Directing
+	// is false if this VM is not the director.
+	Permit func(r limpetlimit.Request) (grant limpetlimit.Grant, directing bool)
 	// AcceptOffer accepts the offer of a VM to execute runs, and sends it
 	// batches until the offer ends.
 	AcceptOffer func(ctx context.Context, o limpetexecutor.Offer, send func(limpetexecutor.Batch) error) error
@@ -96,3 +100,21 @@
 	}
 	return connect.NewResponse(&limpetwire.CountReply{Taken: s.handlers.Count(r.Msg.Counter, windows)}), nil
 }
+
+// Permit implements limpetwire.RelayHandler.
+func (s server) Permit(_ context.Context, r *connect.Request[limpetwire.PermitRequest]) (*connect.Response[limpetwire.PermitReply], error) {
+	now := time.Now()
+	request := limpetlimit.Request{
+		Servers:  r.Msg.Servers[:min(limpetlimit.MaxServers, len(r.Msg.Servers))],
+		MaxDelay: time.Duration(r.Msg.MaxDelayUs) * time.Microsecond, Look: r.Msg.Look,
+	}
+	for _, l := range r.Msg.Limits {
+		request.Limits = append(request.Limits, limpetlimit.Limit{
+			Server: l.Server, Incarnation: l.Incarnation, Rate: l.Rate, At: now.Add(-time.Duration(l.AgeMs) * time.Millisecond),
+		})
+	}
+	grant, directing := s.handlers.Permit(request)
+	return connect.NewResponse(&limpetwire.PermitReply{
+		Directing: directing, Server: grant.Server, DelayUs: grant.Delay.Microseconds(), RetryAfterUs: grant.RetryAfter.Microseconds(), Vms: int64(grant.VMs),
+	}), nil
+}
--- a/internal/limpetwire/limpetwire.connect.go
+++ b/internal/limpetwire/limpetwire.connect.go
@@ -65,6 +65,8 @@
 	RelayResultsProcedure = "/limpetmount.v1.Relay/Results"
 	// RelayCountProcedure is the fully-qualified name of the Relay's Count RPC.
 	RelayCountProcedure = "/limpetmount.v1.Relay/Count"
+	// RelayPermitProcedure is the fully-qualified name of the Relay's Permit RPC.
+	RelayPermitProcedure = "/limpetmount.v1.Relay/Permit"
 	// RelayCarryProcedure is the fully-qualified name of the Relay's Carry RPC.
 	RelayCarryProcedure = "/limpetmount.v1.Relay/Carry"
 	// RelayDeliverProcedure is the fully-qualified name of the Relay's Deliver RPC.
@@ -462,6 +464,9 @@
 	Results(context.Context, *connect.Request[ResultsRequest]) (*connect.Response[ResultsReply], error)
 	// Count sends the usage counts of a VM to the director.
 	Count(context.Context, *connect.Request[CountRequest]) (*connect.Response[CountReply], error)
+	// Permit asks the director for a permit to send a request to a server that
+	// limits its requests, and reports limits.
+	Permit(context.Context, *connect.Request[PermitRequest]) (*connect.Response[PermitReply], error)
 	// Carry offers the calling VM to the director as an executor, a VM that sends
 	// runs to engines, and opens an executor session. The response stream carries
 	// batches of orders until the director ends the session.
@@ -499,6 +504,12 @@
 			connect.WithSchema(relayMethods.ByName("Count")),
 			connect.WithClientOptions(opts...),
 		),
+		permit: connect.NewClient[PermitRequest, PermitReply](
+			httpClient,
+			baseURL+RelayPermitProcedure,
+			connect.WithSchema(relayMethods.ByName("Permit")),
+			connect.WithClientOptions(opts...),
+		),
 		carry: connect.NewClient[CarryRequest, CarryReply](
 			httpClient,
 			baseURL+RelayCarryProcedure,
@@ -519,6 +530,7 @@
 	follow  *connect.Client[FollowRequest, FollowReply]
 	results *connect.Client[ResultsRequest, ResultsReply]
 	count   *connect.Client[CountRequest, CountReply]
+	permit  *connect.Client[PermitRequest, PermitReply]
 	carry   *connect.Client[CarryRequest, CarryReply]
 	deliver *connect.Client[DeliverRequest, DeliverReply]
 }
@@ -538,6 +550,11 @@
 	return c.count.CallUnary(ctx, req)
 }
 
+// Permit calls limpetmount.v1.Relay.Permit.
+func (c *relayClient) Permit(ctx context.Context, req *connect.Request[PermitRequest]) (*connect.Response[PermitReply], error) {
+	return c.permit.CallUnary(ctx, req)
+}
+
 // Carry calls limpetmount.v1.Relay.Carry.
 func (c *relayClient) Carry(ctx context.Context, req *connect.Request[CarryRequest]) (*connect.ServerStreamForClient[CarryReply], error) {
 	return c.carry.CallServerStream(ctx, req)
@@ -557,6 +574,9 @@
 	Results(context.Context, *connect.Request[ResultsRequest]) (*connect.Response[ResultsReply], error)
 	// Count sends the usage counts of a VM to the director.
 	Count(context.Context, *connect.Request[CountRequest]) (*connect.Response[CountReply], error)
+	// Permit asks the director for a permit to send a request to a server that
+	// limits its requests, and reports limits.
+	Permit(context.Context, *connect.Request[PermitRequest]) (*connect.Response[PermitReply], error)
 	// Carry offers the calling VM to the director as an executor, a VM that sends
 	// runs to engines, and opens an executor session. The response stream carries
 	// batches of orders until the director ends the session.
@@ -590,6 +610,12 @@
 		connect.WithSchema(relayMethods.ByName("Count")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayPermitHandler := connect.NewUnaryHandler(
+		RelayPermitProcedure,
+		svc.Permit,
+		connect.WithSchema(relayMethods.ByName("Permit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	relayCarryHandler := connect.NewServerStreamHandler(
 		RelayCarryProcedure,
 		svc.Carry,
@@ -610,6 +636,8 @@
 			relayResultsHandler.ServeHTTP(w, r)
 		case RelayCountProcedure:
 			relayCountHandler.ServeHTTP(w, r)
+		case RelayPermitProcedure:
+			relayPermitHandler.ServeHTTP(w, r)
 		case RelayCarryProcedure:
 			relayCarryHandler.ServeHTTP(w, r)
 		case RelayDeliverProcedure:
@@ -635,6 +663,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Count is not implemented"))
 }
 
+func (UnimplementedRelayHandler) Permit(context.Context, *connect.Request[PermitRequest]) (*connect.Response[PermitReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Permit is not implemented"))
+}
+
 func (UnimplementedRelayHandler) Carry(context.Context, *connect.Request[CarryRequest], *connect.ServerStream[CarryReply]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Carry is not implemented"))
 }
