Reward calls leave a third of a server's slots to callers

When few servers are left that take requests, they filled their slots and queues; 545 requests were refused by full servers, and callers' requests of 25 ms waited behind them. Change: a request of the system itself waits up to 1 s for a server on which a third of the slots stay free; it reserves no permit ahead of callers. TestOwnRequestsLeaveRoomForCallers was red (10 at once, 3 allowed).

--- a/internal/limpetbalancer/limpetbalancer.go
+++ b/internal/limpetbalancer/limpetbalancer.go
@@ -67,6 +67,14 @@
 	return t.choose(servers, zone, func(s *limpetsite.Server) bool { return !exclude(s.ID) }, now)
 }
 
+// ChooseWithRoom is Choose among servers that have a free slot beyond the given
+// share of their slots and are not ejected. It returns nil if there is none.
+func (t *Tracker) ChooseWithRoom(servers []*limpetsite.Server, zone string, exclude func(id string) bool, reserve float64, now time.Time) *limpetsite.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.choose(servers, zone, func(s *limpetsite.Server) bool { return !exclude(s.ID) && t.hasRoom(s, reserve, now) }, now)
+}
+
 // choose chooses among the servers that qualify. The caller holds the lock.
 func (t *Tracker) choose(servers []*limpetsite.Server, zone string, qualifies func(*limpetsite.Server) bool, now time.Time) *limpetsite.Server {
 	var best *limpetsite.Server
--- a/internal/limpetforward/choose.go
+++ b/internal/limpetforward/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpettask"
 )
 
 // A cause says why an attempt is started.
@@ -30,6 +31,16 @@
 	minLimitedRetryAfter = 50 * time.Millisecond
 )
 
+const (
+	// callersShare is the part of each server's slots that the system's own
+	// requests leave to those of callers.
+	callersShare = 1. / 3
+	// maxYield is how long a request of the system itself waits for a server with
+	// free slots beyond callersShare, and yieldInterval the time between looks.
+	maxYield      = time.Second
+	yieldInterval = 20 * time.Millisecond
+)
+
 // maxRetrySpread is the largest part by which the delays of refused requests
 // differ, so that they do not return together.
 const maxRetrySpread = 0.5
@@ -53,6 +64,11 @@
 			return d.take(id)
 		}
 	}
+	if d.yields && cause != hedged {
+		if server := d.chooseYielding(ctx); server != nil {
+			return server
+		}
+	}
 	if len(limited) == 0 {
 		return f.Tracker.Choose(servers, f.Zone, tried, f.Now())
 	}
@@ -67,6 +83,33 @@
 	return f.Tracker.Choose(servers, f.Zone, unavailable, f.Now())
 }
 
+// chooseYielding returns a server that has room for a request of the system
+// itself. It waits for one as long as the request may be kept waiting, and then
+// returns nil.
+func (d *dispatch) chooseYielding(ctx context.Context) *limpetsite.Server {
+	f := d.forwarder
+	tried := func(id string) bool { return d.tried[id] }
+	unavailable := func(id string) bool { return d.tried[id] || f.Limits.Limited(id) }
+	for end := f.Now().Add(maxYield); f.Now().Before(end); {
+		servers := f.View().Servers(d.service)
+		if len(servers) == 0 {
+			return nil
+		}
+		if server := f.Tracker.ChooseWithRoom(servers, f.Zone, unavailable, callersShare, f.Now()); server != nil {
+			return server
+		}
+		if limited := f.Limits.Among(servers, f.Zone, tried); len(limited) > 0 {
+			if id, _, ok := f.Limits.Permit(ctx, d.service, limited, 0); ok {
+				return d.take(id)
+			}
+		}
+		if !limpettask.Sleep(ctx, yieldInterval) {
+			return nil
+		}
+	}
+	return nil
+}
+
 // take returns the server of a permit, counted as in flight.
 func (d *dispatch) take(id string) *limpetsite.Server {
 	f := d.forwarder
@@ -74,8 +117,12 @@
 }
 
 // limitWait returns how long the request may wait for a limited server. A longer
-// wait would only make all requests late that are served at all.
+// wait would only make all requests late that are served at all. Requests of the
+// system itself reserve nothing ahead of callers.
 func (d *dispatch) limitWait() time.Duration {
+	if d.yields {
+		return 0
+	}
 	wait := defaultLimitWait
 	if d.route.LatencyGoal > 0 {
 		wait = time.Duration(limitWaitFraction * float64(d.route.LatencyGoal))
--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -26,6 +26,9 @@
 	// crashes knows the requests that crash servers; nil for requests that are
 	// owed whatever crashes under them.
 	crashes *limpetcrash.Book
+	// yields is set for requests of the system itself, which can wait for a server
+	// longer than those of callers.
+	yields bool
 	// broken counts the attempts that ended without a complete answer.
 	broken int
 	// quarantined is set once the request was found to be quarantined, until
--- a/internal/limpetforward/limpetforward.go
+++ b/internal/limpetforward/limpetforward.go
@@ -181,7 +181,7 @@
 	repeatable := *route
 	repeatable.Kind = limpetsite.Idempotent
 	d := &dispatch{
-		forwarder: f, request: r, route: &repeatable,
+		forwarder: f, request: r, route: &repeatable, yields: true,
 		service: route.Pick(rand.Float64()), deadline: r.Arrived.Add(r.Timeout), tried: map[string]bool{},
 	}
 	return f.finish(r, route, nil, d.run(ctx)), d.attemptLimit()
--- a/internal/limpetforward/limpetforward_test.go
+++ b/internal/limpetforward/limpetforward_test.go
@@ -21,6 +21,7 @@
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -302,3 +303,41 @@
 		})
 	})
 }
+
+// Guards against reward calls of many samples at once that fill the few servers
+// which take requests, while callers wait behind them.
+func TestOwnRequestsLeaveRoomForCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			own      = 20
+			workTime = 200 * time.Millisecond
+		)
+		// The fixture's server has 4 slots.
+		f := newFixture(limpetsite.Idempotent, delayed(workTime, repliesWith(200)))
+		group := limpettask.New(context.Background())
+		ownAtOnce, served := 0, atomic.Int64{}
+		for range own {
+			group.Go(func(ctx context.Context) error {
+				r := request("/k/x", "")
+				r.Timeout = 4 * time.Second
+				if a, _ := f.ForwardInternal(ctx, r); a.Reason == limpetforward.Served {
+					served.Add(1)
+				}
+				return nil
+			})
+		}
+		for range 4 {
+			time.Sleep(workTime)
+			calls, ended, _ := f.recorded()
+			ownAtOnce = max(ownAtOnce, len(calls)-ended)
+		}
+		time.Sleep(4 * time.Second)
+		Convey("they take two thirds of the slots of a server, and all are served", t, func() {
+			So(ownAtOnce, ShouldBeBetweenOrEqual, 1, 3)
+			So(served.Load(), ShouldEqual, own)
+		})
+		if err := group.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
