The fleet planner counts a limited engine as the part that it takes

An engine that takes 1 request a second of 2 s each fills 2 of its 8 slots; the planner went on counting it whole and ordered nothing while items waited. Change: the director measures how long runs take by service; the planner subtracts what limited engines lack.

--- a/internal/limpetbatch/fleet.go
+++ b/internal/limpetbatch/fleet.go
@@ -1,6 +1,8 @@
 package limpetbatch
 
 import (
+	"time"
+
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetweights"
 )
@@ -91,3 +93,26 @@
 	}
 	return demand
 }
+
+const (
+	// defaultRunTime is assumed for runs of a service of which none is complete.
+	defaultRunTime = 2 * time.Second
+	// runTimeSmoothing is the weight of a new sample in the mean run time.
+	runTimeSmoothing = 0.1
+)
+
+func (s *Scheduler) recordRunTime(service string, took time.Duration) {
+	mean, known := s.runTimes[service]
+	if !known {
+		mean = took
+	}
+	s.runTimes[service] = mean + time.Duration(runTimeSmoothing*float64(took-mean))
+}
+
+// RunTime returns the mean duration of complete runs of a service.
+func (s *Scheduler) RunTime(service string) time.Duration {
+	if mean, known := s.runTimes[service]; known {
+		return mean
+	}
+	return defaultRunTime
+}
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -157,11 +157,13 @@
 	queue      []*Entry
 	// workloads holds the typical job of each model.
 	workloads map[string]Workload
+	// runTimes holds the mean duration of complete runs by service.
+	runTimes map[string]time.Duration
 }
 
 // New returns a scheduler without jobs and engines.
 func New() *Scheduler {
-	return &Scheduler{jobs: map[string]*Job{}, engines: map[string]*engine{}, retained: map[string]*retainedText{}, workloads: map[string]Workload{}}
+	return &Scheduler{jobs: map[string]*Job{}, engines: map[string]*engine{}, retained: map[string]*retainedText{}, workloads: map[string]Workload{}, runTimes: map[string]time.Duration{}}
 }
 
 // Jobs returns the jobs that have not ended, by ID.
--- a/internal/limpetdirector/orders.go
+++ b/internal/limpetdirector/orders.go
@@ -208,22 +208,29 @@
 // demandPeriod is the time between measurements of demand.
 const demandPeriod = 100 * time.Millisecond
 
-// measureDemand publishes the number of running and waiting items of each
-// service for Demand.
+// measureDemand publishes the demand for each service.
 func (d *Director) measureDemand(now time.Time) {
 	if now.Sub(d.measuredAt) < demandPeriod {
 		return
 	}
 	d.measuredAt = now
 	for service, n := range d.scheduler.Demand() {
-		d.demand.Store(service, n)
+		d.demand.Store(service, Demand{Items: n, RunTime: d.scheduler.RunTime(service)})
 	}
 }
 
-// Demand returns the number of running and waiting items of a service.
-func (d *Director) Demand(service string) int {
-	if n, ok := d.demand.Load(service); ok {
-		return n.(int)
+// A Demand describes the items of a service.
+type Demand struct {
+	// Items is the number of running and waiting items.
+	Items int
+	// RunTime is the mean duration of a run.
+	RunTime time.Duration
+}
+
+// Demand returns the demand for a service.
+func (d *Director) Demand(service string) Demand {
+	if demand, ok := d.demand.Load(service); ok {
+		return demand.(Demand)
 	}
-	return 0
+	return Demand{}
 }
--- a/internal/limpethost/fleet.go
+++ b/internal/limpethost/fleet.go
@@ -43,8 +43,10 @@
 				planner = limpetscaler.New(service.Name)
 				planners[service.Name] = planner
 			}
-			planner.ObserveDemand(now, h.director.Demand(service.Name))
+			demand := h.director.Demand(service.Name)
+			planner.ObserveDemand(now, demand.Items)
 			zones, slots := zoneCounts(view, service)
+			h.subtractLimits(view, service, zones, demand.RunTime)
 			if now.Sub(began) < observeTime || len(zones) == 0 {
 				continue
 			}
@@ -78,6 +80,25 @@
 	return zones, slots
 }
 
+// subtractLimits records the capacity of each zone that servers lack because they
+// limit their requests.
+func (h *Host) subtractLimits(view *limpetsite.Snapshot, service *limpetsite.Service, zones []limpetscaler.Zone, runTime time.Duration) {
+	if !h.limits.Any() {
+		return
+	}
+	for _, s := range view.Servers(service.Name) {
+		limit, limited := h.limits.Get(s.ID)
+		if !limited {
+			continue
+		}
+		for n := range zones {
+			if zones[n].Name == s.Zone {
+				zones[n].Lost += limpetscaler.LostCapacity(limit.Rate, runTime, s.Slots)
+			}
+		}
+	}
+}
+
 func (h *Host) placeOrder(ctx context.Context, lease limpetdirector.LeaseCheck, planner *limpetscaler.Planner, o limpetscaler.Order) {
 	fence, ok := lease.Fence(minLeaseRemaining)
 	if !ok {
--- a/internal/limpetscaler/limpetscaler.go
+++ b/internal/limpetscaler/limpetscaler.go
@@ -17,7 +17,10 @@
 	Name string
 	// Standard and Spot count the servers that accept work.
 	Standard, Spot int
-	Price          float64
+	// Lost is the capacity that servers of the zone have less because they limit
+	// their requests, in servers.
+	Lost  float64
+	Price float64
 }
 
 // An Order asks for a number of servers of one kind in a zone.
@@ -87,15 +90,24 @@
 	}
 }
 
+// LostCapacity returns the capacity that a server has less because it limits its
+// requests to a rate, in servers. RunTime is how long it takes for a request, and
+// slots the number of requests that it would run at once.
+func LostCapacity(rate float64, runTime time.Duration, slots int) float64 {
+	return max(0, 1-rate*runTime.Seconds()/float64(max(slots, 1)))
+}
+
 // Plan returns the orders to give now, at most one per zone.
 func (p *Planner) Plan(now time.Time, zones []Zone, fleet limpetsite.Fleet, slotsPerServer int) []Order {
 	zones = slices.Clone(zones)
 	slices.SortFunc(zones, func(a, b Zone) int { return cmp.Compare(a.Name, b.Name) })
-	total := 0
+	total, lost := 0, 0.0
 	for _, z := range zones {
 		p.observe(z, now)
 		total += z.Standard + z.Spot
+		lost += z.Lost
 	}
+	total -= int(lost)
 	orders := p.replace(now, zones, fleet)
 	needed := int(math.Ceil(p.peakDemand * headroom / float64(max(slotsPerServer, 1))))
 	switch {
--- a/internal/limpetscaler/limpetscaler_test.go
+++ b/internal/limpetscaler/limpetscaler_test.go
@@ -35,6 +35,20 @@
 		})
 		So(p.Plan(epoch.Add(time.Second), zones(2, 0), fleet, slots), ShouldBeEmpty)
 	})
+	Convey("capacity that servers lack because they limit their requests is replaced", t, func() {
+		p := limpetscaler.New("s")
+		p.ObserveDemand(epoch, 20)
+		limited := zones(2, 0)
+		for range 2 {
+			// 1 request a second of 2 s each takes 2 of 8 slots.
+			limited[0].Lost += limpetscaler.LostCapacity(1, 2*time.Second, slots)
+		}
+		So(limited[0].Lost, ShouldEqual, 1.5)
+		So(p.Plan(epoch, limited, fleet, slots), ShouldBeEmpty)
+		limited[1].Lost = 0.75
+		So(len(p.Plan(epoch, limited, fleet, slots)), ShouldEqual, 1)
+		So(limpetscaler.LostCapacity(100, 2*time.Second, slots), ShouldEqual, 0)
+	})
 	Convey("no zone exceeds the configured maximum", t, func() {
 		p := limpetscaler.New("s")
 		p.ObserveDemand(epoch, 500)
