A planned stop answers requests on new connections

Cause, traced before: http.Server.Shutdown closes the listener with the connections that it has not accepted, and drops a request that it reads after it was called. Change: limpethttp.Server accepts what waits until 30 ms bring no connection (0.5 s at most), closes the listener, waits up to 1 s for the first request on each connection, answers all, and calls Shutdown with nothing left. Both programs use it. What remains: a connection that the kernel completes between the last accept and the close, microseconds, of a client that connects 2.5 s after the VM was not ready.

--- a/internal/limpethttp/limpethttp.go
+++ b/internal/limpethttp/limpethttp.go
@@ -192,17 +192,5 @@
 // Serve runs server on listener in the group, and closes it when the group is
 // cancelled.
 func Serve(g *limpettask.Group, listener net.Listener, server *http.Server) {
-	if server.ReadHeaderTimeout == 0 {
-		server.ReadHeaderTimeout = readHeaderTimeout
-	}
-	g.Go(func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	g.Go(func(ctx context.Context) error {
-		<-ctx.Done()
-		return server.Close()
-	})
+	NewServer(server, listener, nil).Run(g)
 }
--- a/internal/limpetnode/limpetnode.go
+++ b/internal/limpetnode/limpetnode.go
@@ -9,6 +9,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -103,7 +104,7 @@
 
 	mu      sync.Mutex
 	runners map[string]*limpetrollout.Runner
-	servers []*http.Server
+	servers []*limpethttp.Server
 }
 
 const (
@@ -194,12 +195,14 @@
 
 func (n *Node) listen() error {
 	s := n.settings
-	caller, err := n.callerListener()
+	caller, config, err := n.callerListener()
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: n.frontend.Handler(), MaxHeaderBytes: s.Limits.MaxHeaderBytes, ReadHeaderTimeout: s.Timing.HeaderTimeout, ErrorLog: discardLog()}
-	limpethttp.Serve(n.group, caller, server)
+	server := limpethttp.NewServer(&http.Server{
+		Handler: n.frontend.Handler(), MaxHeaderBytes: s.Limits.MaxHeaderBytes, ReadHeaderTimeout: s.Timing.HeaderTimeout, ErrorLog: discardLog(),
+	}, caller, config)
+	server.Run(n.group)
 	n.servers = append(n.servers, server)
 	peerPath, peerHandler := limpetwire.NewPeerServiceHandler(&peerService{node: n})
 	if err := n.serveTLS("peer", s.Peer.Address, peerPath, peerHandler, n.keyPair.ServerConfig()); err != nil {
@@ -217,20 +220,22 @@
 	return nil
 }
 
-func (n *Node) callerListener() (net.Listener, error) {
+// callerListener returns the listener for callers and its TLS configuration, which
+// is nil if none is set.
+func (n *Node) callerListener() (net.Listener, *tls.Config, error) {
 	c := n.settings.Caller
 	listener, err := net.Listen("tcp", c.Address)
 	if err != nil {
-		return nil, fmt.Errorf("section caller: %w; another process may use the port", err)
+		return nil, nil, fmt.Errorf("section caller: %w; another process may use the port", err)
 	}
 	if c.Cert == "" {
-		return listener, nil
+		return listener, nil, nil
 	}
 	keyPair, err := limpettls.Load(c.Cert, c.Key, "", n.logCertReload)
 	if err != nil {
-		return nil, fmt.Errorf("section caller: %w", err)
+		return nil, nil, errors.Join(fmt.Errorf("section caller: %w", err), listener.Close())
 	}
-	return tls.NewListener(listener, keyPair.ServerConfig()), nil
+	return listener, keyPair.ServerConfig(), nil
 }
 
 // operatorTLS returns the TLS configuration of the operator listener, whose
@@ -324,7 +329,7 @@
 	n.heartbeat(releaseCtx)
 	var firstErr error
 	for _, s := range n.servers {
-		if err := s.Shutdown(ctx); err != nil && firstErr == nil {
+		if err := s.Drain(ctx); err != nil && firstErr == nil {
 			firstErr = fmt.Errorf("requests still open at the end of the drain timeout: %w", err)
 		}
 	}
