--- a/internal/limpetbatch/dispatch.go
+++ b/internal/limpetbatch/dispatch.go
@@ -149,6 +149,7 @@
 	}
 	e.run, e.phase = r, running
 	g.runs = append(g.runs, r)
+	e.startTiming(now)
 	if s.Limits.Take != nil {
 		s.Limits.Take(g.server.ID, now)
 	}
--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -91,6 +91,9 @@
 	if model == "" {
 		for _, r := range g.runs {
 			r.lastActivity = now
+			if r.Entry.Job.Model == g.loading {
+				r.endLoadingTiming(now)
+			}
 		}
 	}
 	g.loading, g.loadingSince = model, now
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -67,7 +67,11 @@
 	avoidEngine    string
 	rewardFailures int
 	nextReward     time.Time
-	result         limpetjob.Result
+	timing         Timing
+	// progressAt is the time of the last event, or of the start of the run after
+	// it.
+	progressAt time.Time
+	result     limpetjob.Result
 }
 
 // A group holds the items that share a prompt. A trainer can use them only
@@ -144,6 +148,10 @@
 // A Scheduler schedules the items of all jobs on all engines.
 type Scheduler struct {
 	Limits Limits
+	// ObserveInterval is called for each time between two events of a run, with
+	// the number of runs on the engine and of the tokens that these have generated;
+	// it may be nil. Changes of weights are left out.
+	ObserveInterval func(model string, runs, context int, interval time.Duration)
 
 	jobs    map[string]*Job
 	engines map[string]*engine
--- a/internal/limpetbatch/run.go
+++ b/internal/limpetbatch/run.go
@@ -61,6 +61,7 @@
 	}
 	if g := s.engines[r.Server.ID]; g != nil {
 		g.recordInterval(r, now)
+		s.recordTiming(r, g, now)
 		g.failures = 0
 		if event.Version > 0 {
 			g.versions[e.Job.Model] = version
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -204,6 +204,7 @@
 func New(deps Deps) *Director {
 	ttl := max(leaseTTL, deps.MinLeaseTTL)
 	scheduler := limpetbatch.New()
+	scheduler.ObserveInterval = deps.Metrics.ObserveEventInterval
 	scheduler.Limits = limpetbatch.Limits{Free: deps.Limits.Free, Take: deps.Limits.Take}
 	return &Director{
 		Deps: deps, scheduler: scheduler, inbox: make(chan message, inboxSize), stopped: make(chan struct{}), sessions: map[string]*session{}, cachedResults: newResultCache(),
--- a/internal/limpetdirector/runs.go
+++ b/internal/limpetdirector/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -112,6 +113,9 @@
 		d.Log.Emit(limpetlog.TextCompleted, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Server(m.run.Server.ID),
 			limpetlog.Value("events", e.Events()), limpetlog.Value("expected_tokens", e.Item.ExpectedTokens), limpetlog.Value("moves", e.Moves()),
 			limpetlog.Value("must", e.Required()), limpetlog.Value("age_ms", d.Now().Sub(e.Job.Arrived).Milliseconds()))
+		if e.Events() >= longText {
+			d.logLongText(m.run)
+		}
 		return
 	}
 	if settled {
@@ -121,6 +125,21 @@
 		limpetlog.Server(m.run.Server.ID), limpetlog.Value("status", m.end.Status), limpetlog.Value("cause", m.end.Cause), limpetlog.Value("settled", settled))
 }
 
+// longText is the number of events from which on a completed text is logged with
+// where its time went. Such texts decide when a step is whole.
+const longText = 100
+
+func (d *Director) logLongText(r *limpetbatch.Run) {
+	e, t := r.Entry, r.Entry.Timing()
+	texts, context := t.MeanBatch()
+	d.Log.Emit(limpetlog.LongTextCompleted, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Server(r.Server.ID),
+		limpetlog.Value("events", e.Events()), limpetlog.Value("expected_tokens", e.Item.ExpectedTokens), limpetlog.Value("runs", t.Runs),
+		limpetlog.Value("queue", t.Queue.Milliseconds()), limpetlog.Value("prompt", t.Prompt.Milliseconds()), limpetlog.Value("alone", t.Alone.Milliseconds()),
+		limpetlog.Value("beside", t.Beside.Milliseconds()), limpetlog.Value("weights", t.WeightChange.Milliseconds()),
+		limpetlog.Value("interrupted", t.Interrupted.Milliseconds()), limpetlog.Value("texts", math.Round(10*texts)/10), limpetlog.Value("context", int(context)),
+		limpetlog.Value("must", e.Required()), limpetlog.Value("age_ms", d.Now().Sub(e.Job.Arrived).Milliseconds()))
+}
+
 // logErrored logs that an item is settled as errored.
 func (d *Director) logErrored(e *limpetbatch.Entry, cause string) {
 	d.Log.Emit(limpetlog.ItemErrored, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Value("cause", cause))
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -92,6 +92,7 @@
 	RunFailed           = newEvent(1712, logrus.InfoLevel, "run failed", "An engine refused an item or broke its stream; the item is retried on another engine unless it is settled.")
 	RunCanceled         = newEvent(1713, logrus.InfoLevel, "run canceled", "The director canceled a run. The cause says whether the item is retried on another engine.")
 	TextCompleted       = newEvent(1716, logrus.DebugLevel, "text complete", "An engine delivered an item's text to its end.")
+	LongTextCompleted   = newEvent(1718, logrus.InfoLevel, "long text complete", "An engine delivered a long text to its end. The times, in ms, say where it went: queue (until its first run), prompt (to the first event of each run), alone and beside (between events, without and with other texts at the engine), weights (its engine changed them), interrupted (from a run that broke off to the next). texts and context are the means of what the engine had at once: texts, and tokens generated for them.")
 	RewardFailed        = newEvent(1714, logrus.InfoLevel, "reward call failed", "A reward call returned no signed answer; it is retried while retries are allowed.")
 	ItemErrored         = newEvent(1715, logrus.WarnLevel, "item errored", "An item is listed as errored and is not retried.")
 	ResultsCommitted    = newEvent(1721, logrus.InfoLevel, "results committed", "Results were written to the store at the given position.")
--- a/internal/limpetmetric/limpetmetric.go
+++ b/internal/limpetmetric/limpetmetric.go
@@ -24,6 +24,7 @@
 	retries                  *prometheus.CounterVec
 	brokenAttempts           *prometheus.CounterVec
 	yieldedDuties            prometheus.Counter
+	eventIntervals           *prometheus.HistogramVec
 	openRequests             prometheus.Gauge
 	configIndex              prometheus.Gauge
 	keysAccepted             prometheus.Gauge
@@ -52,12 +53,16 @@
 		yieldedDuties: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "limpet_duties_yielded_total", Help: "Duties left to other VMs because an earlier process of this VM held them when it ended.",
 		}),
+		eventIntervals: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "limpet_event_interval_seconds", Help: "Time between two events of a text, by model and by the number of texts that the engine generates at once.",
+			Buckets: []float64{0.01, 0.02, 0.03, 0.035, 0.04, 0.045, 0.05, 0.055, 0.06, 0.08, 0.1, 0.15, 0.25, 0.5, 1, 2},
+		}, []string{"model", "texts"}),
 		openRequests: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_open_requests", Help: "Requests open on this VM."}),
 		configIndex:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_config_index", Help: "Log index of the configuration in force."}),
 		keysAccepted: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_keys_honoured", Help: "1 while this VM accepts keys."}),
 		accounts:     map[string]bool{},
 	}
-	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.yieldedDuties, s.openRequests, s.configIndex, s.keysAccepted)
+	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.yieldedDuties, s.eventIntervals, s.openRequests, s.configIndex, s.keysAccepted)
 	return s
 }
 
@@ -105,6 +110,26 @@
 	s.brokenAttempts.WithLabelValues(service, ending).Inc()
 }
 
+// ObserveEventInterval records the time between two events of a text on an engine
+// that generates a number of texts. Their context is not a label.
+func (s *Set) ObserveEventInterval(model string, texts, _ int, interval time.Duration) {
+	s.eventIntervals.WithLabelValues(model, textsLabel(texts)).Observe(interval.Seconds())
+}
+
+// textsLabel returns the label for a number of texts, so that there are few.
+func textsLabel(n int) string {
+	switch {
+	case n <= 1:
+		return "1"
+	case n <= 4:
+		return "2-4"
+	case n <= 8:
+		return "5-8"
+	default:
+		return "9+"
+	}
+}
+
 // CountYieldedDuty counts a duty that this VM leaves to others.
 func (s *Set) CountYieldedDuty() { s.yieldedDuties.Inc() }
 
