A server that is still registered is not presumed to have crashed

Found on reading the change again: a VM whose way to several servers is cut finds them all unreachable. A sound request that is asked often, such as a poll, would have been presumed to crash three of them, and refused on all VMs until the cut heals. A server that crashed stops registering, too: its entry lapses after 2.4 to 3.6 s. Both are asked for now. Presumed cases count against the bound of cases. Test: TestUnreachableServersArePresumedToHaveCrashed, "a server that is registered may be cut off from this VM only", was red; TestSilentCrashesAreCounted stays at 1.

--- a/internal/limpetcrash/cases.go
+++ b/internal/limpetcrash/cases.go
@@ -21,8 +21,9 @@
 	checkTimeout    = 600 * time.Millisecond
 	recheckInterval = 500 * time.Millisecond
 	// unreachableChecks is the number of checks in a row that must find a server
-	// unreachable until it is presumed to have crashed: one alone can be the loss
-	// of a few packets.
+	// unreachable until it is presumed to have crashed, if it is not registered any
+	// more either. One alone can be the loss of a few packets; a server that is
+	// registered may be cut off from this VM only.
 	unreachableChecks = 2
 	// registrationDelay is how long a server that answers after a silence may take
 	// until this VM sees from its registration that it started anew. The check
@@ -67,7 +68,7 @@
 	server *limpetsite.Server
 	cases  []*openCase
 	// presumed holds the cases that were recorded as crashes because the server
-	// is unreachable. The records are withdrawn if it proves to be alive.
+	// is unreachable and not registered any more. The records are withdrawn if it proves to be alive.
 	presumed []*openCase
 	// unreachable counts the checks in a row that did not reach the server, and
 	// silent is set once a check got no answer.
@@ -109,7 +110,7 @@
 	case state == leaving || (state == missing && !c.Silent):
 		// It stops as planned, or its entry had lapsed before the attempt ended.
 		b.decide(c, outcomeLeft)
-	case len(w.cases) >= maxCasesPerServer:
+	case len(w.cases)+len(w.presumed) >= maxCasesPerServer:
 		b.decide(c, outcomeDropped)
 	default:
 		w.cases = append(w.cases, c)
@@ -239,7 +240,7 @@
 		b.confirm(w, w.takeCases(), now)
 	case m.condition != limpetupstream.Alive:
 		w.silent = true
-		if w.unreachable >= unreachableChecks {
+		if w.unreachable >= unreachableChecks && b.observe(w.server) == missing {
 			b.presume(w, now)
 		}
 	case w.silent:
