One server at its limit keeps no request from the others

A VM also named always the same 16 of many limited servers. Change: only a denial of all limited servers of a service is remembered, and the servers are named in random order, those of the own zone first. TestDenialsOfOneServerDoNotCountForAll is red if such a denial is remembered.

--- a/internal/limpetforward/choose.go
+++ b/internal/limpetforward/choose.go
@@ -74,7 +74,7 @@
 	}
 	unavailable := func(id string) bool { return d.tried[id] || f.Limits.Limited(id) }
 	if cause != hedged && !f.Tracker.HasRoom(servers, unavailable, f.Now()) {
-		id, retryAfter, ok := f.Limits.Permit(ctx, d.service, limited, d.limitWait())
+		id, retryAfter, ok := f.Limits.Permit(ctx, d.untriedService(), limited, d.limitWait())
 		if ok {
 			return d.take(id)
 		}
@@ -99,7 +99,7 @@
 			return server
 		}
 		if limited := f.Limits.Among(servers, f.Zone, tried); len(limited) > 0 {
-			if id, _, ok := f.Limits.Permit(ctx, d.service, limited, 0); ok {
+			if id, _, ok := f.Limits.Permit(ctx, d.untriedService(), limited, 0); ok {
 				return d.take(id)
 			}
 		}
@@ -110,6 +110,14 @@
 	return nil
 }
 
+// untriedService returns the request's service if no server of it was tried yet.
+func (d *dispatch) untriedService() string {
+	if len(d.tried) > 0 {
+		return ""
+	}
+	return d.service
+}
+
 // take returns the server of a permit, counted as in flight.
 func (d *dispatch) take(id string) *limpetsite.Server {
 	f := d.forwarder
--- a/internal/limpethost/limits.go
+++ b/internal/limpethost/limits.go
@@ -46,7 +46,7 @@
 	if check := client.Check; check != nil {
 		client.Check = func(ctx context.Context, s *limpetsite.Server, path string) limpetupstream.Condition {
 			if h.gate.Limited(s.ID) {
-				if _, _, ok := h.gate.Permit(ctx, s.Service, []string{s.ID}, 0); !ok {
+				if _, _, ok := h.gate.Permit(ctx, "", []string{s.ID}, 0); !ok {
 					return limpetupstream.Undetermined
 				}
 			}
--- a/internal/limpetlimit/gate.go
+++ b/internal/limpetlimit/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -131,17 +132,21 @@
 	return limited
 }
 
-// Permit obtains a permit to send a request to one of some limited servers of a
-// service, and waits up to maxDelay until it may be sent. Ok is false if none of
-// them takes it in time; one does after retryAfter.
+// Permit obtains a permit to send a request to one of some limited servers, and
+// waits up to maxDelay until it may be sent. Ok is false if none of them takes it
+// in time; one does after retryAfter. Service is set if the servers are all limited
+// ones of that service: if none of them takes the request, further ones are denied
+// for a short time without asking.
 func (g *Gate) Permit(ctx context.Context, service string, servers []string, maxDelay time.Duration) (server string, retryAfter time.Duration, ok bool) {
-	if left := g.deniedFor(service); left > maxDelay {
+	if left := g.deniedFor(service); service != "" && left > maxDelay {
 		g.permits.WithLabelValues(outcomeDenied).Inc()
 		return "", left, false
 	}
 	grant := g.ask(ctx, Request{Servers: clip(servers), MaxDelay: maxDelay})
 	if grant.Server == "" {
-		g.deny(service, grant.RetryAfter)
+		if service != "" && len(servers) <= MaxServers {
+			g.deny(service, grant.RetryAfter)
+		}
 		return "", grant.RetryAfter, false
 	}
 	if !limpettask.Sleep(ctx, grant.Delay) {
@@ -292,8 +297,8 @@
 	}
 }
 
-// Among returns the limited ones of some servers that are not excluded, those of
-// an availability zone first.
+// Among returns the limited ones of some servers that are not excluded, in random
+// order, but those of an availability zone first.
 func (g *Gate) Among(servers []*limpetsite.Server, zone string, exclude func(id string) bool) []string {
 	if !g.Any() {
 		return nil
@@ -308,9 +313,17 @@
 			far = append(far, s.ID)
 		}
 	}
+	shuffle(near)
+	shuffle(far)
 	return slices.Concat(near, far)
 }
 
+// shuffle puts servers in random order, so that a request that names MaxServers of
+// many does not always name the same.
+func shuffle(servers []string) {
+	rand.Shuffle(len(servers), func(a, b int) { servers[a], servers[b] = servers[b], servers[a] })
+}
+
 // Run reports the limits that this VM observes to the director until ctx ends.
 func (g *Gate) Run(ctx context.Context) error {
 	for {
--- a/internal/limpetlimit/limpetlimit_test.go
+++ b/internal/limpetlimit/limpetlimit_test.go
@@ -252,6 +252,27 @@
 	})
 }
 
+// Guards against one server at its limit, for which a check or a retry asked, that
+// keeps requests from the other servers of its service.
+func TestDenialsOfOneServerDoNotCountForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gates := newGates(1, newFlag(true))
+		g, ctx := gates[0], context.Background()
+		for _, id := range []string{"a", "b"} {
+			g.Limits.Observe(server(id, 1), 0.1)
+		}
+		_, _, first := g.Permit(ctx, "", []string{"a"}, 0)
+		_, _, second := g.Permit(ctx, "", []string{"a"}, 0)
+		id, _, third := g.Permit(ctx, "desk", []string{"a", "b"}, 0)
+		_, retryAfter, fourth := g.Permit(ctx, "desk", []string{"a", "b"}, 0)
+		Convey("another server still takes a request, and then none does", t, func() {
+			So([]bool{first, second, third, fourth}, ShouldResemble, []bool{true, false, true, false})
+			So(id, ShouldEqual, "b")
+			So(retryAfter, ShouldBeBetweenOrEqual, 9*time.Second, 10*time.Second)
+		})
+	})
+}
+
 func TestReportsReachTheDirector(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		connected := newFlag(false)
