--- a/internal/limpetlimit/gate.go
+++ b/internal/limpetlimit/gate.go
@@ -203,6 +203,12 @@
 	grant, err := g.Ask(callCtx, r)
 	if err != nil {
 		g.Limits.returnUnsent(r.Limits)
+	}
+	switch {
+	case ctx.Err() != nil:
+		// The caller left, which says nothing about the director.
+		return Grant{}
+	case err != nil:
 		return g.decideAlone(r, err)
 	}
 	g.setAlone(nil)
--- a/internal/limpetlimit/limpetlimit.go
+++ b/internal/limpetlimit/limpetlimit.go
@@ -66,7 +66,7 @@
 	l := &Limits{
 		now: now, log: log, publish: publish, changed: make(chan struct{}, 1), known: map[string]Limit{}, unsent: map[string]bool{},
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "limpet_server_limit_changes_total", Help: "Changes of the request rates that backend servers named, by kind (named, changed, over).",
+			Name: "limpet_server_limit_changes_total", Help: "Changes of the request rates that backend servers named, by kind (named, changed, over, forgotten).",
 		}, []string{"kind"}),
 	}
 	l.view.Store(&map[string]Limit{})
@@ -135,14 +135,22 @@
 	return changed
 }
 
+// Kinds of changes, as named in logs and metrics.
+const (
+	kindNamed     = "named"
+	kindChanged   = "changed"
+	kindOver      = "over"
+	kindForgotten = "forgotten"
+)
+
 // report logs and counts a change. The caller holds the lock.
 func (l *Limits) report(limit Limit, before float64, source string) {
-	kind := "changed"
+	kind := kindChanged
 	switch {
 	case limit.Rate == 0:
-		kind = "over"
+		kind = kindOver
 	case before == 0:
-		kind = "named"
+		kind = kindNamed
 	}
 	l.changes.WithLabelValues(kind).Inc()
 	l.log.Emit(limpetlog.ServerLimitChanged, limpetlog.Server(limit.Server), limpetlog.Value("kind", kind),
@@ -174,6 +182,14 @@
 		case server == nil, limit.Rate == 0 && now.Sub(limit.At) > overRetention,
 			limit.Incarnation != 0 && server.Incarnation != 0 && limit.Incarnation != server.Incarnation:
 			delete(l.known, id)
+			if limit.Rate > 0 {
+				l.changes.WithLabelValues(kindForgotten).Inc()
+				l.log.Emit(limpetlog.ServerLimitChanged, limpetlog.Server(id), limpetlog.Value("kind", kindForgotten),
+					limpetlog.Value("rate", 0), limpetlog.Value("before", limit.Rate), limpetlog.Value("source", "registration"))
+				if l.publish != nil {
+					l.publish(Limit{Server: id, At: now})
+				}
+			}
 		case limit.Incarnation == 0:
 			limit.Incarnation = server.Incarnation
 			l.known[id] = limit
--- a/internal/limpetlimit/limpetlimit_test.go
+++ b/internal/limpetlimit/limpetlimit_test.go
@@ -157,14 +157,18 @@
 		{"the server is gone", nil, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l := newLimits(nil)
+			var published []limpetlimit.Limit
+			l := newLimits(&published)
 			l.Observe(server("a", 1), 2)
 			state := limpetsite.NewState()
 			if c.after != nil {
 				state.Apply(limpetsite.Record{Key: limpetsite.ServerKey + "a", Revision: 1, Server: c.after}, time.Now())
 			}
 			l.Forget(state.Snapshot())
-			Convey(c.name, t, func() { So(l.Any(), ShouldEqual, c.limited) })
+			Convey(c.name, t, func() {
+				So(l.Any(), ShouldEqual, c.limited)
+				So(published[len(published)-1].Rate > 0, ShouldEqual, c.limited)
+			})
 		})
 	}
 }
@@ -273,6 +277,22 @@
 	})
 }
 
+// Guards against callers that leave while their request waits for a permit, which
+// was taken for the loss of the director.
+func TestCallersThatLeaveGetNoPermit(t *testing.T) {
+	gates := newGates(2, newFlag(false))
+	gates[1].Limits.Observe(server("a", 1), 100)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	granted := 0
+	for range 100 {
+		if _, _, ok := gates[1].Permit(ctx, "desk", []string{"a"}, time.Second); ok {
+			granted++
+		}
+	}
+	Convey("nothing is granted", t, func() { So(granted, ShouldEqual, 0) })
+}
+
 func TestReportsReachTheDirector(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		connected := newFlag(false)
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -61,7 +61,7 @@
 	CrashesNotShared   = newEvent(1313, logrus.InfoLevel, "crash records not shared", "The store did not accept this VM's crash records; they hold on this VM, and the write is retried.")
 	TrialStarted       = newEvent(1314, logrus.InfoLevel, "quarantined request sent for trial", "The request is sent to one server once more, in case it was not what crashed the others. An answer clears it; a further crash makes the next trial four times later.")
 	TrialNotClaimed    = newEvent(1315, logrus.InfoLevel, "trial not claimed", "Another VM sends the quarantined request for trial, or the store did not confirm that this one may.")
-	ServerLimitChanged = newEvent(1316, logrus.InfoLevel, "server limit changed", "A backend server named another request rate (requests a second from all VMs together), or none any more (kind over). The source says whether this VM got the answer or another one.")
+	ServerLimitChanged = newEvent(1316, logrus.InfoLevel, "server limit changed", "A backend server named another request rate (requests a second from all VMs together), or none any more (kind over), or is gone or started anew (kind forgotten). The source says whether this VM got the answer or another one.")
 	PermitsAlone       = newEvent(1317, logrus.InfoLevel, "permits without the director", "No director hands out permits to send to limited servers, and this VM uses a small part of their rates (alone true), or a director does again (alone false).")
 	QuarantineReleased = newEvent(1307, logrus.InfoLevel, "quarantine released", "The request is no longer suspected or quarantined. The cause says why: an operator released it, a server answered it (request, server and status are those of the answer), or its time is over.")
 )
