Soak: servers that name limits, and that give crashing requests up

After the faults of a run, all plain servers but one name 1.5 requests a second for 8 s under 40 requests a second; no server may get more than allowed, and all requests must be served, also once the limits are over. Servers answer three of four crashing requests with 504.

--- a/limpetsoak/internal/limpetharness/check.go
+++ b/limpetsoak/internal/limpetharness/check.go
@@ -26,6 +26,7 @@
 		return
 	}
 	h.checkJobs(ctx)
+	h.checkLimits(ctx)
 	h.checkCrashes(ctx)
 	h.checkKeys(ctx)
 	h.mu.Lock()
@@ -65,8 +66,8 @@
 const (
 	// crashRepetitions is how often a request that crashes servers is repeated,
 	// and crashInterval the time between repetitions.
-	crashRepetitions = 26
-	crashInterval    = 250 * time.Millisecond
+	crashRepetitions = 80
+	crashInterval    = 100 * time.Millisecond
 	// contactTime is the time after the crash of crashLimit servers after which
 	// at most maxLaterCrashes repetitions may crash further ones.
 	contactTime     = 3 * time.Second
@@ -89,6 +90,9 @@
 func (h *harness) checkCrashes(ctx context.Context) {
 	random := rand.New(rand.NewPCG(h.plan.Seed, 14))
 	body := limpetplatformstub.CrashBody + " repeatedly"
+	for _, s := range h.servers {
+		s.GivesUp.Store(true)
+	}
 	for range crashRepetitions {
 		h.sendCrash(random, body)
 		time.Sleep(crashInterval)
