Limits of other servers are not recorded; terms of the ledger

Found on reading the change: an answer of another server at the address (421) may name that server's limit, which was recorded for the one that was asked (test TestLimitsOfOtherServersAreNotRecorded, red before). The ledger's accounts are schedules now, since an account is a client's, and the schedule of a very low limit is not dropped before its time.

--- a/internal/limpethost/limit_test.go
+++ b/internal/limpethost/limit_test.go
@@ -346,3 +346,25 @@
 		}
 	})
 }
+
+// Guards against the limit of a server that has another one's address now.
+func TestLimitsOfOtherServersAreNotRecorded(t *testing.T) {
+	for name, misdirected := range map[string]bool{"the server's own refusal": false, "another server's answer": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := limpetstub.NewStore()
+				f := newCrashFleet(t, store, 1)
+				if _, err := f.store.Commit(context.Background(), limpetstore.Transaction{Writes: []limpetstore.Write{{Key: "conf/x", Data: []byte("1")}}}); err != nil {
+					t.Fatal(err)
+				}
+				h := startVM(store, "vm-0", limpetupstream.Client{Send: func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error) {
+					return &limpetupstream.Reply{Status: http.StatusServiceUnavailable, NotRun: true, Misdirected: misdirected, Limit: 2, Close: func() {}}, nil
+				}}, f.feed())
+				time.Sleep(3 * time.Second)
+				forward(h, "r1", "")
+				check(t, h.Forwarder.Limits.Any(), convey.ShouldEqual, !misdirected)
+				stopHost(t, h)
+			})
+		})
+	}
+}
--- a/internal/limpethost/limits.go
+++ b/internal/limpethost/limits.go
@@ -37,7 +37,8 @@
 	if send := client.Send; send != nil {
 		client.Send = func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
 			reply, err := send(ctx, c)
-			if err == nil && (reply.Limit > 0 || reply.ProvesRun()) {
+			// A misdirected request was answered by another server.
+			if err == nil && !reply.Misdirected && (reply.Limit > 0 || reply.ProvesRun()) {
 				h.limits.Observe(c.Server, reply.Limit)
 			}
 			return reply, err
--- a/internal/limpetlimit/ledger.go
+++ b/internal/limpetlimit/ledger.go
@@ -14,9 +14,9 @@
 	// again. One request is sent to it then, if there is one that may be: a server
 	// that gets none could not say that the limit is over.
 	lookInterval = 2 * time.Second
-	// accountRetention is how long the account of a server without requests is
-	// kept.
-	accountRetention = 30 * time.Second
+	// scheduleRetention is how long the schedule of a server without requests is
+	// kept at least.
+	scheduleRetention = 30 * time.Second
 )
 
 // A Ledger accounts for the requests to servers that are limited. It is safe for
@@ -25,13 +25,13 @@
 	// share is the part of each limit that may be used.
 	share float64
 
-	mu       sync.Mutex
-	accounts map[string]*account
-	prunedAt time.Time
+	mu        sync.Mutex
+	schedules map[string]*schedule
+	prunedAt  time.Time
 }
 
-// An account is the state of one server.
-type account struct {
+// A schedule says when a server takes its next request.
+type schedule struct {
 	// due is when the server could take the next request if it got all of them
 	// evenly spaced.
 	due time.Time
@@ -41,7 +41,9 @@
 
 // NewLedger returns an empty ledger that hands out the given share of each
 // server's limit.
-func NewLedger(share float64) *Ledger { return &Ledger{share: share, accounts: map[string]*account{}} }
+func NewLedger(share float64) *Ledger {
+	return &Ledger{share: share, schedules: map[string]*schedule{}}
+}
 
 // SetShare changes the share of each limit.
 func (l *Ledger) SetShare(share float64) {
@@ -59,28 +61,28 @@
 // delay returns the time until a server takes one more request. The caller holds
 // the lock.
 func (l *Ledger) delay(limit Limit, now time.Time) time.Duration {
-	return max(0, l.account(limit, now).due.Sub(now)-burstTime)
+	return max(0, l.schedule(limit, now).due.Sub(now)-burstTime)
 }
 
-// account returns the account of a server. A new one has no requests saved, since
+// schedule returns the schedule of a server. A new one has no requests saved, since
 // an earlier director may have handed out permits. In a ledger with a share of
 // the limits, the first request is due at a random time, so that the ledgers of
 // many VMs do not send theirs at once. The caller holds the lock.
-func (l *Ledger) account(limit Limit, now time.Time) *account {
-	a := l.accounts[limit.Server]
+func (l *Ledger) schedule(limit Limit, now time.Time) *schedule {
+	a := l.schedules[limit.Server]
 	if a == nil {
-		a = &account{due: now.Add(burstTime), lastSent: now}
+		a = &schedule{due: now.Add(burstTime), lastSent: now}
 		if l.share < 1 {
 			a.due = a.due.Add(time.Duration(rand.Float64() * float64(l.interval(limit))))
 		}
-		l.accounts[limit.Server] = a
+		l.schedules[limit.Server] = a
 	}
 	return a
 }
 
-// take accounts for one request. The caller holds the lock.
+// take schedules for one request. The caller holds the lock.
 func (l *Ledger) take(limit Limit, now time.Time) {
-	a := l.account(limit, now)
+	a := l.schedule(limit, now)
 	if a.due.Before(now) {
 		a.due = now
 	}
@@ -95,14 +97,14 @@
 	return l.delay(limit, now) == 0
 }
 
-// Take accounts for a request that is sent whether or not the server takes it.
+// Take schedules for a request that is sent whether or not the server takes it.
 func (l *Ledger) Take(limit Limit, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.take(limit, now)
 }
 
-// Grant accounts for a request to that server of those given which takes one
+// Grant schedules for a request to that server of those given which takes one
 // first, and returns the delay after which it must be sent. If all of them take
 // longer than maxDelay, it returns an empty server and the time until one takes a
 // request.
@@ -132,7 +134,7 @@
 	oldest := now.Add(-lookInterval)
 	for _, limit := range limits {
 		asked := limit.At
-		if a := l.accounts[limit.Server]; a != nil && a.lastSent.After(asked) {
+		if a := l.schedules[limit.Server]; a != nil && a.lastSent.After(asked) {
 			asked = a.lastSent
 		}
 		if asked.Before(oldest) {
@@ -142,16 +144,16 @@
 	return longest
 }
 
-// prune drops the accounts of servers that got no request for long. The caller
+// prune drops the schedules of servers that got no request for long. The caller
 // holds the lock.
 func (l *Ledger) prune(now time.Time) {
-	if now.Sub(l.prunedAt) < accountRetention {
+	if now.Sub(l.prunedAt) < scheduleRetention {
 		return
 	}
 	l.prunedAt = now
-	for server, a := range l.accounts {
-		if now.Sub(a.lastSent) > accountRetention {
-			delete(l.accounts, server)
+	for server, a := range l.schedules {
+		if now.Sub(a.lastSent) > scheduleRetention && a.due.Before(now) {
+			delete(l.schedules, server)
 		}
 	}
 }
