--- a/internal/limpetlimit/ledger.go
+++ b/internal/limpetlimit/ledger.go
@@ -80,7 +80,7 @@
 	return a
 }
 
-// take schedules for one request. The caller holds the lock.
+// take accounts for one request. The caller holds the lock.
 func (l *Ledger) take(limit Limit, now time.Time) {
 	a := l.schedule(limit, now)
 	if a.due.Before(now) {
@@ -97,14 +97,14 @@
 	return l.delay(limit, now) == 0
 }
 
-// Take schedules for a request that is sent whether or not the server takes it.
+// Take accounts for a request that is sent whether or not the server takes it.
 func (l *Ledger) Take(limit Limit, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.take(limit, now)
 }
 
-// Grant schedules for a request to that server of those given which takes one
+// Grant accounts for a request to that server of those given which takes one
 // first, and returns the delay after which it must be sent. If all of them take
 // longer than maxDelay, it returns an empty server and the time until one takes a
 // request.
