--- a/internal/limpethttp/drain_test.go
+++ b/internal/limpethttp/drain_test.go
@@ -38,7 +38,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			server := limpethttp.NewServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server := limpethttp.NewServer(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 				time.Sleep(20 * time.Millisecond)
 			})}, listener, nil)
 			group := limpettask.New(context.Background())
