--- a/internal/limpethost/limit_test.go
+++ b/internal/limpethost/limit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -256,7 +257,11 @@
 					time.Sleep(time.Second / time.Duration(c.rate))
 				}
 				time.Sleep(time.Second)
+				mu.Lock()
+				defer mu.Unlock()
 				t.Logf("%d of %d served, %d refused late or without a delay", served, sent, refusedLate)
+				f.mu.Lock()
+				defer f.mu.Unlock()
 				for id, s := range f.servers {
 					got, allowed := s.worst()
 					t.Logf("%s: at most %d requests in 4 s, allowed %d, %d in all", id, got, allowed, len(s.arrivals))
@@ -294,7 +299,9 @@
 		time.Sleep(time.Second / time.Duration(rate))
 	}
 	time.Sleep(time.Second)
-	return served
+	mu.Lock()
+	defer mu.Unlock()
+	return slices.Clone(served)
 }
 
 // Guards against limits that are broken, or not used, when the director that adds
@@ -308,6 +315,8 @@
 		others := func() []*limpethost.Host { return vms[1:] }
 		served := load(group, others, 60, 30*time.Second)
 		t.Log("served in each second", served)
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		for id, s := range f.servers {
 			got, allowed := s.worst()
 			t.Logf("%s: at most %d requests in 4 s, allowed %d", id, got, allowed)
