--- a/internal/limpetbatch/dispatch.go
+++ b/internal/limpetbatch/dispatch.go
@@ -143,7 +143,7 @@
 )
 
 func (s *Scheduler) start(e *Entry, g *engine, now time.Time) *Run {
-	r := &Run{Entry: e, Server: g.server, After: e.text.lastEvent, started: now, lastActivity: now}
+	r := &Run{Entry: e, Server: g.server, Software: g.server.Software, After: e.text.lastEvent, started: now, lastActivity: now}
 	if e.Job.Rules.OnPolicy && len(e.text.versions) > 0 {
 		r.Version = e.text.version
 	}
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -119,6 +119,8 @@
 type Run struct {
 	Entry  *Entry
 	Server *limpetsite.Server
+	// Software is that of the engine, as known when the engine was chosen.
+	Software limpetsite.Software
 	// After is the last event that the text had before the run.
 	After int
 	// Version is the weight version that the engine must have; 0 means any.
--- a/internal/limpetbatch/run.go
+++ b/internal/limpetbatch/run.go
@@ -70,7 +70,7 @@
 	r.events++
 	r.lastActivity = now
 	e.interruptedRuns = 0
-	e.text.add(event, version)
+	e.text.add(event, r.Software, version)
 	e.Job.draftsDirty = true
 	return true
 }
--- a/internal/limpetdirector/runs.go
+++ b/internal/limpetdirector/runs.go
@@ -10,6 +10,7 @@
 	"limpetmount.org/internal/limpetexecutor"
 	"limpetmount.org/internal/limpetforward"
 	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -39,6 +40,9 @@
 	}
 	d.Log.Emit(limpetlog.RunStarted, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID),
 		limpetlog.Server(r.Server.ID), limpetlog.Value("after", r.After))
+	if r.After > 0 {
+		d.logContinued(r)
+	}
 	if s := d.executorFor(r.Server); s != nil {
 		d.sendToExecutor(s, r, call)
 		return
@@ -46,6 +50,17 @@
 	d.runLocally(r, call)
 }
 
+// logContinued records that an item's text goes on in a new run.
+func (d *Director) logContinued(r *limpetbatch.Run) {
+	e, outcome := r.Entry, limpetmetric.SameSoftware
+	if e.Software() != r.Software {
+		outcome = limpetmetric.OtherSoftware
+	}
+	d.Metrics.CountContinuation(limpetmetric.Items, outcome)
+	d.Log.Emit(limpetlog.TextContinued, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Server(r.Server.ID),
+		limpetlog.Value("software", r.Software), limpetlog.Value("began", e.Software()), limpetlog.Value("after", r.After), limpetlog.Value("outcome", outcome))
+}
+
 // runLocally sends a run from this VM.
 func (d *Director) runLocally(r *limpetbatch.Run, call limpetupstream.Call) {
 	ctx, cancel := context.WithCancel(d.group.Context())
--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -14,7 +15,7 @@
 // breaks. The caller sees one response, with the header of the first server.
 func (d *dispatch) followStream(ctx context.Context, first *limpetupstream.Reply) {
 	current := &limpetupstream.Reply{Events: first.Events, Close: first.Close}
-	last, events := d.request.LastEventID, 0
+	last, events, began := d.request.LastEventID, 0, d.server.Software
 	first.Events = func() (limpetupstream.Event, error) {
 		for {
 			event, err := current.Events()
@@ -32,7 +33,7 @@
 			if !d.route.Repeatable() {
 				return event, err
 			}
-			next := d.resume(ctx, last)
+			next := d.resume(ctx, last, began)
 			if next == nil {
 				return event, err
 			}
@@ -44,7 +45,7 @@
 
 // resume requests the rest of a stream from another server. It returns nil if
 // no server provides it.
-func (d *dispatch) resume(ctx context.Context, last int) *limpetupstream.Reply {
+func (d *dispatch) resume(ctx context.Context, last int, began limpetsite.Software) *limpetupstream.Reply {
 	d.request.LastEventID = last
 	defer d.keepFailure(nil)
 	for d.startAttempt(ctx, retried) {
@@ -52,7 +53,8 @@
 		reply, retry := d.handleResult(ctx, r)
 		if reply != nil && reply.Events != nil {
 			d.forwarder.Log.Emit(limpetlog.StreamResumed, limpetlog.Request(d.request.ID),
-				limpetlog.Server(r.server.ID), limpetlog.Value("after", last))
+				limpetlog.Server(r.server.ID), limpetlog.Value("after", last),
+				limpetlog.Value("software", r.server.Software), limpetlog.Value("began", began))
 			return reply
 		}
 		if reply != nil {
--- a/internal/limpethost/site.go
+++ b/internal/limpethost/site.go
@@ -62,7 +62,11 @@
 				// caused it.
 				continue
 			}
-			h.Log.Emit(limpetlog.DeploymentChanged, limpetlog.Value("what", c.What), limpetlog.Value("name", c.Name), limpetlog.Value("revision", view.Revision))
+			fields := []limpetlog.Field{limpetlog.Value("what", c.What), limpetlog.Value("name", c.Name), limpetlog.Value("revision", view.Revision)}
+			if s := view.Server(c.Name); s != nil {
+				fields = append(fields, limpetlog.Value("software", s.Software), limpetlog.Value("incarnation", s.Incarnation))
+			}
+			h.Log.Emit(limpetlog.DeploymentChanged, fields...)
 		}
 		h.Forwarder.Tracker.Forget(func(id string) bool { return view.Server(id) != nil })
 		h.limits.Forget(view)
--- a/internal/limpetmetric/limpetmetric.go
+++ b/internal/limpetmetric/limpetmetric.go
@@ -23,6 +23,7 @@
 	tokens                   *prometheus.CounterVec
 	retries                  *prometheus.CounterVec
 	brokenAttempts           *prometheus.CounterVec
+	continuations            *prometheus.CounterVec
 	yieldedDuties            prometheus.Counter
 	eventIntervals           *prometheus.HistogramVec
 	openRequests             prometheus.Gauge
@@ -50,6 +51,9 @@
 		brokenAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "limpet_broken_attempts_total", Help: "Attempts without a usable answer, by service and how they ended.",
 		}, []string{"service", "ending"}),
+		continuations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "limpet_continuations_total", Help: "Interrupted streams that were taken up again, by kind and by what became of them.",
+		}, []string{"kind", "outcome"}),
 		yieldedDuties: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "limpet_duties_yielded_total", Help: "Duties left to other VMs because an earlier process of this VM held them when it ended.",
 		}),
@@ -62,7 +66,7 @@
 		keysAccepted: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_keys_honoured", Help: "1 while this VM accepts keys."}),
 		accounts:     map[string]bool{},
 	}
-	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.yieldedDuties, s.eventIntervals, s.openRequests, s.configIndex, s.keysAccepted)
+	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.continuations, s.yieldedDuties, s.eventIntervals, s.openRequests, s.configIndex, s.keysAccepted)
 	return s
 }
 
@@ -110,6 +114,32 @@
 	s.brokenAttempts.WithLabelValues(service, ending).Inc()
 }
 
+// The kinds of streams that are continued.
+const (
+	Items       = "item"
+	Streams     = "stream"
+	Completions = "completion"
+)
+
+// What becomes of an interrupted stream that is taken up again.
+const (
+	// SameSoftware streams go on at a server of the software that began them, and
+	// OtherSoftware streams at one of other software.
+	SameSoftware  = "same"
+	OtherSoftware = "other"
+	// BegunAgain streams begin from their first event.
+	BegunAgain = "again"
+	// UnknownSoftware streams are refused because it is not known which software
+	// began them, and NoneLeft streams because no server of it is left.
+	UnknownSoftware = "unknown"
+	NoneLeft        = "none_left"
+)
+
+// CountContinuation counts an interrupted stream that was taken up again.
+func (s *Set) CountContinuation(kind, outcome string) {
+	s.continuations.WithLabelValues(kind, outcome).Inc()
+}
+
 // ObserveEventInterval records the time between two events of a text on an engine
 // that generates a number of texts. Their context is not a label.
 func (s *Set) ObserveEventInterval(model string, texts, _ int, interval time.Duration) {
--- a/internal/limpetsite/limpetsite.go
+++ b/internal/limpetsite/limpetsite.go
@@ -8,6 +8,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"strings"
 	"time"
 )
 
@@ -125,6 +126,23 @@
 	Models map[string]int
 	// Incarnation identifies the start of the server's process.
 	Incarnation int64
+	// Software is the software that the server runs.
+	Software Software
+}
+
+// Software names a service and the version of the software that some of its
+// servers run. A stream that one version began can be continued by servers of the
+// same version only. The empty name means that the software is not known; no
+// stream may be continued by guessing it.
+type Software string
+
+// SoftwareOf returns the name of a version of a service's software.
+func SoftwareOf(service, version string) Software { return Software(service + "/" + version) }
+
+// Service returns the service that the software belongs to.
+func (s Software) Service() string {
+	service, _, _ := strings.Cut(string(s), "/")
+	return service
 }
 
 // A PublishedVersion is the newest weight version of a model that a trainer has
--- a/internal/limpetsite/state.go
+++ b/internal/limpetsite/state.go
@@ -145,7 +145,7 @@
 
 func equalIgnoringWeights(a, b *Server) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots &&
-		a.Draining == b.Draining && a.Spot == b.Spot && a.Incarnation == b.Incarnation
+		a.Draining == b.Draining && a.Spot == b.Spot && a.Incarnation == b.Incarnation && a.Software == b.Software
 }
 
 // ApplyListing applies a complete listing at a revision: servers whose keys are
