Items go on only at engines of the software that began their texts

What trainers got: texts with events of two software versions. Cause: an interrupted item went on at any engine. The software of a text is that of the engine of its first event, as known when that was chosen. It goes with the text: in orders to executors, their held runs, drafts in the store, texts kept of ended jobs. What has none (drafts of earlier releases) is not continued. If no engine of the software takes work, the item begins again at once; if one does, it is waited for as long as the text would take again. New items avoid software of which one engine is left, that leaves, or that texts wait for. An engine that starts again with other software under its identifier takes with it what it may have sent.

--- a/internal/limpetbatch/dispatch.go
+++ b/internal/limpetbatch/dispatch.go
@@ -10,6 +10,8 @@
 type candidateKey struct {
 	service, model string
 	mayProbe       bool
+	// software is that of the text so far; empty if there is none.
+	software limpetsite.Software
 }
 
 // Dispatch assigns engines to the waiting items, in order of priority, until
@@ -18,17 +20,40 @@
 	var starts []*Run
 	typical := s.typicalInterval(now)
 	full := map[candidateKey]bool{}
-	for _, e := range s.readyEntries(now) {
-		key := candidateKey{e.Job.Rules.Service, e.Job.Model, e.mayProbe()}
+	ready := s.readyEntries(now)
+	s.lasting = s.lastingSoftware(view, ready)
+	chooseUnlessFull := func(e *Entry) *engine {
+		key := candidateKey{service: e.Job.Rules.Service, model: e.Job.Model, mayProbe: e.mayProbe()}
+		if e.text.lastEvent > 0 {
+			key.software = e.text.software
+		}
 		if full[key] {
-			continue
+			return nil
 		}
 		g := s.choose(e, view, typical, now)
-		if g == nil {
-			full[key] = !e.Job.Rules.OnPolicy
+		full[key] = g == nil && !e.Job.Rules.OnPolicy
+		return g
+	}
+	for _, e := range ready {
+		if g := chooseUnlessFull(e); g != nil {
+			starts = append(starts, s.start(e, g, now))
+			continue
+		}
+		if !s.shouldBeginAgain(e, view, typical, now) {
+			continue
+		}
+		before := e.text
+		e.text = text{}
+		g := chooseUnlessFull(e)
+		e.text = before
+		if g == nil || g.canServe(e, view, now) {
+			// An engine that can go on with the text is only waited for.
 			continue
 		}
-		starts = append(starts, s.start(e, g, now))
+		e.dropText()
+		r := s.start(e, g, now)
+		r.Dropped = before.lastEvent
+		starts = append(starts, r)
 	}
 	return starts
 }
@@ -46,7 +71,7 @@
 		if !s.canStart(g, e, view, now) {
 			continue
 		}
-		cost := g.cost(e, typical, now)
+		cost := g.cost(e, s.lasting, typical, now)
 		switch {
 		case !suspect && (best == nil || cost < bestCost):
 			best, bestCost = g, cost
@@ -88,7 +113,8 @@
 )
 
 // cost ranks the engines for an item; the engine with the lowest cost is chosen.
-func (g *engine) cost(e *Entry, typical time.Duration, now time.Time) float64 {
+// Lasting is what it costs to begin a text at each software.
+func (g *engine) cost(e *Entry, lasting map[limpetsite.Software]float64, typical time.Duration, now time.Time) float64 {
 	cost := g.load() / float64(max(g.server.Slots, 1))
 	if typical > 0 && g.interval > 0 && now.Sub(g.intervalAt) < intervalMaxAge {
 		cost += slownessCost * (float64(g.interval)/float64(typical) - 1)
@@ -99,6 +125,9 @@
 	if g.server.Spot {
 		cost += spotCost
 	}
+	if e.text.lastEvent == 0 {
+		cost += lasting[g.server.Software]
+	}
 	for _, r := range g.runs {
 		if r.Entry.group == e.group {
 			cost -= sharedPromptDiscount
--- a/internal/limpetbatch/draft.go
+++ b/internal/limpetbatch/draft.go
@@ -75,7 +75,7 @@
 		if e.phase != waiting || e.text.lastEvent >= d.LastEvent || !j.canUse(d) {
 			continue
 		}
-		e.text = textFromDraft(d)
+		e.text, e.sources, e.heldSince = textFromDraft(d), nil, now
 		if d.Complete {
 			s.complete(e, now)
 		}
@@ -87,7 +87,7 @@
 func (e *Entry) Draft() limpetjob.Draft {
 	return limpetjob.Draft{
 		Item: e.Item.ID, Pieces: slices.Clone(e.text.pieces), LastEvent: e.text.lastEvent,
-		Versions: slices.Clone(e.text.versions), Version: e.text.version, Complete: e.text.complete,
+		Versions: slices.Clone(e.text.versions), Version: e.text.version, Software: e.text.software, Complete: e.text.complete,
 		Failures: e.failures, RewardFailures: e.rewardFailures,
 	}
 }
@@ -100,7 +100,7 @@
 }
 
 func textFromDraft(d limpetjob.Draft) text {
-	t := text{pieces: d.Pieces, lastEvent: d.LastEvent, versions: d.Versions, version: d.Version}
+	t := text{pieces: d.Pieces, lastEvent: d.LastEvent, versions: d.Versions, version: d.Version, software: d.Software}
 	for _, p := range d.Pieces {
 		t.bytes += len(p)
 	}
@@ -123,7 +123,7 @@
 		replaced = e.run
 		s.detach(e.run)
 	}
-	e.text = textFromDraft(d)
+	e.text, e.sources, e.heldSince = textFromDraft(d), nil, now
 	j.draftsDirty = true
 	s.queueStale = true
 	g := s.engines[server]
@@ -131,10 +131,10 @@
 	case d.Complete:
 		s.complete(e, now)
 		return nil, replaced
-	case !live || g == nil:
+	case !live || g == nil || g.server.Software != d.Software:
 		return nil, replaced
 	}
-	run = &Run{Entry: e, Server: g.server, After: d.LastEvent, started: now, lastActivity: now, gotHeader: true}
+	run = &Run{Entry: e, Server: g.server, Software: d.Software, After: d.LastEvent, started: now, lastActivity: now, gotHeader: true}
 	e.run, e.phase = run, running
 	g.runs = append(g.runs, run)
 	return run, replaced
--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -45,8 +45,11 @@
 )
 
 // UpdateEngines updates the engines that may get new work. Runs on engines that
-// have left may continue until they end.
-func (s *Scheduler) UpdateEngines(view *limpetsite.Snapshot) {
+// have left may continue until they end. It returns the runs of texts that may
+// have events of software that an engine was started again with, which the caller
+// must cancel.
+func (s *Scheduler) UpdateEngines(view *limpetsite.Snapshot) []*Run {
+	var detached []*Run
 	for id, g := range s.engines {
 		if view.Server(id) == nil && len(g.runs) == 0 {
 			delete(s.engines, id)
@@ -63,6 +66,9 @@
 				fresh.runs = g.runs
 			}
 			s.engines[id] = fresh
+			if g != nil && g.server.Software != server.Software {
+				detached = append(detached, s.dropTextsOf(server)...)
+			}
 			continue
 		}
 		g.server = server
@@ -71,6 +77,7 @@
 		}
 	}
 	s.enginesByID = slices.SortedFunc(maps.Values(s.engines), func(a, b *engine) int { return cmp.Compare(a.server.ID, b.server.ID) })
+	return detached
 }
 
 // SetVersions records the weight versions that an engine reported.
@@ -128,7 +135,7 @@
 		}
 	}
 	slices.SortFunc(runs, func(a, b *Run) int { return compareEntries(a.Entry, b.Entry) })
-	runs = runs[:min(len(runs), max(0, spare-s.requiredWaiting(model)))]
+	runs = s.movable(runs, max(0, spare-s.requiredWaiting(model)), view, now)
 	for _, r := range runs {
 		s.detach(r)
 	}
@@ -143,7 +150,7 @@
 // canServe reports whether an engine can start an item once it has a free slot.
 func (g *engine) canServe(e *Entry, view *limpetsite.Snapshot, now time.Time) bool {
 	j := e.Job
-	if g.server.Service != j.Rules.Service || !view.AcceptsWork(g.server.ID) || now.Before(g.ejectedUntil) {
+	if g.server.Service != j.Rules.Service || !view.AcceptsWork(g.server.ID) || now.Before(g.ejectedUntil) || !e.continuesAt(g.server.Software) {
 		return false
 	}
 	version, serves := g.versions[j.Model]
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -72,6 +72,10 @@
 	// it.
 	progressAt time.Time
 	result     limpetjob.Result
+	// sources holds the runs that generated the text, as far as this VM knows.
+	sources []*Run
+	// heldSince is the time of the last event, or when the text was taken over.
+	heldSince time.Time
 }
 
 // A group holds the items that share a prompt. A trainer can use them only
@@ -123,10 +127,15 @@
 	Software limpetsite.Software
 	// After is the last event that the text had before the run.
 	After int
+	// Dropped is the number of events of an earlier text that the run replaces,
+	// because no engine of the software that began it could go on.
+	Dropped int
 	// Version is the weight version that the engine must have; 0 means any.
 	Version int
 
 	started, lastActivity time.Time
+	// respondedAt is when the response header was handled.
+	respondedAt time.Time
 	// events counts the events of this run.
 	events    int
 	gotHeader bool
@@ -169,6 +178,9 @@
 	workloads map[string]Workload
 	// runTimes holds the mean duration of complete runs by service.
 	runTimes map[string]time.Duration
+	// lasting holds the cost of beginning a text at each software, for the current
+	// call of Dispatch.
+	lasting map[limpetsite.Software]float64
 }
 
 // New returns a scheduler without jobs and engines.
--- a/internal/limpetbatch/overdue.go
+++ b/internal/limpetbatch/overdue.go
@@ -49,7 +49,7 @@
 	}
 	// Required and longer items get the spare slots first.
 	slices.SortFunc(slowRuns, func(a, b *Run) int { return compareEntries(a.Entry, b.Entry) })
-	detached = append(detached, slowRuns[:min(max(spareSlots, 0), len(slowRuns))]...)
+	detached = append(detached, s.movable(slowRuns, max(spareSlots, 0), view, now)...)
 	for _, r := range detached {
 		r.Entry.avoidEngine = r.Server.ID
 		r.Entry.moves++
--- a/internal/limpetbatch/run.go
+++ b/internal/limpetbatch/run.go
@@ -16,7 +16,7 @@
 	if r.detached {
 		return false
 	}
-	r.gotHeader, r.lastActivity = true, now
+	r.gotHeader, r.lastActivity, r.respondedAt = true, now, now
 	if g := s.engines[r.Server.ID]; g != nil && version > 0 {
 		g.versions[r.Entry.Job.Model] = version
 	}
@@ -34,7 +34,7 @@
 		return true
 	}
 	if mixed {
-		e.text = text{}
+		e.dropText()
 	}
 	s.detach(r)
 	e.avoidEngine = r.Server.ID
@@ -50,8 +50,9 @@
 		return false
 	}
 	e := r.Entry
-	if event.ID != e.text.lastEvent+1 {
-		// A missing or repeated event: the stream cannot be trusted.
+	if event.ID != e.text.lastEvent+1 || !e.continuesAt(r.Software) {
+		// A missing or repeated event, or one of other software than the rest of
+		// the text: the stream cannot be used.
 		s.detach(r)
 		e.avoidEngine = r.Server.ID
 		return false
@@ -67,8 +68,11 @@
 			g.versions[e.Job.Model] = version
 		}
 	}
+	if r.events == 0 {
+		e.sources = append(e.sources, r)
+	}
 	r.events++
-	r.lastActivity = now
+	r.lastActivity, e.heldSince = now, now
 	e.interruptedRuns = 0
 	e.text.add(event, r.Software, version)
 	e.Job.draftsDirty = true
--- /dev/null
+++ b/internal/limpetbatch/software.go
@@ -0,0 +1,148 @@
+package limpetbatch
+
+import (
+	"time"
+
+	"limpetmount.org/internal/limpetsite"
+)
+
+const (
+	// defaultInterval is the assumed time between two events while none was
+	// measured.
+	defaultInterval = 40 * time.Millisecond
+	// restartSkew allows for the difference between the clocks of an engine and of
+	// this VM.
+	restartSkew = 500 * time.Millisecond
+)
+
+// The costs of beginning a text at software that may not be there to go on with
+// it, in units of an engine's load per slot.
+const (
+	// lastEngineCost applies if only one engine of the software takes work.
+	lastEngineCost = 0.5
+	// replacedCost applies while engines of the software leave, in proportion to
+	// their share.
+	replacedCost = 0.5
+	// awaitedCost applies while texts wait for an engine of the software.
+	awaitedCost = 1.0
+)
+
+// continuesAt reports whether an engine of given software may generate the rest
+// of the entry's text: only the software that generated the first event can.
+func (e *Entry) continuesAt(software limpetsite.Software) bool {
+	return e.text.lastEvent == 0 || e.text.software == software
+}
+
+// dropText makes an entry begin again from its first event.
+func (e *Entry) dropText() {
+	e.text, e.sources = text{}, nil
+	e.Job.draftsDirty = true
+}
+
+// shouldBeginAgain reports whether an item that no engine can continue now is
+// better begun again than kept waiting. While an engine of the software that began
+// its text takes work, it waits for as long as generating the text again takes.
+func (s *Scheduler) shouldBeginAgain(e *Entry, view *limpetsite.Snapshot, typical time.Duration, now time.Time) bool {
+	if e.text.lastEvent == 0 {
+		return false
+	}
+	for _, g := range s.enginesByID {
+		if _, serves := g.versions[e.Job.Model]; serves && g.server.Software == e.text.software && view.AcceptsWork(g.server.ID) {
+			if typical <= 0 {
+				typical = defaultInterval
+			}
+			return now.Sub(e.heldSince) > time.Duration(e.text.lastEvent)*typical
+		}
+	}
+	return true
+}
+
+// dropTextsOf makes the items begin again whose texts may have events of an engine
+// that was started again with other software after it had been chosen. Events from
+// before its start stay. It returns the runs of these items.
+func (s *Scheduler) dropTextsOf(restarted *limpetsite.Server) []*Run {
+	born := time.UnixMilli(restarted.Incarnation).Add(-restartSkew)
+	uncertain := func(r *Run) bool {
+		return r.Server.ID == restarted.ID && r.Server.Incarnation != restarted.Incarnation && r.Software != restarted.Software && (!r.gotHeader || r.respondedAt.After(born))
+	}
+	var detached []*Run
+	for _, j := range s.jobsByArrival {
+		for _, e := range j.entries {
+			if e.phase > unscored {
+				continue
+			}
+			dropped := false
+			for _, r := range e.sources {
+				dropped = dropped || uncertain(r)
+			}
+			if e.run != nil && (dropped || uncertain(e.run)) {
+				detached = append(detached, e.run)
+				s.detach(e.run)
+			}
+			if dropped {
+				e.dropText()
+				e.phase = waiting
+				s.queueStale = true
+			}
+		}
+	}
+	return detached
+}
+
+// movable returns the first of the runs, at most limit, that can each go on at once
+// on an engine other than its own that is not slow.
+func (s *Scheduler) movable(runs []*Run, limit int, view *limpetsite.Snapshot, now time.Time) []*Run {
+	typical := s.typicalInterval(now)
+	taken := map[*engine]int{}
+	var moving []*Run
+	for _, r := range runs {
+		if len(moving) == limit {
+			break
+		}
+		for _, g := range s.enginesByID {
+			if g.server.ID != r.Server.ID && len(g.runs)+taken[g] < max(g.server.Slots, 1) && s.canStart(g, r.Entry, view, now) && !g.slow(typical, now) {
+				taken[g]++
+				moving = append(moving, r)
+				break
+			}
+		}
+	}
+	return moving
+}
+
+// lastingSoftware returns what it costs to begin a text at each software, given the
+// items that wait for an engine. It is nil while there is one software only.
+func (s *Scheduler) lastingSoftware(view *limpetsite.Snapshot, ready []*Entry) map[limpetsite.Software]float64 {
+	type count struct{ staying, leaving int }
+	counts := map[limpetsite.Software]*count{}
+	for _, g := range s.enginesByID {
+		c := counts[g.server.Software]
+		if c == nil {
+			c = &count{}
+			counts[g.server.Software] = c
+		}
+		if view.AcceptsWork(g.server.ID) {
+			c.staying++
+		} else {
+			c.leaving++
+		}
+	}
+	if len(counts) < 2 {
+		return nil
+	}
+	costs := map[limpetsite.Software]float64{}
+	for software, c := range counts {
+		costs[software] = replacedCost * float64(c.leaving) / float64(c.staying+c.leaving)
+		if c.staying <= 1 {
+			costs[software] += lastEngineCost
+		}
+	}
+	awaited := map[limpetsite.Software]bool{}
+	for _, e := range ready {
+		if e.text.lastEvent > 0 && !awaited[e.text.software] {
+			awaited[e.text.software] = true
+			costs[e.text.software] += awaitedCost
+		}
+	}
+	return costs
+}
--- a/internal/limpetbatch/text.go
+++ b/internal/limpetbatch/text.go
@@ -106,7 +106,7 @@
 		if k.text.minVersion() < j.MinVersion || (j.Rules.OnPolicy && len(k.text.versions) > 1) {
 			continue
 		}
-		e.text = k.text
+		e.text, e.heldSince = k.text, now
 		e.text.pieces = slices.Clone(k.text.pieces)
 		e.text.versions = slices.Clone(k.text.versions)
 		if !e.text.complete {
--- a/internal/limpetdirector/runs.go
+++ b/internal/limpetdirector/runs.go
@@ -40,7 +40,7 @@
 	}
 	d.Log.Emit(limpetlog.RunStarted, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID),
 		limpetlog.Server(r.Server.ID), limpetlog.Value("after", r.After))
-	if r.After > 0 {
+	if r.After+r.Dropped > 0 {
 		d.logContinued(r)
 	}
 	if s := d.executorFor(r.Server); s != nil {
@@ -53,12 +53,15 @@
 // logContinued records that an item's text goes on in a new run.
 func (d *Director) logContinued(r *limpetbatch.Run) {
 	e, outcome := r.Entry, limpetmetric.SameSoftware
-	if e.Software() != r.Software {
+	switch {
+	case r.Dropped > 0:
+		outcome = limpetmetric.BegunAgain
+	case e.Software() != r.Software:
 		outcome = limpetmetric.OtherSoftware
 	}
 	d.Metrics.CountContinuation(limpetmetric.Items, outcome)
 	d.Log.Emit(limpetlog.TextContinued, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Server(r.Server.ID),
-		limpetlog.Value("software", r.Software), limpetlog.Value("began", e.Software()), limpetlog.Value("after", r.After), limpetlog.Value("outcome", outcome))
+		limpetlog.Value("software", r.Software), limpetlog.Value("began", e.Software()), limpetlog.Value("after", r.After), limpetlog.Value("dropped", r.Dropped), limpetlog.Value("outcome", outcome))
 }
 
 // runLocally sends a run from this VM.
--- a/internal/limpetexecutor/limpetexecutor_test.go
+++ b/internal/limpetexecutor/limpetexecutor_test.go
@@ -220,6 +220,23 @@
 		check(t, len(held[0].Text.Pieces), ShouldEqual, held[0].Text.LastEvent)
 		check(t, held[0].Text.Versions, ShouldResemble, []int{2, 3})
 	})
+	withDirector(t, "a held text names the software that began it, which an order that continues it brings along", 60, func(t *testing.T, d *director, s *limpetexecutor.Connector) {
+		first, second := order("first", limpetjob.Draft{}), order("second", draft)
+		first.Call.Server.Software, second.Call.Server.Software = "llm/v1", "llm/v2"
+		second.PartialText.Software = "llm/v2"
+		d.batches <- limpetexecutor.Batch{Orders: []limpetexecutor.Order{first, second}}
+		time.Sleep(time.Second)
+		d.set(func() { d.down = true })
+		time.Sleep(time.Second)
+		d.set(func() { d.down = false })
+		s.DirectorSeen("d")
+		time.Sleep(300 * time.Millisecond)
+		offers, _, _ := d.received()
+		held := offers[len(offers)-1].Held
+		check(t, len(held), ShouldEqual, 2)
+		check(t, held[0].Text.Software, ShouldEqual, limpetsite.Software("llm/v1"))
+		check(t, held[1].Text.Software, ShouldEqual, limpetsite.Software("llm/v2"))
+	})
 	withDirector(t, "runs are canceled after too long without a director", 1000, func(t *testing.T, d *director, s *limpetexecutor.Connector) {
 		d.batches <- limpetexecutor.Batch{Orders: []limpetexecutor.Order{order("r", draft)}}
 		time.Sleep(time.Second)
--- a/internal/limpetexecutor/run.go
+++ b/internal/limpetexecutor/run.go
@@ -34,6 +34,9 @@
 	ctx, cancel := context.WithCancel(e.group.Context())
 	r := &run{job: o.Job, server: o.Call.Server.ID, cancel: cancel, text: o.PartialText}
 	r.text.Item = o.Call.ID
+	if r.text.LastEvent == 0 {
+		r.text.Software = o.Call.Server.Software
+	}
 	e.mu.Lock()
 	if e.session != session || e.leaving || e.runs[o.Run] != nil {
 		e.mu.Unlock()
--- a/internal/limpetjob/draft.go
+++ b/internal/limpetjob/draft.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
 )
 
@@ -26,7 +27,10 @@
 	// the one of the last event.
 	Versions []int `json:"versions"`
 	Version  int   `json:"version"`
-	Complete bool  `json:"whole,omitempty"`
+	// Software is the software that generates the text from its first event on;
+	// empty if that is not known.
+	Software limpetsite.Software `json:"software,omitempty"`
+	Complete bool                `json:"whole,omitempty"`
 	// Failures is the number of responses with status 500 to the item's runs.
 	Failures int `json:"failures,omitempty"`
 	// RewardFailures is the number of its reward calls that failed.
