A broken stream goes on only at servers of the software that began it

What callers got: one answer with events of two software versions. Cause: resume took any server that was not tried. The answer ends as broken if no server of the software takes requests, or if its server started again with other software and may have sent its events. A stream without an event may begin anywhere. New streams begin at software that a second server runs and none leaves, while such servers have room. Ruled out: a refusal in place of an ended answer (the header is out), other software with a mark (callers cannot read it).

--- a/internal/limpetbatch/burst_test.go
+++ b/internal/limpetbatch/burst_test.go
@@ -78,7 +78,7 @@
 
 func (b *burst) publish() {
 	b.view = b.state.Snapshot()
-	b.scheduler.UpdateEngines(b.view)
+	b.scheduler.UpdateEngines(b.view, epoch)
 }
 
 // crash takes an engine down, ends its runs or lets them fall silent, and
--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -48,7 +48,7 @@
 // have left may continue until they end. It returns the runs of texts that may
 // have events of software that an engine was started again with, which the caller
 // must cancel.
-func (s *Scheduler) UpdateEngines(view *limpetsite.Snapshot) []*Run {
+func (s *Scheduler) UpdateEngines(view *limpetsite.Snapshot, now time.Time) []*Run {
 	var detached []*Run
 	for id, g := range s.engines {
 		if view.Server(id) == nil && len(g.runs) == 0 {
@@ -67,7 +67,7 @@
 			}
 			s.engines[id] = fresh
 			if g != nil && g.server.Software != server.Software {
-				detached = append(detached, s.dropTextsOf(server)...)
+				detached = append(detached, s.dropTextsOf(server, now)...)
 			}
 			continue
 		}
--- a/internal/limpetbatch/helpers_test.go
+++ b/internal/limpetbatch/helpers_test.go
@@ -49,7 +49,7 @@
 // scheduler returns a scheduler with the engines of a snapshot.
 func scheduler(v *limpetsite.Snapshot) *limpetbatch.Scheduler {
 	s := limpetbatch.New()
-	s.UpdateEngines(v)
+	s.UpdateEngines(v, epoch)
 	return s
 }
 
--- a/internal/limpetbatch/limpetbatch_test.go
+++ b/internal/limpetbatch/limpetbatch_test.go
@@ -177,7 +177,7 @@
 			// Both engines register as new incarnations, so that only the item
 			// itself can be what waits.
 			v = view(4, map[string]int{fmt.Sprintf("e%d", 2*n+3): 1, fmt.Sprintf("e%d", 2*n+4): 1})
-			s.UpdateEngines(v)
+			s.UpdateEngines(v, epoch)
 			now = now.Add(time.Second)
 		}
 	})
--- a/internal/limpetbatch/overdue_test.go
+++ b/internal/limpetbatch/overdue_test.go
@@ -170,7 +170,7 @@
 		s.AddJob(job("j", 3, []int{900}, []int{100}, []int{5000}, []int{700}), rules, nil, epoch)
 		So(len(s.Dispatch(v, epoch)), ShouldEqual, 4)
 		v = view(4, map[string]int{"e1": 1, "e2": 1})
-		s.UpdateEngines(v)
+		s.UpdateEngines(v, epoch)
 		s.AddJob(job("k", 2, []int{1}, []int{1}), rules, nil, epoch)
 		So(len(s.Dispatch(v, epoch)), ShouldEqual, 2)
 		s.SetLoading("e1", "m", epoch)
--- a/internal/limpetbatch/software.go
+++ b/internal/limpetbatch/software.go
@@ -6,14 +6,8 @@
 	"limpetmount.org/internal/limpetsite"
 )
 
-const (
-	// defaultInterval is the assumed time between two events while none was
-	// measured.
-	defaultInterval = 40 * time.Millisecond
-	// restartSkew allows for the difference between the clocks of an engine and of
-	// this VM.
-	restartSkew = 500 * time.Millisecond
-)
+// defaultInterval is the assumed time between two events while none was measured.
+const defaultInterval = 40 * time.Millisecond
 
 // The costs of beginning a text at software that may not be there to go on with
 // it, in units of an engine's load per slot.
@@ -60,10 +54,13 @@
 // dropTextsOf makes the items begin again whose texts may have events of an engine
 // that was started again with other software after it had been chosen. Events from
 // before its start stay. It returns the runs of these items.
-func (s *Scheduler) dropTextsOf(restarted *limpetsite.Server) []*Run {
-	born := time.UnixMilli(restarted.Incarnation).Add(-restartSkew)
+func (s *Scheduler) dropTextsOf(restarted *limpetsite.Server, now time.Time) []*Run {
 	uncertain := func(r *Run) bool {
-		return r.Server.ID == restarted.ID && r.Server.Incarnation != restarted.Incarnation && r.Software != restarted.Software && (!r.gotHeader || r.respondedAt.After(born))
+		began := r.respondedAt
+		if !r.gotHeader {
+			began = now
+		}
+		return restarted.MayHaveSent(r.Server, began)
 	}
 	var detached []*Run
 	for _, j := range s.jobsByArrival {
--- a/internal/limpetbatch/software_test.go
+++ b/internal/limpetbatch/software_test.go
@@ -78,7 +78,7 @@
 			}
 			all["old-2"] = engine("old-2", "v1", 4)
 			v := all.view()
-			s.UpdateEngines(v)
+			s.UpdateEngines(v, epoch)
 			interrupt(s, v, r, at(time.Second))
 			runs := s.Dispatch(v, at(time.Second+50*time.Millisecond))
 			if len(runs) == 0 {
@@ -123,7 +123,7 @@
 		begin(s, all.view(), 8)
 		s.RemoveJob("j", epoch)
 		all["new-1"], all["new-2"] = engine("new-1", "v2", 4), engine("new-2", "v2", 4)
-		s.UpdateEngines(all.view())
+		s.UpdateEngines(all.view(), at(time.Second))
 		later := job("later", 1, []int{1000})
 		later.Items[0].ID = "j-g0-0"
 		s.AddJob(later, rules, nil, at(time.Second))
@@ -139,7 +139,7 @@
 		s := scheduler(all.view())
 		r := begin(s, all.view(), 8)
 		all = versioned(4, map[string]string{"new": "v2"})
-		s.UpdateEngines(all.view())
+		s.UpdateEngines(all.view(), at(time.Second))
 		s.HandleEnd(r, limpetbatch.Interrupted, at(time.Second))
 		runs := s.Dispatch(all.view(), at(time.Second))
 		So(len(runs), ShouldEqual, 1)
@@ -154,9 +154,9 @@
 		r := begin(s, all.view(), 8)
 		s.HandleEnd(r, limpetbatch.Interrupted, at(time.Second))
 		none := engines{}.view()
-		s.UpdateEngines(none)
+		s.UpdateEngines(none, epoch)
 		So(s.Dispatch(none, at(2*time.Second)), ShouldBeEmpty)
-		s.UpdateEngines(all.view())
+		s.UpdateEngines(all.view(), at(time.Second))
 		So(s.Dispatch(all.view(), at(10*time.Second))[0].After, ShouldEqual, 8)
 	})
 	Convey("it waits for a full engine of its software as long as generating it again would take", t, func() {
@@ -165,7 +165,7 @@
 		r := begin(s, all.view(), 20)
 		all["new"] = engine("new", "v2", 1)
 		v := all.view()
-		s.UpdateEngines(v)
+		s.UpdateEngines(v, epoch)
 		other := draft("other-g0-0", 1, 1)
 		other.Software = limpetsite.SoftwareOf("llm", "v1")
 		occupying, _ := s.Attach(s.AddJob(job("other", 1, []int{100}), rules, nil, epoch), other, "old", true, epoch)
@@ -193,7 +193,7 @@
 		s.HandleHeader(r, 1, at(700*time.Millisecond))
 		feed(s, r, 1, 3, 1, at(800*time.Millisecond))
 		all = engines{"e": restarted, "other": engine("other", "v1", 4)}
-		So(s.UpdateEngines(all.view()), ShouldResemble, []*limpetbatch.Run{r})
+		So(s.UpdateEngines(all.view(), at(time.Second)), ShouldResemble, []*limpetbatch.Run{r})
 		So(s.Dispatch(all.view(), at(time.Second))[0].After, ShouldEqual, 0)
 	})
 	Convey("events from before the start stay", t, func() {
@@ -203,7 +203,7 @@
 		later := *restarted
 		later.Incarnation = at(5 * time.Second).UnixMilli()
 		all = engines{"e": &later, "other": engine("other", "v1", 4)}
-		So(s.UpdateEngines(all.view()), ShouldBeEmpty)
+		So(s.UpdateEngines(all.view(), at(time.Second)), ShouldBeEmpty)
 		s.HandleEnd(r, limpetbatch.Interrupted, at(6*time.Second))
 		again := s.Dispatch(all.view(), at(7*time.Second))[0]
 		So(again.After, ShouldEqual, 8)
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -288,7 +288,7 @@
 	}
 	if view := d.View(); view != d.view {
 		d.view = view
-		d.cancelRuns(d.scheduler.UpdateEngines(view), "the engine was started again with other software")
+		d.cancelRuns(d.scheduler.UpdateEngines(view, now), "the engine was started again with other software")
 		d.checkRetirement()
 	}
 	d.stepRuns(now)
--- a/internal/limpetforward/choose.go
+++ b/internal/limpetforward/choose.go
@@ -57,7 +57,7 @@
 func (d *dispatch) choose(ctx context.Context, cause cause) *limpetsite.Server {
 	f := d.forwarder
 	tried := func(id string) bool { return d.tried[id] }
-	servers := f.View().Servers(d.service)
+	servers := d.servers()
 	limited := f.Limits.Among(servers, f.Zone, tried)
 	if cause == first && len(limited) > 0 && d.route.Repeatable() {
 		if id, ok := f.Limits.Look(ctx, d.service, limited); ok {
@@ -83,6 +83,24 @@
 	return f.Tracker.Choose(servers, f.Zone, unavailable, f.Now())
 }
 
+// servers returns the servers that may run the request. A stream goes on only at
+// servers of the software that began it. A new one begins where it can go on, while
+// such servers have room.
+func (d *dispatch) servers() []*limpetsite.Server {
+	f, view := d.forwarder, d.forwarder.View()
+	if d.software != "" {
+		return view.ServersOf(d.software)
+	}
+	if d.route.Kind == limpetsite.Stream && d.route.Resumable {
+		lasting := view.LastingServers(d.service)
+		unavailable := func(id string) bool { return d.tried[id] || f.Limits.Limited(id) }
+		if f.Tracker.HasRoom(lasting, unavailable, f.Now()) {
+			return lasting
+		}
+	}
+	return view.Servers(d.service)
+}
+
 // chooseYielding returns a server that has room for a request of the system
 // itself. It waits for one as long as the request may be kept waiting, and then
 // returns nil.
@@ -91,7 +109,7 @@
 	tried := func(id string) bool { return d.tried[id] }
 	unavailable := func(id string) bool { return d.tried[id] || f.Limits.Limited(id) }
 	for end := f.Now().Add(maxYield); f.Now().Before(end); {
-		servers := f.View().Servers(d.service)
+		servers := d.servers()
 		if len(servers) == 0 {
 			return nil
 		}
@@ -121,7 +139,7 @@
 // take returns the server of a permit, counted as in flight.
 func (d *dispatch) take(id string) *limpetsite.Server {
 	f := d.forwarder
-	return f.Tracker.Choose(f.View().Servers(d.service), f.Zone, func(other string) bool { return other != id }, f.Now())
+	return f.Tracker.Choose(d.servers(), f.Zone, func(other string) bool { return other != id }, f.Now())
 }
 
 // limitWait returns how long the request may wait for a limited server. A longer
--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -55,8 +55,12 @@
 	results  chan result
 	group    *limpettask.Group
 	cancels  []context.CancelFunc
-	// server is the one whose reply was used last.
-	server *limpetsite.Server
+	// server is the one whose reply was used last, and respondedAt when that
+	// began.
+	server      *limpetsite.Server
+	respondedAt time.Time
+	// software is set once the request's stream may go on only at servers of it.
+	software limpetsite.Software
 	// lastFailure is the last reply with a server error, which the caller gets
 	// if no other server does better.
 	lastFailure *limpetupstream.Reply
@@ -292,7 +296,7 @@
 		return nil, d.route.Repeatable()
 	}
 	f.Tracker.Done(r.server.ID, limpetbalancer.Answered, r.took, r.reply.Load, now)
-	d.server = r.server
+	d.server, d.respondedAt = r.server, now
 	if r.reply.Events == nil {
 		d.recordServed(r.server, r.reply)
 	}
--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -6,7 +6,7 @@
 	"io"
 
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -15,11 +15,14 @@
 // breaks. The caller sees one response, with the header of the first server.
 func (d *dispatch) followStream(ctx context.Context, first *limpetupstream.Reply) {
 	current := &limpetupstream.Reply{Events: first.Events, Close: first.Close}
-	last, events, began := d.request.LastEventID, 0, d.server.Software
+	last, events := d.request.LastEventID, 0
 	first.Events = func() (limpetupstream.Event, error) {
 		for {
 			event, err := current.Events()
 			if err == nil {
+				if last == 0 {
+					d.software = d.server.Software
+				}
 				last = event.ID
 				events++
 				return event, nil
@@ -30,10 +33,10 @@
 			}
 			current.Close()
 			d.recordBroken(ctx, d.server, err, events)
-			if !d.route.Repeatable() {
+			if !d.route.Repeatable() || !d.mayGoOn(last, events) {
 				return event, err
 			}
-			next := d.resume(ctx, last, began)
+			next := d.resume(ctx, last)
 			if next == nil {
 				return event, err
 			}
@@ -43,18 +46,47 @@
 	first.Close = func() { current.Close() }
 }
 
+// mayGoOn reports whether a broken stream, of which the caller has the events up to
+// last, can go on. Events tells how many of them the last server sent. One without
+// any may begin anywhere.
+func (d *dispatch) mayGoOn(last, events int) bool {
+	if last == 0 {
+		return true
+	}
+	view, outcome := d.forwarder.View(), ""
+	restarted := view.Server(d.server.ID)
+	switch {
+	case events > 0 && restarted != nil && restarted.MayHaveSent(d.server, d.respondedAt):
+		outcome = limpetmetric.UnknownSoftware
+	case d.software != "" && len(view.ServersOf(d.software)) == 0:
+		outcome = limpetmetric.NoneLeft
+	default:
+		return true
+	}
+	d.countContinuation(outcome, last)
+	return false
+}
+
+// countContinuation records that a stream could not go on after an event.
+func (d *dispatch) countContinuation(outcome string, last int) {
+	f := d.forwarder
+	f.Metrics.CountContinuation(limpetmetric.Streams, outcome)
+	f.Log.Emit(limpetlog.StreamNotContinued, limpetlog.Request(d.request.ID), limpetlog.Account(d.accountName()), limpetlog.Value("after", last),
+		limpetlog.Value("software", d.software), limpetlog.Value("outcome", outcome), limpetlog.Value("revision", f.View().Revision))
+}
+
 // resume requests the rest of a stream from another server. It returns nil if
 // no server provides it.
-func (d *dispatch) resume(ctx context.Context, last int, began limpetsite.Software) *limpetupstream.Reply {
+func (d *dispatch) resume(ctx context.Context, last int) *limpetupstream.Reply {
 	d.request.LastEventID = last
 	defer d.keepFailure(nil)
 	for d.startAttempt(ctx, retried) {
 		r := <-d.results
 		reply, retry := d.handleResult(ctx, r)
 		if reply != nil && reply.Events != nil {
-			d.forwarder.Log.Emit(limpetlog.StreamResumed, limpetlog.Request(d.request.ID),
-				limpetlog.Server(r.server.ID), limpetlog.Value("after", last),
-				limpetlog.Value("software", r.server.Software), limpetlog.Value("began", began))
+			d.forwarder.Metrics.CountContinuation(limpetmetric.Streams, limpetmetric.SameSoftware)
+			d.forwarder.Log.Emit(limpetlog.StreamResumed, limpetlog.Request(d.request.ID), limpetlog.Server(r.server.ID),
+				limpetlog.Value("after", last), limpetlog.Value("software", r.server.Software), limpetlog.Value("began", d.software))
 			return reply
 		}
 		if reply != nil {
--- a/internal/limpetsite/snapshot.go
+++ b/internal/limpetsite/snapshot.go
@@ -22,6 +22,8 @@
 	services map[string]*Service
 	servers  map[string][]*Server
 	byID     map[string]*Server
+	// lasting holds, by service, the servers for new streams; see LastingServers.
+	lasting map[string][]*Server
 	// latest holds the server that started last at each address.
 	latest map[string]*Server
 }
@@ -112,6 +114,41 @@
 // shared and must not be modified.
 func (s *Snapshot) Servers(service string) []*Server { return s.servers[service] }
 
+// LastingServers returns the servers of a service that accept work and whose
+// software other servers can go on with: at least one more accepts work, and none
+// is leaving. It is empty if no software is like that.
+func (s *Snapshot) LastingServers(service string) []*Server { return s.lasting[service] }
+
+// ServersOf returns the servers that accept work and run a given software.
+func (s *Snapshot) ServersOf(software Software) []*Server {
+	var running []*Server
+	for _, server := range s.servers[software.Service()] {
+		if server.Software == software {
+			running = append(running, server)
+		}
+	}
+	return running
+}
+
+// indexLasting fills lasting.
+func (s *Snapshot) indexLasting() {
+	staying, leaving := map[Software]int{}, map[Software]int{}
+	for _, server := range s.byID {
+		if server.Draining {
+			leaving[server.Software]++
+		} else {
+			staying[server.Software]++
+		}
+	}
+	for service, servers := range s.servers {
+		for _, server := range servers {
+			if staying[server.Software] > 1 && leaving[server.Software] == 0 {
+				s.lasting[service] = append(s.lasting[service], server)
+			}
+		}
+	}
+}
+
 // Server returns the server with the given ID, draining or not, or nil.
 func (s *Snapshot) Server(id string) *Server { return s.byID[id] }
 
--- a/internal/limpetsite/state.go
+++ b/internal/limpetsite/state.go
@@ -198,7 +198,7 @@
 func (s *State) Snapshot() *Snapshot {
 	view := &Snapshot{
 		Revision: s.revision, Config: s.config, PublishedVersions: map[string]int{}, Retiring: maps.Clone(s.retiring),
-		servers: map[string][]*Server{}, byID: map[string]*Server{}, latest: map[string]*Server{},
+		servers: map[string][]*Server{}, byID: map[string]*Server{}, latest: map[string]*Server{}, lasting: map[string][]*Server{},
 	}
 	for _, p := range s.published {
 		view.PublishedVersions[p.Model] = p.Version
@@ -213,5 +213,6 @@
 			view.servers[server.Service] = append(view.servers[server.Service], server)
 		}
 	}
+	view.indexLasting()
 	return index(view)
 }
