A caller's next try goes on only at the software that began its stream, whichever VM it reaches

What callers got: streams with events of two software versions over their tries. Cause: the header that names the first try was not read, and nothing outside the process of the first VM knew which software had begun a stream. limpetorigin: the VM of the first event records the software under a hash of account and try (8 bytes), hands it to the director within 0.1 s (2.5 ms more for each VM), which keeps it in memory and writes all of 0.25 s in one transaction, by shard; records last 60 to 120 s, lasting streams are recorded again each 20 s. A VM asks the director, the last one if there is none, the store's shard, other VMs. What nobody knows is refused as not run (503 and 0.25 s), and so is a stream of whose software no server is left. VMs learn of each other from the director (roster); addresses are kept when it is gone. Ruled out: a write for each stream (17,000/s), the choice as a function of the try's ID (a version that comes or goes changes it), asking the VM of the first try (dead or cut off by then), all records to all VMs (150 KB/s each), no records while one version serves (old views).

--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -9,6 +9,7 @@
 	"limpetmount.org/internal/limpetbalancer"
 	"limpetmount.org/internal/limpetcrash"
 	"limpetmount.org/internal/limpeterror"
+	"limpetmount.org/internal/limpetorigin"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetupstream"
@@ -61,6 +62,10 @@
 	respondedAt time.Time
 	// software is set once the request's stream may go on only at servers of it.
 	software limpetsite.Software
+	// origin identifies the request's stream for callers that come back for the rest
+	// of it; 0 if they cannot. It was recorded last at originRecordedAt.
+	origin           limpetorigin.Stream
+	originRecordedAt time.Time
 	// lastFailure is the last reply with a server error, which the caller gets
 	// if no other server does better.
 	lastFailure *limpetupstream.Reply
@@ -119,6 +124,8 @@
 	switch reason {
 	case Busy:
 		return busyRetryAfter
+	case UnknownOrigin:
+		return unknownRetryAfter
 	case Quarantined:
 		return max(0, d.quarantineEnd.Sub(d.forwarder.Now()))
 	case Limited:
--- a/internal/limpetforward/limpetforward.go
+++ b/internal/limpetforward/limpetforward.go
@@ -15,6 +15,7 @@
 	"limpetmount.org/internal/limpetlimit"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetmetric"
+	"limpetmount.org/internal/limpetorigin"
 	"limpetmount.org/internal/limpetquarantine"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetupstream"
@@ -39,6 +40,8 @@
 	// LastEventID is the ID of the last event of a stream that the caller has
 	// received; 0 if it has received none.
 	LastEventID int
+	// Resumes is the ID of the attempt that brought the first event of that stream.
+	Resumes string
 }
 
 // A Reason says why the system itself answers a request.
@@ -73,11 +76,17 @@
 	// Limited means that all servers that could take the request have reached the
 	// rate that they named; it did not run.
 	Limited
+	// UnknownOrigin means that a stream cannot go on because it is not known which
+	// software began it; this attempt did not run.
+	UnknownOrigin
+	// OriginGone means that a stream cannot go on because no server of the software
+	// that began it takes requests; this attempt did not run.
+	OriginGone
 )
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"served", "not_configured", "no_route", "no_key", "no_server", "busy", "failed", "timed_out", "expired", "caller_gone", "quarantined", "limited"}[r]
+	return [...]string{"served", "not_configured", "no_route", "no_key", "no_server", "busy", "failed", "timed_out", "expired", "caller_gone", "quarantined", "limited", "unknown_origin", "origin_gone"}[r]
 }
 
 // An Answer is the outcome of a request for its caller. Reply is set if Reason
@@ -103,7 +112,10 @@
 	Crashes *limpetcrash.Book
 	// Limits hands out permits for servers that limit their requests; nil if none
 	// do.
-	Limits  *limpetlimit.Gate
+	Limits *limpetlimit.Gate
+	// Origins knows which software began streams that callers come back for; if nil,
+	// none can be taken up.
+	Origins *limpetorigin.Book
 	Log     *limpetlog.Logger
 	Metrics *limpetmetric.Set
 	// CountRequest is called when a server has begun to run a request of an
@@ -122,6 +134,9 @@
 	// busyRetryAfter is the retry delay returned to callers while all servers
 	// are at capacity.
 	busyRetryAfter = 300 * time.Millisecond
+	// unknownRetryAfter is the retry delay returned to callers whose stream is
+	// unknown: the record of it may be on its way.
+	unknownRetryAfter = 250 * time.Millisecond
 )
 
 // Authorize returns the route of a request and the account that it runs for,
@@ -163,6 +178,11 @@
 		forwarder: f, request: r, route: route, account: account, crashes: f.Crashes,
 		service: route.Pick(rand.Float64()), deadline: r.Arrived.Add(timeout), tried: map[string]bool{},
 	}
+	if route.Kind == limpetsite.Stream && route.Resumable {
+		if reason := d.findOrigin(ctx); reason != Served {
+			return f.finish(r, route, account, Answer{Reason: reason, RetryAfter: d.retryAfter(reason)})
+		}
+	}
 	return f.finish(r, route, account, d.run(ctx))
 }
 
--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -7,6 +7,7 @@
 
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetmetric"
+	"limpetmount.org/internal/limpetorigin"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -23,6 +24,7 @@
 				if last == 0 {
 					d.software = d.server.Software
 				}
+				d.recordOrigin()
 				last = event.ID
 				events++
 				return event, nil
@@ -46,6 +48,44 @@
 	first.Close = func() { current.Close() }
 }
 
+// findOrigin finds the software that began the stream that the caller comes back
+// for. The reason is Served if the request may be sent.
+func (d *dispatch) findOrigin(ctx context.Context) Reason {
+	f, r := d.forwarder, d.request
+	if r.LastEventID == 0 {
+		d.origin = limpetorigin.StreamOf(d.accountName(), r.ID)
+		return Served
+	}
+	var source string
+	if r.Resumes != "" {
+		d.origin = limpetorigin.StreamOf(d.accountName(), r.Resumes)
+		d.software, source = f.Origins.Find(ctx, d.origin)
+	}
+	if d.software == "" {
+		d.countContinuation(limpetmetric.UnknownSoftware, r.LastEventID)
+		return UnknownOrigin
+	}
+	if d.service = d.software.Service(); !d.route.LeadsTo(d.service) || len(f.View().ServersOf(d.software)) == 0 {
+		d.countContinuation(limpetmetric.NoneLeft, r.LastEventID)
+		return OriginGone
+	}
+	f.Metrics.CountContinuation(limpetmetric.Streams, limpetmetric.SameSoftware)
+	f.Log.Emit(limpetlog.StreamTakenUp, limpetlog.Request(r.ID), limpetlog.Account(d.accountName()), limpetlog.Value("origin", r.Resumes),
+		limpetlog.Value("after", r.LastEventID), limpetlog.Value("software", d.software), limpetlog.Value("source", source))
+	return Served
+}
+
+// recordOrigin records which software began the stream, and from time to time that
+// it still lasts.
+func (d *dispatch) recordOrigin() {
+	now := d.forwarder.Now()
+	if d.origin == 0 || now.Sub(d.originRecordedAt) < limpetorigin.RefreshInterval {
+		return
+	}
+	d.originRecordedAt = now
+	d.forwarder.Origins.Record(d.origin, d.software)
+}
+
 // mayGoOn reports whether a broken stream, of which the caller has the events up to
 // last, can go on. Events tells how many of them the last server sent. One without
 // any may begin anywhere.
--- a/internal/limpethost/executor.go
+++ b/internal/limpethost/executor.go
@@ -14,11 +14,10 @@
 func (h *Host) newConnector() *limpetexecutor.Connector {
 	executor := limpetexecutor.New(h.group, h.Settings.VM, h.Settings.Zone, h.deps.Now, h.Log)
 	executor.Send, executor.Refuses = h.deps.Upstream.Send, h.refuses
-	httpClient := h.relayClient()
 	return &limpetexecutor.Connector{
 		Executor: executor, Session: h.Settings.VM + "." + h.deps.Incarnation, DirectorAddress: h.directorAddress,
 		Link: func(address string) limpetexecutor.Link {
-			return limpetrelay.NewClient(httpClient, address, h.Settings.ReadyAddress).Link()
+			return limpetrelay.NewClient(h.peerClient, address, h.self()).Link()
 		},
 		Enabled: func() bool { return !h.draining.Load() && !h.director.IsDirector() },
 	}
--- a/internal/limpethost/limits.go
+++ b/internal/limpethost/limits.go
@@ -24,7 +24,7 @@
 func (h *Host) startLimits() {
 	h.limits = limpetlimit.NewLimits(h.deps.Now, h.Log, h.Metrics.Registry, h.publishLimit)
 	h.gate = limpetlimit.NewGate(limpetlimit.Deps{
-		Limits: h.limits, Ask: h.askPermit, VMs: func() int { return 1 + len(h.recentPeers()) },
+		Limits: h.limits, Ask: h.askPermit, VMs: func() int { return 1 + h.roster.size() },
 		Log: h.Log, Metrics: h.Metrics.Registry, Now: h.deps.Now,
 	})
 	h.deps.Upstream = h.limitUpstream(h.deps.Upstream)
@@ -128,8 +128,8 @@
 	}
 }
 
-// relayClient returns the HTTP client for calls to other VMs.
-func (h *Host) relayClient() *http.Client {
+// newRelayClient returns the HTTP client for calls to other VMs.
+func (h *Host) newRelayClient() *http.Client {
 	if h.deps.RelayTransport != nil {
 		return &http.Client{Transport: h.deps.RelayTransport}
 	}
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -22,6 +22,7 @@
 	"limpetmount.org/internal/limpetlimit"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetmetric"
+	"limpetmount.org/internal/limpetorigin"
 	"limpetmount.org/internal/limpetrelay"
 	"limpetmount.org/internal/limpetscaler"
 	"limpetmount.org/internal/limpetsite"
@@ -93,13 +94,16 @@
 
 	mirror   *limpetrelay.Mirror
 	received *limpetwindow.ReceivedCounts
+	// origins knows which software began streams.
+	origins *limpetorigin.Book
 	// relay is the client of the director that this VM follows; nil if it
 	// follows none.
-	relay   atomic.Pointer[limpetrelay.Client]
-	peersMu sync.Mutex
-	// peers holds the time of the last contact by address of each VM that can
-	// be asked whether it reaches the store.
-	peers map[string]time.Time
+	relay atomic.Pointer[limpetrelay.Client]
+	// lastDirector is the client of the director that this VM followed last.
+	lastDirector atomic.Pointer[limpetrelay.Client]
+	roster       *roster
+	// peerClient carries the calls to other VMs.
+	peerClient *http.Client
 
 	followingMu sync.Mutex
 	// watchGroup runs the watchers; nil while they are stopped.
@@ -112,8 +116,10 @@
 	gate    *limpetlimit.Gate
 	// limitRevision counts the changes of limits in the mirror.
 	limitRevision atomic.Uint64
-	feeds         []feed
-	relevance     relevance
+	// rosterRevision counts the changes of the roster in the mirror.
+	rosterRevision atomic.Uint64
+	feeds          []feed
+	relevance      relevance
 }
 
 const (
@@ -143,8 +149,10 @@
 		Settings: settings, Log: log, Metrics: metrics, deps: deps,
 		group: limpettask.New(parent), updates: make(chan siteUpdate, updateQueueSize),
 		directorGroup: limpettask.New(parent),
-		mirror:        limpetrelay.NewMirror(deps.Incarnation, deps.Now), received: limpetwindow.NewReceivedCounts(), peers: map[string]time.Time{},
+		mirror:        limpetrelay.NewMirror(deps.Incarnation, deps.Now), received: limpetwindow.NewReceivedCounts(),
 	}
+	h.peerClient = h.newRelayClient()
+	h.roster = newRoster(deps.Now, h.publishVM)
 	h.view.Store(limpetsite.EmptySnapshot())
 	h.startLimits()
 	deps.Upstream = h.deps.Upstream
@@ -155,9 +163,10 @@
 		VM: settings.VM, Store: meter.Wrap(deps.Store, "crash"), View: h.View, Check: deps.Upstream.Check, Log: log, Metrics: metrics.Registry, Now: deps.Now,
 	})
 	h.group.Go(h.crashes.Run)
+	h.origins = h.newOrigins(meter.Wrap(deps.Store, "origin"))
 	h.feeds = h.newFeeds()
 	h.Forwarder = &limpetforward.Forwarder{
-		Zone: settings.Zone, View: h.View, Upstream: deps.Upstream, Tracker: limpetbalancer.New(), Crashes: h.crashes, Limits: h.gate,
+		Zone: settings.Zone, View: h.View, Upstream: deps.Upstream, Tracker: limpetbalancer.New(), Crashes: h.crashes, Limits: h.gate, Origins: h.origins,
 		Log: log, Metrics: metrics, CountRequest: h.counter.CountRequest, Now: deps.Now,
 	}
 	h.connector = h.newConnector()
@@ -165,6 +174,7 @@
 	h.group.Go(h.runSite)
 	h.startDirector(meter.Wrap(deps.Store, "director"))
 	h.group.Go(h.gate.Run)
+	h.group.Go(h.origins.Run)
 	if settings.ServesCallers {
 		h.counter.SendToDirector = h.sendCounts
 		h.group.Go(h.followDeployment)
--- a/internal/limpethost/peers.go
+++ b/internal/limpethost/peers.go
@@ -9,42 +9,16 @@
 )
 
 const (
-	// peerTTL is how long after its last contact a VM may be asked whether it
-	// reaches the store.
-	peerTTL       = 30 * time.Second
 	maxPeersAsked = 4
 	peerTimeout   = 400 * time.Millisecond
 )
 
-// recordPeer records that a VM made contact, so that it can be asked whether
-// it reaches the store.
-func (h *Host) recordPeer(address string) {
-	h.peersMu.Lock()
-	defer h.peersMu.Unlock()
-	h.peers[address] = h.deps.Now()
-}
-
-// recentPeers returns the addresses of the VMs that made contact recently.
-func (h *Host) recentPeers() []string {
-	h.peersMu.Lock()
-	defer h.peersMu.Unlock()
-	var addresses []string
-	for address, lastContact := range h.peers {
-		if h.deps.Now().Sub(lastContact) > peerTTL {
-			delete(h.peers, address)
-			continue
-		}
-		addresses = append(addresses, address)
-	}
-	return addresses
-}
-
 // storeReachableElsewhere reports whether other VMs reach the store. If no VM
 // made contact recently, it reports false. If none of those that did responds
 // now, this VM must assume that it is the one that is isolated, and reports
 // true.
 func (h *Host) storeReachableElsewhere(ctx context.Context) bool {
-	addresses := h.recentPeers()
+	addresses := h.roster.recentReadyAddresses()
 	if len(addresses) == 0 {
 		return false
 	}
--- a/internal/limpethost/source.go
+++ b/internal/limpethost/source.go
@@ -53,12 +53,11 @@
 // serves callers: from the director while its view is fresh, and from the
 // store otherwise.
 func (h *Host) followDeployment(ctx context.Context) error {
-	httpClient := h.relayClient()
 	var link directorLink
 	var lastLookup time.Time
 	lastHeard := h.deps.Now()
 	// Look for a director first, since there usually is one.
-	h.findDirector(ctx, httpClient, &link)
+	h.findDirector(ctx, &link)
 	for ctx.Err() == nil {
 		if h.director.IsDirector() {
 			h.relay.Store(nil)
@@ -85,7 +84,7 @@
 		}
 		if now.Sub(lastLookup) >= interval {
 			lastLookup = now
-			h.findDirector(ctx, httpClient, &link)
+			h.findDirector(ctx, &link)
 		}
 		if now.Sub(lastHeard) > competeAfter {
 			h.director.SetCandidate(ctx, true)
@@ -125,9 +124,11 @@
 	h.storeReachable.Store(true)
 	h.connector.DirectorSeen(link.address)
 	if h.relay.Swap(link.client) != link.client {
+		h.lastDirector.Store(link.client)
 		h.Log.Emit(limpetlog.RelayConnected, limpetlog.Value("address", link.address))
 		h.counter.ResendAll()
 		h.limits.Resend()
+		h.origins.Resend()
 		h.SetFollowing(false)
 	}
 	return u.Age, true
@@ -166,12 +167,12 @@
 
 // findDirector looks up the director's address, and replaces the link if it
 // changed.
-func (h *Host) findDirector(ctx context.Context, httpClient *http.Client, link *directorLink) {
+func (h *Host) findDirector(ctx context.Context, link *directorLink) {
 	address, err := h.directorAddress(ctx)
 	if err != nil || address == "" || address == link.address {
 		return
 	}
-	*link = directorLink{address: address, client: limpetrelay.NewClient(httpClient, address, h.Settings.ReadyAddress)}
+	*link = directorLink{address: address, client: limpetrelay.NewClient(h.peerClient, address, h.self())}
 }
 
 // readPage returns the listed results of an account's job: from the director
@@ -229,7 +230,7 @@
 // handlers returns the handlers of requests from other VMs.
 func (h *Host) handlers() *limpetrelay.Handlers {
 	return &limpetrelay.Handlers{
-		Mirror: h.mirror, OnFollower: h.recordPeer, IsDirector: h.director.IsDirector, Results: h.director.Results,
+		Mirror: h.mirror, OnFollower: h.roster.record, Origins: h.origins, IsDirector: h.director.IsDirector, Results: h.director.Results,
 		Count: func(counter string, windows map[int64]limpetwindow.Counts) bool {
 			if !h.director.IsDirector() {
 				return false
--- a/internal/limpetrelay/client.go
+++ b/internal/limpetrelay/client.go
@@ -11,6 +11,8 @@
 	"limpetmount.org/internal/limpethttp"
 	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlimit"
+	"limpetmount.org/internal/limpetorigin"
+	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpetwindow"
 	"limpetmount.org/internal/limpetwire"
@@ -26,8 +28,15 @@
 // A Client calls the Handlers of another VM.
 type Client struct {
 	relay limpetwire.RelayClient
-	// readyAddress is the address at which this VM reports its readiness.
-	readyAddress string
+	self  Follower
+}
+
+// A Follower describes a VM that follows a director.
+type Follower struct {
+	VM, Zone string
+	// Ready is the address at which the VM reports its readiness, and Relay the one
+	// at which other VMs reach it.
+	Ready, Relay string
 }
 
 // NewHTTPClient returns an HTTP client to share between Clients.
@@ -35,10 +44,9 @@
 	return &http.Client{Transport: limpethttp.NewKeepAliveTransport(maxIdleConns)}
 }
 
-// NewClient returns a client of the VM at an address, IP:PORT. The calling VM
-// reports its readiness at readyAddress.
-func NewClient(client *http.Client, address, readyAddress string) *Client {
-	return &Client{readyAddress: readyAddress, relay: limpetwire.NewRelayClient(client, "http://"+address)}
+// NewClient returns a client of the VM at an address, IP:PORT, for the VM self.
+func NewClient(client *http.Client, address string, self Follower) *Client {
+	return &Client{self: self, relay: limpetwire.NewRelayClient(client, "http://"+address)}
 }
 
 // Follow returns what changed since a position, and whether the VM is the
@@ -46,7 +54,10 @@
 func (c *Client) Follow(ctx context.Context, epoch string, position uint64, wait time.Duration) (Update, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+responseMargin)
 	defer cancel()
-	r, err := c.relay.Follow(ctx, connect.NewRequest(&limpetwire.FollowRequest{Epoch: epoch, Position: position, WaitMs: wait.Milliseconds(), Ready: c.readyAddress}))
+	r, err := c.relay.Follow(ctx, connect.NewRequest(&limpetwire.FollowRequest{
+		Epoch: epoch, Position: position, WaitMs: wait.Milliseconds(),
+		Ready: c.self.Ready, Vm: c.self.VM, Zone: c.self.Zone, Relay: c.self.Relay,
+	}))
 	if err != nil {
 		return Update{}, false, err
 	}
@@ -106,6 +117,37 @@
 	}, nil
 }
 
+// SendOrigins hands records of which software began streams to the director. The
+// error has type Unavailable if the VM is not the director.
+func (c *Client) SendOrigins(ctx context.Context, records []limpetorigin.Record) error {
+	batches := map[limpetsite.Software]*limpetwire.OriginBatch{}
+	request := &limpetwire.OriginRequest{}
+	for _, r := range records {
+		if batches[r.Software] == nil {
+			batches[r.Software] = &limpetwire.OriginBatch{Software: string(r.Software)}
+			request.Records = append(request.Records, batches[r.Software])
+		}
+		batches[r.Software].Streams = append(batches[r.Software].Streams, uint64(r.Stream))
+	}
+	reply, err := c.relay.Origin(ctx, connect.NewRequest(request))
+	if err != nil {
+		return err
+	}
+	if !reply.Msg.Taken {
+		return limpeterror.Unavailable.New("the VM is not the director")
+	}
+	return nil
+}
+
+// Origin asks the VM which software began a stream.
+func (c *Client) Origin(ctx context.Context, s limpetorigin.Stream) (limpetorigin.Found, error) {
+	reply, err := c.relay.Origin(ctx, connect.NewRequest(&limpetwire.OriginRequest{Asked: uint64(s)}))
+	if err != nil {
+		return limpetorigin.Found{}, err
+	}
+	return limpetorigin.Found{Software: limpetsite.Software(reply.Msg.Software), Sure: reply.Msg.Sure}, nil
+}
+
 // Count sends usage counts to the VM. It reports whether they were accepted.
 func (c *Client) Count(ctx context.Context, counter string, windows map[int64]limpetwindow.Counts) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, responseMargin)
--- a/internal/limpetrelay/limpetrelay_test.go
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -251,7 +251,7 @@
 	counted := map[int64]limpetwindow.Counts{}
 	readyAddress := ""
 	handlers := &limpetrelay.Handlers{
-		Mirror: limpetrelay.NewMirror("e1", time.Now), IsDirector: func() bool { return true }, OnFollower: func(a string) { readyAddress = a },
+		Mirror: limpetrelay.NewMirror("e1", time.Now), IsDirector: func() bool { return true }, OnFollower: func(f limpetrelay.Follower) { readyAddress = f.Ready },
 		Results: func(_ context.Context, job, account string, after int, _ time.Duration) (limpetjob.Page, bool, bool) {
 			if job != "j" {
 				return limpetjob.Page{}, false, false
@@ -272,7 +272,7 @@
 	}
 	server := httptest.NewServer(handlers.Handler())
 	t.Cleanup(server.Close)
-	c := limpetrelay.NewClient(limpetrelay.NewHTTPClient(), server.Listener.Addr().String(), "10.0.0.9:1")
+	c := limpetrelay.NewClient(limpetrelay.NewHTTPClient(), server.Listener.Addr().String(), limpetrelay.Follower{Ready: "10.0.0.9:1"})
 	Convey("replies of the director arrive unchanged", t, func() {
 		handlers.Mirror.Apply(changes("x/", value("x/1", 7)))
 		u, directing, err := c.Follow(ctx, "", 0, 0)
@@ -309,7 +309,7 @@
 	}}
 	server := httptest.NewServer(handlers.Handler())
 	t.Cleanup(server.Close)
-	c := limpetrelay.NewClient(server.Client(), server.Listener.Addr().String(), "")
+	c := limpetrelay.NewClient(server.Client(), server.Listener.Addr().String(), limpetrelay.Follower{})
 	now := time.Now()
 	request := limpetlimit.Request{
 		Servers: []string{"a", "b"}, MaxDelay: 75 * time.Millisecond, Look: true,
@@ -364,7 +364,7 @@
 	}
 	server := httptest.NewServer(handlers.Handler())
 	t.Cleanup(server.Close)
-	link := limpetrelay.NewClient(limpetrelay.NewHTTPClient(), server.Listener.Addr().String(), "").Link()
+	link := limpetrelay.NewClient(limpetrelay.NewHTTPClient(), server.Listener.Addr().String(), limpetrelay.Follower{}).Link()
 	Convey("orders, held texts and progress arrive unchanged", t, func() {
 		var accepted []limpetexecutor.Batch
 		err := link.Offer(context.Background(), offer, func(x limpetexecutor.Batch) { accepted = append(accepted, x) })
--- a/internal/limpetrelay/serve.go
+++ b/internal/limpetrelay/serve.go
@@ -10,6 +10,8 @@
 	"limpetmount.org/internal/limpetexecutor"
 	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlimit"
+	"limpetmount.org/internal/limpetorigin"
+	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetwindow"
 	"limpetmount.org/internal/limpetwire"
 )
@@ -20,9 +22,10 @@
 // Handlers holds the functions that answer the requests of other VMs.
 type Handlers struct {
 	Mirror *Mirror
-	// OnFollower is called with the address at which a calling VM reports its
-	// readiness.
-	OnFollower func(address string)
+	// OnFollower is called for each VM that follows this one.
+	OnFollower func(f Follower)
+	// Origins knows which software began streams.
+	Origins *limpetorigin.Book
 	// IsDirector reports whether this VM is the director at the moment.
 	IsDirector func() bool
 	// Results returns the listed results of a job. Known is false if this VM
@@ -59,7 +62,7 @@
 // Follow implements limpetwire.RelayHandler.
 func (s server) Follow(ctx context.Context, r *connect.Request[limpetwire.FollowRequest]) (*connect.Response[limpetwire.FollowReply], error) {
 	if r.Msg.Ready != "" {
-		s.handlers.OnFollower(r.Msg.Ready)
+		s.handlers.OnFollower(Follower{VM: r.Msg.Vm, Zone: r.Msg.Zone, Ready: r.Msg.Ready, Relay: r.Msg.Relay})
 	}
 	u := s.handlers.Mirror.Since(ctx, r.Msg.Epoch, r.Msg.Position, waitTime(r.Msg.WaitMs))
 	reply := &limpetwire.FollowReply{
@@ -101,6 +104,22 @@
 	return connect.NewResponse(&limpetwire.CountReply{Taken: s.handlers.Count(r.Msg.Counter, windows)}), nil
 }
 
+// Origin implements limpetwire.RelayHandler.
+func (s server) Origin(_ context.Context, r *connect.Request[limpetwire.OriginRequest]) (*connect.Response[limpetwire.OriginReply], error) {
+	var records []limpetorigin.Record
+	for _, batch := range r.Msg.Records {
+		for _, stream := range batch.Streams {
+			records = append(records, limpetorigin.Record{Stream: limpetorigin.Stream(stream), Software: limpetsite.Software(batch.Software)})
+		}
+	}
+	reply := &limpetwire.OriginReply{Taken: len(records) > 0 && s.handlers.Origins.Accept(records)}
+	if r.Msg.Asked != 0 {
+		found := s.handlers.Origins.Lookup(limpetorigin.Stream(r.Msg.Asked))
+		reply.Software, reply.Sure = string(found.Software), found.Sure
+	}
+	return connect.NewResponse(reply), nil
+}
+
 // Permit implements limpetwire.RelayHandler.
 func (s server) Permit(_ context.Context, r *connect.Request[limpetwire.PermitRequest]) (*connect.Response[limpetwire.PermitReply], error) {
 	now := time.Now()
--- a/internal/limpetsite/limpetsite.go
+++ b/internal/limpetsite/limpetsite.go
@@ -8,6 +8,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"slices"
 	"strings"
 	"time"
 )
@@ -69,6 +70,11 @@
 	return r.Kind == Idempotent || r.Kind == Rollout || (r.Kind == Stream && r.Resumable)
 }
 
+// LeadsTo reports whether the route has a service among its targets.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // A Fleet bounds the number of servers that are ordered for a service in each
 // availability zone.
 type Fleet struct {
--- a/internal/limpetwire/limpetwire.connect.go
+++ b/internal/limpetwire/limpetwire.connect.go
@@ -67,6 +67,8 @@
 	RelayCountProcedure = "/limpetmount.v1.Relay/Count"
 	// RelayPermitProcedure is the fully-qualified name of the Relay's Permit RPC.
 	RelayPermitProcedure = "/limpetmount.v1.Relay/Permit"
+	// RelayOriginProcedure is the fully-qualified name of the Relay's Origin RPC.
+	RelayOriginProcedure = "/limpetmount.v1.Relay/Origin"
 	// RelayCarryProcedure is the fully-qualified name of the Relay's Carry RPC.
 	RelayCarryProcedure = "/limpetmount.v1.Relay/Carry"
 	// RelayDeliverProcedure is the fully-qualified name of the Relay's Deliver RPC.
@@ -467,6 +469,9 @@
 	// Permit asks the director for a permit to send a request to a server that
 	// limits its requests, and reports limits.
 	Permit(context.Context, *connect.Request[PermitRequest]) (*connect.Response[PermitReply], error)
+	// Origin hands records of which software began streams to the director, and asks
+	// any VM for a stream.
+	Origin(context.Context, *connect.Request[OriginRequest]) (*connect.Response[OriginReply], error)
 	// Carry offers the calling VM to the director as an executor, a VM that sends
 	// runs to engines, and opens an executor session. The response stream carries
 	// batches of orders until the director ends the session.
@@ -510,6 +515,12 @@
 			connect.WithSchema(relayMethods.ByName("Permit")),
 			connect.WithClientOptions(opts...),
 		),
+		origin: connect.NewClient[OriginRequest, OriginReply](
+			httpClient,
+			baseURL+RelayOriginProcedure,
+			connect.WithSchema(relayMethods.ByName("Origin")),
+			connect.WithClientOptions(opts...),
+		),
 		carry: connect.NewClient[CarryRequest, CarryReply](
 			httpClient,
 			baseURL+RelayCarryProcedure,
@@ -531,6 +542,7 @@
 	results *connect.Client[ResultsRequest, ResultsReply]
 	count   *connect.Client[CountRequest, CountReply]
 	permit  *connect.Client[PermitRequest, PermitReply]
+	origin  *connect.Client[OriginRequest, OriginReply]
 	carry   *connect.Client[CarryRequest, CarryReply]
 	deliver *connect.Client[DeliverRequest, DeliverReply]
 }
@@ -555,6 +567,11 @@
 	return c.permit.CallUnary(ctx, req)
 }
 
+// Origin calls limpetmount.v1.Relay.Origin.
+func (c *relayClient) Origin(ctx context.Context, req *connect.Request[OriginRequest]) (*connect.Response[OriginReply], error) {
+	return c.origin.CallUnary(ctx, req)
+}
+
 // Carry calls limpetmount.v1.Relay.Carry.
 func (c *relayClient) Carry(ctx context.Context, req *connect.Request[CarryRequest]) (*connect.ServerStreamForClient[CarryReply], error) {
 	return c.carry.CallServerStream(ctx, req)
@@ -577,6 +594,9 @@
 	// Permit asks the director for a permit to send a request to a server that
 	// limits its requests, and reports limits.
 	Permit(context.Context, *connect.Request[PermitRequest]) (*connect.Response[PermitReply], error)
+	// Origin hands records of which software began streams to the director, and asks
+	// any VM for a stream.
+	Origin(context.Context, *connect.Request[OriginRequest]) (*connect.Response[OriginReply], error)
 	// Carry offers the calling VM to the director as an executor, a VM that sends
 	// runs to engines, and opens an executor session. The response stream carries
 	// batches of orders until the director ends the session.
@@ -616,6 +636,12 @@
 		connect.WithSchema(relayMethods.ByName("Permit")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayOriginHandler := connect.NewUnaryHandler(
+		RelayOriginProcedure,
+		svc.Origin,
+		connect.WithSchema(relayMethods.ByName("Origin")),
+		connect.WithHandlerOptions(opts...),
+	)
 	relayCarryHandler := connect.NewServerStreamHandler(
 		RelayCarryProcedure,
 		svc.Carry,
@@ -638,6 +664,8 @@
 			relayCountHandler.ServeHTTP(w, r)
 		case RelayPermitProcedure:
 			relayPermitHandler.ServeHTTP(w, r)
+		case RelayOriginProcedure:
+			relayOriginHandler.ServeHTTP(w, r)
 		case RelayCarryProcedure:
 			relayCarryHandler.ServeHTTP(w, r)
 		case RelayDeliverProcedure:
@@ -667,6 +695,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Permit is not implemented"))
 }
 
+func (UnimplementedRelayHandler) Origin(context.Context, *connect.Request[OriginRequest]) (*connect.Response[OriginReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Origin is not implemented"))
+}
+
 func (UnimplementedRelayHandler) Carry(context.Context, *connect.Request[CarryRequest], *connect.ServerStream[CarryReply]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Carry is not implemented"))
 }
