limpetd: a completion that broke goes on only at engines of the software that began it

Engines may name their software in their load report (a new optional field; those that name none count as one software, as before). An engine that answers as another incarnation than the one that was chosen may run other software: such an answer is not continued.

--- a/internal/limpetdispatch/complete.go
+++ b/internal/limpetdispatch/complete.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,6 +65,9 @@
 // errInvalidStream marks streams with invalid content.
 var errInvalidStream = errors.New("stream cannot be trusted")
 
+// errNotContinued marks answers that no engine can continue.
+var errNotContinued = errors.New("no engine can continue the answer")
+
 // bytesPerToken is a typical token size, used for estimates.
 const bytesPerToken = 4
 
@@ -157,6 +161,10 @@
 	delivered bytes.Buffer
 	// mayHaveRun is set once an attempt may have run on an engine.
 	mayHaveRun bool
+	// software began the answer. It is known unless the engine that began it was
+	// started again after it had been chosen.
+	software        string
+	softwareUnknown bool
 	// finished is set when a chunk with a finish reason was received.
 	finished bool
 }
@@ -183,7 +191,7 @@
 		if errors.Is(err, errCallerGone) || ctx.Err() != nil {
 			return e.finalError(errors.Join(errCallerGone, err))
 		}
-		if errors.Is(err, errInvalidStream) {
+		if errors.Is(err, errInvalidStream) || errors.Is(err, errNotContinued) {
 			return limpeterror.Unknown.Wrap(err, "answer given up")
 		}
 		if !limpetretry.Allowed(err, true) || e.attempts >= d.limits.MaxAttempts {
@@ -222,10 +230,13 @@
 	d, c := e.dispatcher, &e.completion
 	view := d.View()
 	candidates := view.Servers[c.Service]
+	if err := e.checkContinues(candidates); err != nil {
+		return err
+	}
 	suspect := !c.Owed && view.Quarantine.Suspects[c.Fingerprint]
 	query := limpetroute.Query{
 		Zone: d.zone, Prefix: limpetengine.PrefixHash(c.Prompt), PromptBytes: len(c.Prompt), MinVersion: c.MinVersion,
-		Exclude: e.exclude, Isolated: suspect, Cheap: c.Cheap, Random: rand.Uint64(),
+		Continues: e.tokens > 0, Software: e.software, Exclude: e.exclude, Isolated: suspect, Cheap: c.Cheap, Random: rand.Uint64(),
 	}
 	picked := d.Policy.Pick(candidates, query)
 	if picked == limpetroute.None {
@@ -238,6 +249,9 @@
 	if err != nil {
 		return err
 	}
+	if e.tokens > 0 {
+		d.Metrics.CountContinuation(limpetmetric.Completions, limpetmetric.SameSoftware)
+	}
 	d.startRequest(candidate.Server, c.Fingerprint, c.Account.Name)
 	began := d.Now()
 	err = e.stream(ctx, candidate, params)
@@ -251,6 +265,36 @@
 	return err
 }
 
+// checkContinues returns an error if the text so far cannot go on: no engine of the
+// software that began it takes requests, or that is not known.
+func (e *execution) checkContinues(candidates []limpetroute.Candidate) error {
+	if e.tokens == 0 {
+		return nil
+	}
+	outcome := limpetmetric.NoneLeft
+	if e.softwareUnknown {
+		outcome = limpetmetric.UnknownSoftware
+	} else if slices.ContainsFunc(candidates, func(c limpetroute.Candidate) bool { return !c.Leaving && c.Software == e.software }) {
+		return nil
+	}
+	d, c := e.dispatcher, &e.completion
+	d.Metrics.CountContinuation(limpetmetric.Completions, outcome)
+	d.Log.Emit(limpetlog.StreamNotContinued, limpetlog.Request(c.ID), limpetlog.Account(c.Account.Name), limpetlog.Value("after", e.tokens),
+		limpetlog.Value("software", e.software), limpetlog.Value("outcome", outcome))
+	return errNotContinued
+}
+
+// recordSoftware records the software that sent the first token of the answer. An
+// engine that names another incarnation than the one that was chosen may run other
+// software.
+func (e *execution) recordSoftware(candidate limpetroute.Candidate, payload []byte) {
+	e.software = candidate.Software
+	var chunk limpetengine.Chunk
+	if json.Unmarshal(payload, &chunk) == nil && chunk.Weights != nil && chunk.Weights.Incarnation != candidate.Incarnation {
+		e.softwareUnknown = candidate.Software != ""
+	}
+}
+
 // params returns the request body for the engine. It includes the text so far
 // if another engine resumes the stream.
 func (e *execution) params() ([]byte, error) {
@@ -299,6 +343,7 @@
 		}
 		if e.tokens == 0 {
 			e.firstToken = d.Now().Sub(e.arrived)
+			e.recordSoftware(candidate, payload)
 		}
 		e.tokens++
 		e.delivered.Write(payload)
--- a/internal/limpetengine/limpetengine.go
+++ b/internal/limpetengine/limpetengine.go
@@ -79,6 +79,9 @@
 	Staged      uint64    `json:"staged"`
 	Incarnation string    `json:"incarnation"`
 	Draining    bool      `json:"draining"`
+	// Software names the version of the engine's software, which is that of this
+	// incarnation; empty if the engine names none.
+	Software string `json:"software,omitempty"`
 	At          time.Time `json:"at"`
 }
 
--- a/internal/limpetnode/control.go
+++ b/internal/limpetnode/control.go
@@ -270,7 +270,7 @@
 	_, drained := c.doc.Drains[s.server.ID]
 	k := limpetroute.Candidate{
 		Server: s.server, Capacity: s.load.Capacity, Cached: s.cachedPrefixes,
-		Version: s.load.Version, Incarnation: s.load.Incarnation,
+		Version: s.load.Version, Incarnation: s.load.Incarnation, Software: s.load.Software,
 		Leaving: drained || s.load.Draining || s.listed.State == limpetorder.Reclaiming,
 		Failing: now.Sub(s.failedAt) < failureCooldown || s.missedReports >= missedReportsLimit,
 	}
--- a/internal/limpetroute/limpetroute.go
+++ b/internal/limpetroute/limpetroute.go
@@ -42,6 +42,9 @@
 	// Version is the version of the server's weights.
 	Version     uint64
 	Incarnation string
+	// Software names the version of the server's software; empty if the server
+	// names none.
+	Software string
 	// Cached holds the prompt prefixes that the server has announced as cached.
 	// Snapshots share it, so it must not be modified.
 	Cached Prefixes
@@ -94,6 +97,10 @@
 	PromptBytes int
 	// MinVersion excludes servers with older weights.
 	MinVersion uint64
+	// Continues excludes servers of other software than Software, which began the
+	// answer.
+	Continues bool
+	Software  string
 	// Exclude lists the IDs of servers that already failed the request.
 	Exclude []string
 	// Isolated prefers a server without other requests of this VM, to isolate
@@ -176,7 +183,7 @@
 }
 
 func eligible(c *Candidate, q Query) bool {
-	return !c.Leaving && c.Version >= q.MinVersion && (len(q.Exclude) == 0 || !slices.Contains(q.Exclude, c.ID))
+	return !c.Leaving && c.Version >= q.MinVersion && (!q.Continues || c.Software == q.Software) && (len(q.Exclude) == 0 || !slices.Contains(q.Exclude, c.ID))
 }
 
 // affinityServer returns the index of a prefix's affinity server: the least
--- a/internal/limpetstub/engine.go
+++ b/internal/limpetstub/engine.go
@@ -57,6 +57,8 @@
 
 	version, staged uint64
 	starts          int
+	// Software names the version of the engine's software.
+	Software string
 	fence           uint64
 	draining        bool
 	running, queued int
@@ -170,7 +172,7 @@
 		e.report = limpetengine.LoadReport{
 			Running: e.running, Queued: e.queued, Capacity: e.Capacity, Version: e.version,
 			Staged: e.staged, Incarnation: fmt.Sprintf("%s/%d", e.ID, e.starts),
-			Draining: e.draining, At: time.Now(),
+			Draining: e.draining, At: time.Now(), Software: e.Software,
 		}
 	}
 	return e.report
