--- a/limpetsoak/internal/limpetharness/callers.go
+++ b/limpetsoak/internal/limpetharness/callers.go
@@ -14,12 +14,17 @@
 const (
 	requestInterval = 25 * time.Millisecond
 	requestTimeout  = 4 * time.Second
-	stepInterval    = 1200 * time.Millisecond
-	stepTimeout     = 8 * time.Second
-	jobGroups       = 5
-	groupItems      = 3
-	readInterval    = 150 * time.Millisecond
-	readWait        = 300 * time.Millisecond
+	// Callers of streams leave after at most streamLeaveAfter events, and come back
+	// after streamPause.
+	streamLeaveAfter = 20
+	streamPause      = 150 * time.Millisecond
+	maxStreamTries   = 8
+	stepInterval     = 1200 * time.Millisecond
+	stepTimeout      = 8 * time.Second
+	jobGroups        = 5
+	groupItems       = 3
+	readInterval     = 150 * time.Millisecond
+	readWait         = 300 * time.Millisecond
 )
 
 // A trackedJob is a job whose submission was accepted with status 202.
@@ -84,6 +89,48 @@
 	}
 }
 
+// sendStreams asks for streams. It leaves most of them before their end, and comes
+// back for the rest at any VM. A stream that nobody can continue begins again.
+func (h *harness) sendStreams(ctx context.Context, random *rand.Rand, n int) error {
+	caller := h.caller
+	caller.HTTP = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for count := 0; ctx.Err() == nil; count++ {
+		item := fmt.Sprintf("c%d-%d", n, count)
+		var events []string
+		resumes := ""
+		for try := range maxStreamTries {
+			id := fmt.Sprintf("%s-t%d", item, try)
+			front := h.edges[random.IntN(len(h.edges))].Front
+			status, more, whole := caller.Chat(ctx, front, id, item, resumes, len(events), random.IntN(streamLeaveAfter))
+			if len(events) > 0 && status > 0 {
+				h.countStream(status == http.StatusOK)
+			}
+			if len(events) == 0 && len(more) > 0 {
+				resumes = id
+			}
+			events = append(events, more...)
+			if wrong := limpetplatformstub.CheckEvents(item, events); wrong != "" {
+				h.addViolation("the stream of %s %s", item, wrong)
+			}
+			if whole || ctx.Err() != nil {
+				break
+			}
+			limpettask.Sleep(ctx, streamPause)
+		}
+	}
+	return nil
+}
+
+// countStream counts a stream that a caller came back for.
+func (h *harness) countStream(wentOn bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.takenUp++
+	if wentOn {
+		h.wentOn++
+	}
+}
+
 // runTrainer submits a job for each training step, reads its results, and
 // publishes a new model version after each step interval.
 func (h *harness) runTrainer(ctx context.Context) error {
@@ -238,13 +285,14 @@
 // checkResult checks a new result against the job and what the servers did.
 func (h *harness) checkResult(j *trackedJob, result limpetplatformstub.Result, violation func(string, ...any)) {
 	rewardID, ok := j.items[result.ID]
+	wrong := limpetplatformstub.CheckText(result.ID, result.Text)
 	switch {
 	case !ok:
 		violation("item %s is not part of the job", result.ID)
 	case result.State != "completed":
 		violation("item %s is %s, though nothing should make it fail", result.ID, result.State)
-	case result.Text != limpetplatformstub.TextOf(result.ID):
-		violation("item %s has the wrong text", result.ID)
+	case wrong != "":
+		violation("the text of item %s %s", result.ID, wrong)
 	case !h.record.GeneratedUnder(result.ID, result.Versions):
 		violation("item %s was not generated under versions %v", result.ID, result.Versions)
 	case !h.record.Signed(rewardID, result.Score):
