A server's own word that it is leaving counts from the answer on, on all paths

The word is kept by server and start in the state of the deployment, so that all senders see such a server as draining: requests, retries, hedges, resumptions, own requests, items, weights, the fleet planner, VMs that carry calls. It holds while the store is down, when the entry lapses, says ready or comes back; it is over with a later start at that ID or address. VMs tell the director with the question that they ask it anyway, and it tells all.

--- a/internal/limpetdirector/executors_test.go
+++ b/internal/limpetdirector/executors_test.go
@@ -13,6 +13,7 @@
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetexecutor"
 	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetupstream"
 )
@@ -55,7 +56,7 @@
 func (env *testEnv) executor(name string, candidates map[string]*candidate) *executor {
 	x := &executor{group: limpettask.New(context.Background())}
 	e := limpetexecutor.New(x.group, name, "a", time.Now, limpetlog.Discard())
-	e.Send, e.Refuses = x.send(env), func(string) bool { return false }
+	e.Send, e.Refuses = x.send(env), func(*limpetsite.Server) bool { return false }
 	x.connector = &limpetexecutor.Connector{
 		Executor: e, Session: name, Enabled: func() bool { return true },
 		DirectorAddress: func(ctx context.Context) (string, error) {
--- a/internal/limpetexecutor/limpetexecutor.go
+++ b/internal/limpetexecutor/limpetexecutor.go
@@ -13,6 +13,7 @@
 
 	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetupstream"
 )
@@ -121,7 +122,7 @@
 	VM, Zone string
 	Send     func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error)
 	// Refuses reports whether this VM knows that a server must get no work.
-	Refuses func(server string) bool
+	Refuses func(server *limpetsite.Server) bool
 	Now     func() time.Time
 	Log     *limpetlog.Logger
 
--- a/internal/limpetexecutor/limpetexecutor_test.go
+++ b/internal/limpetexecutor/limpetexecutor_test.go
@@ -171,7 +171,7 @@
 	g := limpettask.New(context.Background())
 	now := func() time.Time { return time.Now().Round(0).Add(time.Duration(d.clockSkew.Load())) }
 	e := limpetexecutor.New(g, "vm", "a", now, limpetlog.Discard())
-	e.Send, e.Refuses = streamEvents(lastEvent), func(server string) bool { return server != "e" }
+	e.Send, e.Refuses = streamEvents(lastEvent), func(server *limpetsite.Server) bool { return server.ID != "e" }
 	c := &limpetexecutor.Connector{
 		Executor: e, Session: "vm", Enabled: func() bool { return true }, Link: func(string) limpetexecutor.Link { return d.link() },
 		DirectorAddress: func(context.Context) (string, error) { return "", nil },
--- a/internal/limpetexecutor/run.go
+++ b/internal/limpetexecutor/run.go
@@ -45,7 +45,7 @@
 	}
 	e.runs[o.Run] = r
 	e.mu.Unlock()
-	if e.Refuses(o.Call.Server.ID) {
+	if e.Refuses(o.Call.Server) {
 		e.apply(true, func() { r.onEnd(End{Ending: limpetbatch.Rejected, Cause: "the server must get no work"}, e.Now()) })
 		return
 	}
--- a/internal/limpetforward/limpetforward.go
+++ b/internal/limpetforward/limpetforward.go
@@ -231,6 +231,13 @@
 		limpetlog.Value("route", routeName), limpetlog.Value("reason", a.Reason.String()), limpetlog.Value("status", status),
 		limpetlog.Value("ms", took.Milliseconds()), limpetlog.Value("revision", f.View().Revision),
 	}
+	if route != nil && (a.Reason == NoServer || a.Reason == OriginGone) {
+		leaving := 0
+		for _, t := range route.Targets {
+			leaving += f.View().Leaving(t.Service)
+		}
+		fields = append(fields, limpetlog.Value("leaving", leaving))
+	}
 	if a.Reason == Quarantined {
 		fields = append(fields, limpetlog.Value("fingerprint", limpetquarantine.Name(a.Fingerprint)))
 	}
--- a/internal/limpethost/detour_test.go
+++ b/internal/limpethost/detour_test.go
@@ -66,6 +66,8 @@
 	probes  int
 	// runTime is how long a server runs a request.
 	runTime time.Duration
+	// answer may change the answer to a call that a VM sent; nil changes none.
+	answer func(vm int, c limpetupstream.Call, reply *limpetupstream.Reply)
 }
 
 const cutServers = 6
@@ -166,10 +168,16 @@
 		return nil, limpeterror.Silent.Wrap(ctx.Err(), "no answer")
 	}
 	body := "answer to " + c.ID + " for " + c.Account
-	return &limpetupstream.Reply{
+	reply := &limpetupstream.Reply{
 		Status: http.StatusOK, Signature: "s", Body: []byte(body), Header: http.Header{"X-Served-By": {c.Server.ID}},
 		Load: &limpetupstream.Load{Running: 1, Slots: 6}, Close: func() {},
-	}, nil
+	}
+	f.set(func() {
+		if f.answer != nil {
+			f.answer(vm, c, reply)
+		}
+	})
+	return reply, nil
 }
 
 func (f *cutFleet) stop(t *testing.T) {
--- a/internal/limpethost/executor.go
+++ b/internal/limpethost/executor.go
@@ -7,6 +7,7 @@
 	"limpetmount.org/internal/limpetexecutor"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetrelay"
+	"limpetmount.org/internal/limpetsite"
 )
 
 // newConnector returns the connector that offers this VM to directors as an
@@ -38,7 +39,10 @@
 }
 
 // refuses reports whether this VM knows that a server must not get work.
-func (h *Host) refuses(id string) bool {
+func (h *Host) refuses(s *limpetsite.Server) bool {
 	view := h.View()
-	return view.Server(id) != nil && !view.AcceptsWork(id)
+	if view.Server(s.ID) == nil {
+		return view.IsLeaving(s.ID, s.Incarnation)
+	}
+	return !view.AcceptsWork(s.ID)
 }
--- a/internal/limpethost/limits.go
+++ b/internal/limpethost/limits.go
@@ -38,6 +38,9 @@
 	if send := client.Send; send != nil {
 		client.Send = func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
 			reply, err := send(ctx, c)
+			if err == nil && reply.Leaving && !reply.Misdirected {
+				h.markLeaving(c.Server)
+			}
 			// A misdirected request was answered by another server.
 			if err == nil && !reply.Misdirected && (reply.Limit > 0 || reply.ProvesRun()) {
 				h.limits.Observe(c.Server, reply.Limit)
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"limpetmount.org/internal/limpetbalancer"
 	"limpetmount.org/internal/limpetcrash"
 	"limpetmount.org/internal/limpetdetour"
@@ -124,7 +126,13 @@
 	// rosterRevision counts the changes of the roster in the mirror.
 	rosterRevision atomic.Uint64
 	feeds          []feed
-	relevance      relevance
+	// leaving holds what this VM tells the director of servers that leave.
+	leaving leavingReports
+	// leavingChanges counts the changes of servers' words that they are leaving, and
+	// leavingRevision those in the mirror.
+	leavingChanges  *prometheus.CounterVec
+	leavingRevision atomic.Uint64
+	relevance       relevance
 }
 
 const (
@@ -157,6 +165,10 @@
 		mirror:        limpetrelay.NewMirror(deps.Incarnation, deps.Now), received: limpetwindow.NewReceivedCounts(),
 	}
 	h.peerClient = h.newRelayClient()
+	h.leavingChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "limpet_leaving_servers_total", Help: "Backend servers that said in an answer that they are leaving, by who was told (this_vm, other_vm), and those of which a later start was registered (over).",
+	}, []string{"change"})
+	metrics.Registry.MustRegister(h.leavingChanges)
 	h.roster = newRoster(deps.Now, h.publishVM)
 	h.view.Store(limpetsite.EmptySnapshot())
 	h.startLimits()
@@ -169,6 +181,9 @@
 	})
 	h.group.Go(h.crashes.Run)
 	h.origins = h.newOrigins(meter.Wrap(deps.Store, "origin"))
+	if deps.Upstream.OnLeaving != nil {
+		deps.Upstream.OnLeaving(h.markLeaving)
+	}
 	h.feeds = h.newFeeds()
 	h.Forwarder = &limpetforward.Forwarder{
 		Zone: settings.Zone, View: h.View, Upstream: deps.Upstream, Tracker: limpetbalancer.New(), Crashes: h.crashes, Limits: h.gate, Origins: h.origins,
--- a/internal/limpethost/site.go
+++ b/internal/limpethost/site.go
@@ -27,6 +27,9 @@
 	// recovered. Servers whose entries expired then have time to register
 	// again.
 	outage bool
+	// leaving holds servers that said that they are leaving, and source who was told.
+	leaving []limpetsite.Leaving
+	source  string
 }
 
 func (h *Host) sendUpdate(m siteUpdate) {
@@ -39,6 +42,7 @@
 // runSite owns the state of the deployment and publishes views of it.
 func (h *Host) runSite(ctx context.Context) error {
 	state := limpetsite.NewState()
+	state.LeavingGrace = h.Settings.Bounds.Drain
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	for {
@@ -51,6 +55,7 @@
 		case <-ticker.C:
 			changes, _ = state.Expire(h.deps.Now())
 		}
+		changes = append(changes, state.TakeEnded()...)
 		if len(changes) == 0 {
 			continue
 		}
@@ -66,7 +71,11 @@
 			if s := view.Server(c.Name); s != nil {
 				fields = append(fields, limpetlog.Value("software", s.Software), limpetlog.Value("incarnation", s.Incarnation))
 			}
+			if c.Source != "" {
+				fields = append(fields, limpetlog.Value("source", c.Source))
+			}
 			h.Log.Emit(limpetlog.DeploymentChanged, fields...)
+			h.countLeaving(c)
 		}
 		h.Forwarder.Tracker.Forget(func(id string) bool { return view.Server(id) != nil })
 		h.limits.Forget(view)
@@ -94,7 +103,7 @@
 	if m.outage {
 		state.RecordOutage(now)
 	}
-	var changes []limpetsite.Change
+	changes := h.applyLeaving(state, m, now)
 	servers := map[string]bool{}
 	for _, r := range m.records {
 		if isServer(r) {
--- a/internal/limpethost/source.go
+++ b/internal/limpethost/source.go
@@ -105,8 +105,9 @@
 // followDirector asks the director for changes. It reports whether its view is
 // fresh, and the age of that view.
 func (h *Host) followDirector(ctx context.Context, link *directorLink) (age time.Duration, fresh bool) {
-	u, directing, err := link.client.Follow(ctx, link.epoch, link.position, followWait)
+	u, directing, err := link.client.Follow(ctx, link.epoch, link.position, followWait, h.leaving.take())
 	if err != nil || !directing || u.Age > maxStaleness {
+		h.leaving.resend()
 		if h.relay.Swap(nil) != nil && ctx.Err() == nil {
 			cause := "it is no longer the director"
 			switch {
@@ -129,6 +130,7 @@
 		h.counter.ResendAll()
 		h.limits.Resend()
 		h.origins.Resend()
+		h.leaving.resend()
 		h.SetFollowing(false)
 	}
 	return u.Age, true
@@ -230,7 +232,7 @@
 // handlers returns the handlers of requests from other VMs.
 func (h *Host) handlers() *limpetrelay.Handlers {
 	return &limpetrelay.Handlers{
-		Mirror: h.mirror, OnFollower: h.roster.record, Origins: h.origins, IsDirector: h.director.IsDirector, Results: h.director.Results,
+		Mirror: h.mirror, OnFollower: h.roster.record, OnLeaving: h.mergeLeaving, Origins: h.origins, IsDirector: h.director.IsDirector, Results: h.director.Results,
 		Count: func(counter string, windows map[int64]limpetwindow.Counts) bool {
 			if !h.director.IsDirector() {
 				return false
--- a/internal/limpethttp/limpethttp.go
+++ b/internal/limpethttp/limpethttp.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"time"
@@ -93,6 +94,14 @@
 	return limpeterror.Unknown.Wrap(err, "%s", peer)
 }
 
+type answerHeaderKey struct{}
+
+// WithAnswerHeader returns a context with which ExchangeUpTo copies the header of the
+// answer into h.
+func WithAnswerHeader(ctx context.Context, h http.Header) context.Context {
+	return context.WithValue(ctx, answerHeaderKey{}, h)
+}
+
 // Exchange sends body as JSON, unless it is nil, and returns the status and the
 // answer, which may have maxReplyBytes. The error has type Invalid when the
 // request could not be built, Unavailable when the call had no effect, and
@@ -125,6 +134,9 @@
 		return 0, nil, classifyForMethod(method, err, url)
 	}
 	defer response.Body.Close()
+	if h, ok := ctx.Value(answerHeaderKey{}).(http.Header); ok {
+		maps.Copy(h, response.Header)
+	}
 	if answer, err = io.ReadAll(io.LimitReader(response.Body, limit+1)); err != nil {
 		return 0, nil, classifyForMethod(method, err, url)
 	}
--- a/internal/limpetrelay/client.go
+++ b/internal/limpetrelay/client.go
@@ -39,6 +39,16 @@
 	Ready, Relay string
 }
 
+func (f Follower) request(epoch string, position uint64, wait time.Duration, leaving []limpetsite.Leaving) *limpetwire.FollowRequest {
+	r := &limpetwire.FollowRequest{
+		Epoch: epoch, Position: position, WaitMs: wait.Milliseconds(), Ready: f.Ready, Vm: f.VM, Zone: f.Zone, Relay: f.Relay,
+	}
+	for _, l := range leaving {
+		r.Leaving = append(r.Leaving, &limpetwire.LeavingServer{Id: l.Server, Incarnation: l.Incarnation})
+	}
+	return r
+}
+
 // NewHTTPClient returns an HTTP client to share between Clients.
 func NewHTTPClient() *http.Client {
 	return &http.Client{Transport: limpethttp.NewKeepAliveTransport(maxIdleConns)}
@@ -50,14 +60,12 @@
 }
 
 // Follow returns what changed since a position, and whether the VM is the
-// director. It waits up to the given time for a change.
-func (c *Client) Follow(ctx context.Context, epoch string, position uint64, wait time.Duration) (Update, bool, error) {
+// director. It waits up to the given time for a change. It tells the VM which
+// backend servers said that they are leaving.
+func (c *Client) Follow(ctx context.Context, epoch string, position uint64, wait time.Duration, leaving []limpetsite.Leaving) (Update, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+responseMargin)
 	defer cancel()
-	r, err := c.relay.Follow(ctx, connect.NewRequest(&limpetwire.FollowRequest{
-		Epoch: epoch, Position: position, WaitMs: wait.Milliseconds(),
-		Ready: c.self.Ready, Vm: c.self.VM, Zone: c.self.Zone, Relay: c.self.Relay,
-	}))
+	r, err := c.relay.Follow(ctx, connect.NewRequest(c.self.request(epoch, position, wait, leaving)))
 	if err != nil {
 		return Update{}, false, err
 	}
--- a/internal/limpetrelay/limpetrelay_test.go
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -275,7 +275,7 @@
 	c := limpetrelay.NewClient(limpetrelay.NewHTTPClient(), server.Listener.Addr().String(), limpetrelay.Follower{Ready: "10.0.0.9:1"})
 	Convey("replies of the director arrive unchanged", t, func() {
 		handlers.Mirror.Apply(changes("x/", value("x/1", 7)))
-		u, directing, err := c.Follow(ctx, "", 0, 0)
+		u, directing, err := c.Follow(ctx, "", 0, 0, nil)
 		So(err, ShouldBeNil)
 		So(directing, ShouldBeTrue)
 		So(u.Changes[0].Value, ShouldResemble, value("x/1", 7))
--- a/internal/limpetrelay/pass.go
+++ b/internal/limpetrelay/pass.go
@@ -120,7 +120,7 @@
 	}
 	reply := &limpetupstream.Reply{
 		Status: int(a.Status), Header: headerOf(a.Headers), Body: a.Body, Version: int(a.Version), NotRun: a.NotRun,
-		Misdirected: a.Misdirected, Signature: a.Signature, Limit: a.Limit, Close: p.close,
+		Misdirected: a.Misdirected, Signature: a.Signature, Limit: a.Limit, Leaving: a.Leaving, Close: p.close,
 	}
 	if a.HasLoad {
 		reply.Load = &limpetupstream.Load{Running: int(a.Running), Waiting: int(a.Waiting), Slots: int(a.Slots)}
@@ -203,11 +203,11 @@
 }
 
 func passedServer(s *limpetsite.Server) *limpetwire.PassedServer {
-	return &limpetwire.PassedServer{Id: s.ID, Address: s.Address, Service: s.Service, Software: string(s.Software)}
+	return &limpetwire.PassedServer{Id: s.ID, Address: s.Address, Service: s.Service, Software: string(s.Software), Incarnation: s.Incarnation}
 }
 
 func serverOf(m *limpetwire.PassedServer) *limpetsite.Server {
-	return &limpetsite.Server{ID: m.GetId(), Address: m.GetAddress(), Service: m.GetService(), Software: limpetsite.Software(m.GetSoftware())}
+	return &limpetsite.Server{ID: m.GetId(), Address: m.GetAddress(), Service: m.GetService(), Software: limpetsite.Software(m.GetSoftware()), Incarnation: m.GetIncarnation()}
 }
 
 func passRequest(secret []byte, c limpetupstream.Call) *limpetwire.PassRequest {
@@ -228,7 +228,7 @@
 func answerMessage(r *limpetupstream.Reply) *limpetwire.PassReply {
 	a := &limpetwire.PassedAnswer{
 		Status: int64(r.Status), Headers: headerMessages(r.Header), Body: r.Body, Streams: r.Events != nil, Version: int64(r.Version),
-		NotRun: r.NotRun, Misdirected: r.Misdirected, Signature: r.Signature, Limit: r.Limit,
+		NotRun: r.NotRun, Misdirected: r.Misdirected, Signature: r.Signature, Limit: r.Limit, Leaving: r.Leaving,
 	}
 	if r.Load != nil {
 		a.HasLoad, a.Running, a.Waiting, a.Slots = true, int64(r.Load.Running), int64(r.Load.Waiting), int64(r.Load.Slots)
--- a/internal/limpetrelay/serve.go
+++ b/internal/limpetrelay/serve.go
@@ -25,6 +25,9 @@
 	Mirror *Mirror
 	// OnFollower is called for each VM that follows this one.
 	OnFollower func(f Follower)
+	// OnLeaving is called with the backend servers that said to another VM that they
+	// are leaving.
+	OnLeaving func(leaving []limpetsite.Leaving)
 	// Origins knows which software began streams.
 	Origins *limpetorigin.Book
 	// IsDirector reports whether this VM is the director at the moment.
@@ -72,6 +75,13 @@
 	if r.Msg.Ready != "" {
 		s.handlers.OnFollower(Follower{VM: r.Msg.Vm, Zone: r.Msg.Zone, Ready: r.Msg.Ready, Relay: r.Msg.Relay})
 	}
+	if len(r.Msg.Leaving) > 0 {
+		leaving := make([]limpetsite.Leaving, 0, len(r.Msg.Leaving))
+		for _, l := range r.Msg.Leaving {
+			leaving = append(leaving, limpetsite.Leaving{Server: l.Id, Incarnation: l.Incarnation})
+		}
+		s.handlers.OnLeaving(leaving)
+	}
 	u := s.handlers.Mirror.Since(ctx, r.Msg.Epoch, r.Msg.Position, waitTime(r.Msg.WaitMs))
 	reply := &limpetwire.FollowReply{
 		Epoch: u.Epoch, Position: u.Position, Full: u.Full, AgeMs: u.Age.Milliseconds(), Directing: s.handlers.IsDirector(),
--- a/internal/limpetsite/snapshot.go
+++ b/internal/limpetsite/snapshot.go
@@ -24,6 +24,9 @@
 	byID     map[string]*Server
 	// lasting holds, by service, the servers for new streams; see LastingServers.
 	lasting map[string][]*Server
+	// leaving holds the incarnations of servers that said that they are leaving, by
+	// ID.
+	leaving map[string]int64
 	// latest holds the server that started last at each address.
 	latest map[string]*Server
 }
--- a/internal/limpetsite/state.go
+++ b/internal/limpetsite/state.go
@@ -48,13 +48,21 @@
 	// graceEnds is the time until which servers whose entries disappear are
 	// kept.
 	graceEnds time.Time
+	// leaving holds the servers that said that they are leaving, by ID. A service that
+	// has no others goes on with them for LeavingGrace.
+	leaving      map[string]leavingServer
+	LeavingGrace time.Duration
+	// ended holds the changes that came with registrations and were not returned yet.
+	ended []Change
+	// clock is the time up to which the passing of LeavingGrace was considered.
+	clock time.Time
 }
 
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
 		published: map[string]PublishedVersion{}, revisions: map[string]uint64{},
-		retiring: map[string]Retirement{}, servers: map[string]serverEntry{},
+		retiring: map[string]Retirement{}, servers: map[string]serverEntry{}, leaving: map[string]leavingServer{},
 	}
 }
 
@@ -62,6 +70,8 @@
 type Change struct {
 	What string
 	Name string
+	// Source says where a server's word that it is leaving came from.
+	Source string
 	// Routine is set for changes of weight versions alone, which engines
 	// report continually.
 	Routine bool
@@ -123,6 +133,7 @@
 		}
 		return Change{}, false
 	}
+	s.ended = append(s.ended, s.endLeaving(r.Server)...)
 	s.servers[id] = serverEntry{server: r.Server, revision: r.Revision}
 	return serverChange(entry, r.Server), !known || !equalServers(entry.server, r.Server) || !entry.removalDue.IsZero()
 }
@@ -169,10 +180,19 @@
 // although their servers are alive.
 func (s *State) RecordOutage(now time.Time) { s.graceEnds = now.Add(registrationGrace) }
 
+// TakeEnded returns the servers whose word that they are leaving is over, since the
+// last call.
+func (s *State) TakeEnded() []Change {
+	ended := s.ended
+	s.ended = nil
+	return ended
+}
+
 // Expire removes the servers that did not register again in time. It returns
 // those removed, and when to call it next, which is zero if no removal is
 // pending.
 func (s *State) Expire(now time.Time) (removed []Change, next time.Time) {
+	removed = s.passLeavingDue(now)
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
 		entry := s.servers[id]
 		if entry.removalDue.IsZero() {
@@ -198,13 +218,17 @@
 func (s *State) Snapshot() *Snapshot {
 	view := &Snapshot{
 		Revision: s.revision, Config: s.config, PublishedVersions: map[string]int{}, Retiring: maps.Clone(s.retiring),
-		servers: map[string][]*Server{}, byID: map[string]*Server{}, latest: map[string]*Server{}, lasting: map[string][]*Server{},
+		servers: map[string][]*Server{}, byID: map[string]*Server{}, latest: map[string]*Server{}, lasting: map[string][]*Server{}, leaving: map[string]int64{},
 	}
 	for _, p := range s.published {
 		view.PublishedVersions[p.Model] = p.Version
 	}
+	leaving := s.leavingServers()
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
 		server := s.servers[id].server
+		if marked := leaving[id]; marked != nil {
+			server = marked
+		}
 		view.byID[id] = server
 		if latest := view.latest[server.Address]; latest == nil || server.Incarnation > latest.Incarnation {
 			view.latest[server.Address] = server
@@ -213,6 +237,9 @@
 			view.servers[server.Service] = append(view.servers[server.Service], server)
 		}
 	}
+	for id, l := range s.leaving {
+		view.leaving[id] = l.incarnation
+	}
 	view.indexLasting()
 	return index(view)
 }
--- a/internal/limpetupstream/limpetupstream.go
+++ b/internal/limpetupstream/limpetupstream.go
@@ -82,7 +82,9 @@
 	// Limit is the number of requests a second that the server takes from all
 	// VMs together; 0 when it named none.
 	Limit float64
-	Close func()
+	// Leaving is set if the server says that it is leaving.
+	Leaving bool
+	Close   func()
 }
 
 // ProvesRun reports whether the answer shows that the server ran the request to
@@ -188,6 +190,9 @@
 	Send   func(ctx context.Context, c Call) (*Reply, error)
 	Order  func(ctx context.Context, o Order) error
 	Report func(ctx context.Context, s *limpetsite.Server) (Report, error)
+	// OnLeaving sets the function that is called when a server says in the answer to
+	// an order, a report or a check that it is leaving; nil if answers cannot.
+	OnLeaving func(notify func(s *limpetsite.Server))
 	// Check finds out whether a server still runs. HealthPath is the path at
 	// which it answers health checks; empty if none is configured.
 	Check func(ctx context.Context, s *limpetsite.Server, healthPath string) Condition
