A server that is unreachable to two VMs is presumed to have crashed although it is registered

A check that does not reach a server asks another VM now: answered there, the server lives and the fault is this VM's; unreachable there too, it counts after two such checks, and is withdrawn when it answers. Cases stay open for 15 s, as long as a start may take.

--- a/internal/limpetcrash/cases.go
+++ b/internal/limpetcrash/cases.go
@@ -22,8 +22,8 @@
 	recheckInterval = 500 * time.Millisecond
 	// unreachableChecks is the number of checks in a row that must find a server
 	// unreachable until it is presumed to have crashed, if it is not registered any
-	// more either. One alone can be the loss of a few packets; a server that is
-	// registered may be cut off from this VM only.
+	// more either, or unreachable to another VM too. One alone can be the loss of a
+	// few packets; a server that is registered may be cut off from this VM only.
 	unreachableChecks = 2
 	// registrationDelay is how long a server that answers after a silence may take
 	// until this VM sees from its registration that it started anew. The check
@@ -34,8 +34,8 @@
 	presumptionTTL     = 30 * time.Second
 	maxRecheckInterval = 4 * time.Second
 	// caseTTL is how long it is tried to find out whether a server crashed. It
-	// covers the time in which a crashed server starts again.
-	caseTTL = 6 * time.Second
+	// covers the time in which a crashed server starts again, or its entry lapses.
+	caseTTL = 15 * time.Second
 	// crashMemory is how long a server is known to have crashed, for attempts
 	// that notice it later.
 	crashMemory = 30 * time.Second
@@ -68,7 +68,7 @@
 	server *limpetsite.Server
 	cases  []*openCase
 	// presumed holds the cases that were recorded as crashes because the server
-	// is unreachable and not registered any more. The records are withdrawn if it proves to be alive.
+	// is unreachable. The records are withdrawn if it proves to be alive.
 	presumed []*openCase
 	// unreachable counts the checks in a row that did not reach the server, and
 	// silent is set once a check got no answer.
@@ -229,9 +229,10 @@
 	if w == nil {
 		return
 	}
-	if m.condition == limpetupstream.Unreachable {
+	switch m.condition {
+	case limpetupstream.Unreachable, limpetupstream.UnreachableToAll:
 		w.unreachable++
-	} else {
+	default:
 		w.unreachable = 0
 	}
 	w.checking, w.checkDue = false, now.Add(w.recheckInterval())
@@ -240,7 +241,8 @@
 		b.confirm(w, w.takeCases(), now)
 	case m.condition != limpetupstream.Alive:
 		w.silent = true
-		if w.unreachable >= unreachableChecks && b.observe(w.server) == missing {
+		gone := m.condition == limpetupstream.UnreachableToAll || b.observe(w.server) == missing
+		if w.unreachable >= unreachableChecks && gone {
 			b.presume(w, now)
 		}
 	case w.silent:
--- a/internal/limpetdetour/limpetdetour.go
+++ b/internal/limpetdetour/limpetdetour.go
@@ -148,19 +148,39 @@
 	return call.diverted
 }
 
-// check finds out whether a server still runs. While this VM reaches none, its own
-// view of one says nothing, and another VM looks.
+const (
+	// checkElsewhereTimeout bounds the check of a server from another VM, which takes
+	// at most carriedCheckTimeout itself.
+	checkElsewhereTimeout = 700 * time.Millisecond
+	carriedCheckTimeout   = 500 * time.Millisecond
+)
+
+// check finds out whether a server still runs. If this VM cannot reach it, another VM
+// looks too; while this VM reaches none, only that says anything.
 func (t *Detour) check(ctx context.Context, s *limpetsite.Server, healthPath string) limpetupstream.Condition {
-	if !t.CutOff() {
-		return t.Direct.Check(ctx, s, healthPath)
-	}
-	for _, vm := range t.carriers() {
-		condition, err := t.CheckFrom(ctx, vm, s, healthPath)
-		if err == nil {
+	cut := t.CutOff()
+	condition := limpetupstream.Undetermined
+	if !cut {
+		if condition = t.Direct.Check(ctx, s, healthPath); condition != limpetupstream.Unreachable {
 			return condition
 		}
 	}
-	return limpetupstream.Undetermined
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkElsewhereTimeout)
+	defer cancel()
+	for _, vm := range t.Others() {
+		elsewhere, err := t.CheckFrom(ctx, vm, s, healthPath)
+		switch {
+		case err != nil:
+			// That VM does not answer, or is cut off too; another one may tell.
+			continue
+		case cut || elsewhere == limpetupstream.Alive:
+			return elsewhere
+		case elsewhere == limpetupstream.Unreachable || elsewhere == limpetupstream.Ended:
+			return limpetupstream.UnreachableToAll
+		}
+		return condition
+	}
+	return condition
 }
 
 // CutOff reports whether this VM reaches no backend server.
--- a/internal/limpetdetour/pass.go
+++ b/internal/limpetdetour/pass.go
@@ -176,5 +176,7 @@
 	if t.CutOff() {
 		return limpetupstream.Undetermined, limpeterror.Overloaded.New("this VM reaches no backend server either")
 	}
+	ctx, cancel := context.WithTimeout(ctx, carriedCheckTimeout)
+	defer cancel()
 	return t.Direct.Check(ctx, s, healthPath), nil
 }
--- a/internal/limpethost/crash_test.go
+++ b/internal/limpethost/crash_test.go
@@ -63,6 +63,8 @@
 	// 0, with the next start.
 	silent bool
 	lapse  time.Duration
+	// network connects the VMs; nil if they reach only the store and the servers.
+	network *vmNetwork
 
 	mu           sync.Mutex
 	incarnations map[string]int64
@@ -290,9 +292,23 @@
 	if _, err := store.Client().Commit(context.Background(), limpetstore.Transaction{Writes: []limpetstore.Write{{Key: "conf/x", Data: []byte("1")}}}); err != nil {
 		t.Fatal(err)
 	}
+	change := func(*limpethost.Settings, *limpethost.Deps) {}
+	if f.network != nil {
+		upstream.Probe = f.check
+	}
 	var vms []*limpethost.Host
 	for i := range n {
-		vms = append(vms, startVM(store, fmt.Sprintf("vm-%d", i), upstream, f.feed()))
+		name := fmt.Sprintf("vm-%d", i)
+		if f.network != nil {
+			change = func(s *limpethost.Settings, d *limpethost.Deps) {
+				s.RelayAddress, s.ReadyAddress, d.RelayTransport, s.HasDisk = name, name, f.network, i == 0
+			}
+		}
+		h := startVMWith(store, name, upstream, change, f.feed())
+		if f.network != nil {
+			f.network.set(name, h)
+		}
+		vms = append(vms, h)
 	}
 	time.Sleep(3 * time.Second)
 	return vms
@@ -454,19 +470,28 @@
 		restart, lapse time.Duration
 		// callerLeaves is set if callers disconnect at their deadline.
 		callerLeaves bool
+		// connected is set if the VMs reach each other.
+		connected bool
 	}{
-		{"servers start again soon", 2500 * time.Millisecond, 0, false},
-		{"servers start again soon, callers leave", 2500 * time.Millisecond, 0, true},
-		{"servers start again late", 7 * time.Second, 1200 * time.Millisecond, false},
-		{"servers start again late, callers leave", 7 * time.Second, 1200 * time.Millisecond, true},
+		{"servers start again soon", 2500 * time.Millisecond, 0, false, false},
+		{"servers start again soon, callers leave", 2500 * time.Millisecond, 0, true, false},
+		{"servers start again late", 7 * time.Second, 1200 * time.Millisecond, false, false},
+		{"servers start again late, callers leave", 7 * time.Second, 1200 * time.Millisecond, true, false},
+		{"entries outlive servers", 7 * time.Second, 4800 * time.Millisecond, false, true},
+		{"entries outlive servers, callers leave", 7 * time.Second, 4800 * time.Millisecond, true, true},
+		{"entries stay until servers start again", 7 * time.Second, 0, false, true},
+		{"entries stay until servers start again, callers leave", 7 * time.Second, 0, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := limpetstub.NewStore()
 				fleet := newCrashFleet(t, store, 7)
 				fleet.crashDelay, fleet.restartTime, fleet.newIDs, fleet.silent, fleet.lapse = 58*time.Millisecond, c.restart, true, true, c.lapse
-				vms := fleet.startVMs(t, store, 6)
 				group := limpettask.New(context.Background())
+				if c.connected {
+					fleet.network = &vmNetwork{hosts: map[string]*limpethost.Host{}, group: group}
+				}
+				vms := fleet.startVMs(t, store, 6)
 				for n, began := 0, time.Now(); time.Since(began) < time.Minute; n++ {
 					group.Go(func(ctx context.Context) error {
 						r := deskRequest(fmt.Sprintf("r%d", n), crashBody)
@@ -482,12 +507,12 @@
 				}
 				t.Log("servers crashed", len(fleet.crashes), "repetitions reached a server", len(fleet.reached), "of them later", fleet.laterRetries())
 				check(t, fleet.laterRetries(), convey.ShouldBeLessThanOrEqualTo, maxLaterRetries)
-				if err := group.Stop(); err != nil {
-					t.Error(err)
-				}
 				for _, h := range vms {
 					stopHost(t, h)
 				}
+				if err := group.Stop(); err != nil {
+					t.Error(err)
+				}
 			})
 		})
 	}
