--- a/limpetsoak/internal/limpetharness/faults.go
+++ b/limpetsoak/internal/limpetharness/faults.go
@@ -122,6 +122,11 @@
 		s.DropsAnswers.Store(true)
 		return func() { s.DropsAnswers.Store(false) }
 	}},
+	{"server says that it leaves", func(h *harness, random *rand.Rand) func() {
+		s := h.servers[random.IntN(len(h.servers))]
+		s.Leaving.Store(true)
+		return func() { s.Leaving.Store(false); s.Restart() }
+	}},
 	{"server crashed by a request", func(h *harness, random *rand.Rand) func() {
 		h.sendCrash(random, fmt.Sprintf("%s %d", limpetplatformstub.CrashBody, random.Uint64()))
 		return func() {}
