--- a/internal/limpetbatch/dispatch.go
+++ b/internal/limpetbatch/dispatch.go
@@ -52,7 +52,7 @@
 		}
 		e.dropText()
 		r := s.start(e, g, now)
-		r.Dropped = before.lastEvent
+		r.Began, r.Dropped = before.software, before.lastEvent
 		starts = append(starts, r)
 	}
 	return starts
@@ -172,7 +172,7 @@
 )
 
 func (s *Scheduler) start(e *Entry, g *engine, now time.Time) *Run {
-	r := &Run{Entry: e, Server: g.server, Software: g.server.Software, After: e.text.lastEvent, started: now, lastActivity: now}
+	r := &Run{Entry: e, Server: g.server, Software: g.server.Software, Began: e.text.software, After: e.text.lastEvent, started: now, lastActivity: now}
 	if e.Job.Rules.OnPolicy && len(e.text.versions) > 0 {
 		r.Version = e.text.version
 	}
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -127,6 +127,9 @@
 	Software limpetsite.Software
 	// After is the last event that the text had before the run.
 	After int
+	// Began is the software that began the text that the run continues, or drops;
+	// empty if there is none, or that is not known.
+	Began limpetsite.Software
 	// Dropped is the number of events of an earlier text that the run replaces,
 	// because no engine of the software that began it could go on.
 	Dropped int
--- a/internal/limpetbatch/text.go
+++ b/internal/limpetbatch/text.go
@@ -149,10 +149,6 @@
 	e.Job.uncommitted = append(e.Job.uncommitted, e)
 }
 
-// Software returns the software that generated the first event of the entry's
-// text; empty if it has none, or that is not known.
-func (e *Entry) Software() limpetsite.Software { return e.text.software }
-
 // Events returns the number of events in the entry's text.
 func (e *Entry) Events() int { return len(e.text.pieces) }
 
--- a/internal/limpetdirector/runs.go
+++ b/internal/limpetdirector/runs.go
@@ -56,12 +56,12 @@
 	switch {
 	case r.Dropped > 0:
 		outcome = limpetmetric.BegunAgain
-	case e.Software() != r.Software:
+	case r.Began != r.Software:
 		outcome = limpetmetric.OtherSoftware
 	}
 	d.Metrics.CountContinuation(limpetmetric.Items, outcome)
 	d.Log.Emit(limpetlog.TextContinued, limpetlog.Job(e.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Server(r.Server.ID),
-		limpetlog.Value("software", r.Software), limpetlog.Value("began", e.Software()), limpetlog.Value("after", r.After), limpetlog.Value("dropped", r.Dropped), limpetlog.Value("outcome", outcome))
+		limpetlog.Value("software", r.Software), limpetlog.Value("began", r.Began), limpetlog.Value("after", r.After), limpetlog.Value("dropped", r.Dropped), limpetlog.Value("outcome", outcome))
 }
 
 // runLocally sends a run from this VM.
