Idle checks of a VM's links use the connection to the server that answered last

A call without an answer after 150 ms first asks that server, too; probes on new connections follow only if it is silent.

--- a/internal/limpetdetour/evidence.go
+++ b/internal/limpetdetour/evidence.go
@@ -21,6 +21,8 @@
 	// probeTimeout.
 	probedServers = 4
 	probeTimeout  = 300 * time.Millisecond
+	// warmTimeout bounds the check of the server that answered last.
+	warmTimeout = 150 * time.Millisecond
 	// elsewhereTimeout bounds the question to other VMs whether servers answer them.
 	elsewhereTimeout = 400 * time.Millisecond
 	// maxAsked is the number of VMs that are asked. Most of them may be cut off too.
@@ -53,8 +55,12 @@
 type evidence struct {
 	cut      bool
 	cutSince time.Time
-	// answeredAt is when a server last answered a new call.
+	// answeredAt is when a server last answered a new call, and answeredBy is that
+	// server, to which this VM has a connection.
 	answeredAt time.Time
+	answeredBy *limpetsite.Server
+	// checking is set while that server is asked for its health.
+	checking bool
 	// failures holds the servers that failed since then, by ID.
 	failures map[string]failure
 	// confirming is set while a round of probes is under way, and confirmDue is when
@@ -68,7 +74,7 @@
 func (t *Detour) answered(s *limpetsite.Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.evidence.answeredAt, t.evidence.interval = t.Now(), 0
+	t.evidence.answeredAt, t.evidence.answeredBy, t.evidence.interval = t.Now(), s, 0
 	delete(t.evidence.failures, s.ID)
 	for id, f := range t.evidence.failures {
 		// Refused connections may be refused still, while an earlier one answers.
@@ -105,11 +111,42 @@
 // suspect is called when a call that began at a time has no answer yet.
 func (t *Detour) suspect(began time.Time) {
 	t.mu.Lock()
-	sound := t.evidence.answeredAt.After(began)
+	defer t.mu.Unlock()
+	if e := &t.evidence; !e.cut && !e.checking && !e.answeredAt.After(began) {
+		e.checking = true
+		t.group.Go(t.checkWarm)
+	}
+}
+
+// checkWarm asks the server that answered last for its health, which needs no new
+// connection, and goes on to probes if it does not answer.
+func (t *Detour) checkWarm(ctx context.Context) error {
+	view := t.View()
+	t.mu.Lock()
+	s := t.evidence.answeredBy
+	t.mu.Unlock()
+	if s == nil || !view.AcceptsWork(s.ID) || t.Limited(s.ID) {
+		s = nil
+		if picked := t.pick(view, 1); len(picked) > 0 {
+			s = picked[0]
+		}
+	}
+	alive := false
+	if s != nil {
+		ctx, cancel := context.WithTimeout(ctx, warmTimeout)
+		defer cancel()
+		alive = t.Direct.Check(ctx, s, healthPath(view, s)) == limpetupstream.Alive
+	}
+	t.mu.Lock()
+	t.evidence.checking = false
 	t.mu.Unlock()
-	if !sound {
+	switch {
+	case alive:
+		t.answered(s)
+	case s != nil:
 		t.confirm()
 	}
+	return nil
 }
 
 // confirm probes servers to find out whether this VM reaches any. It does not block.
@@ -263,7 +300,7 @@
 	for ctx.Err() == nil {
 		if !t.CutOff() {
 			rounds = 0
-			t.checkIdle(ctx)
+			t.checkIdle()
 			limpettask.Sleep(ctx, limpettask.Jitter(idleInterval))
 			continue
 		}
@@ -284,22 +321,4 @@
 }
 
 // checkIdle asks a server for its health if none has answered for a while.
-func (t *Detour) checkIdle(ctx context.Context) {
-	t.mu.Lock()
-	idle := t.Now().Sub(t.evidence.answeredAt) > idleAfter
-	t.mu.Unlock()
-	if !idle {
-		return
-	}
-	view := t.View()
-	for _, s := range t.pick(view, 1) {
-		checkCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		condition := t.Direct.Check(checkCtx, s, healthPath(view, s))
-		cancel()
-		if condition == limpetupstream.Alive {
-			t.answered(s)
-			return
-		}
-		t.confirm()
-	}
-}
+func (t *Detour) checkIdle() { t.suspect(t.Now().Add(-idleAfter)) }
