--- a/internal/limpetdetour/pass.go
+++ b/internal/limpetdetour/pass.go
@@ -9,6 +9,7 @@
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetsite"
+	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -17,6 +18,8 @@
 	maxCarriers = 3
 	// avoidTime is how long a VM that did not take a call is not asked again.
 	avoidTime = time.Second
+	// drainInterval is the time between looks at the calls that are carried.
+	drainInterval = 20 * time.Millisecond
 	// maxCarried bounds the calls that a VM carries for others at once, so that many
 	// cut VMs do not swamp the few that are not.
 	maxCarried = 128
@@ -154,6 +157,18 @@
 	return reply, nil
 }
 
+// Drain returns once no call is carried for another VM, or ctx ends.
+func (t *Detour) Drain(ctx context.Context) {
+	for {
+		t.mu.Lock()
+		carrying := t.carrying
+		t.mu.Unlock()
+		if carrying == 0 || !limpettask.Sleep(ctx, drainInterval) {
+			return
+		}
+	}
+}
+
 // admit counts a call that is carried for another VM, or returns why it is not.
 func (t *Detour) admit(s *limpetsite.Server) error {
 	if known := t.View().Server(s.ID); known != nil && known.Draining {
--- a/internal/limpetengine/limpetengine.go
+++ b/internal/limpetengine/limpetengine.go
@@ -72,17 +72,17 @@
 // requests that the engine can run at once. Version is the version of the active
 // weights, and Staged the version that was staged last.
 type LoadReport struct {
-	Running     int       `json:"running"`
-	Queued      int       `json:"queued"`
-	Capacity    int       `json:"capacity"`
-	Version     uint64    `json:"version"`
-	Staged      uint64    `json:"staged"`
-	Incarnation string    `json:"incarnation"`
-	Draining    bool      `json:"draining"`
+	Running     int    `json:"running"`
+	Queued      int    `json:"queued"`
+	Capacity    int    `json:"capacity"`
+	Version     uint64 `json:"version"`
+	Staged      uint64 `json:"staged"`
+	Incarnation string `json:"incarnation"`
+	Draining    bool   `json:"draining"`
 	// Software names the version of the engine's software, which is that of this
 	// incarnation; empty if the engine names none.
-	Software string `json:"software,omitempty"`
-	At          time.Time `json:"at"`
+	Software string    `json:"software,omitempty"`
+	At       time.Time `json:"at"`
 }
 
 // An OrderKind says what an engine is to do.
--- a/internal/limpetforward/software_test.go
+++ b/internal/limpetforward/software_test.go
@@ -55,6 +55,8 @@
 func (f *versionedFleet) send(_ context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
 	f.mu.Lock()
 	broken := f.breakAfter[c.Server.ID]
+	// Each server breaks one stream only.
+	delete(f.breakAfter, c.Server.ID)
 	f.mu.Unlock()
 	n := c.LastEventID
 	return &limpetupstream.Reply{Status: 200, Signature: "s", Close: func() {}, Events: func() (limpetupstream.Event, error) {
@@ -105,6 +107,8 @@
 	}{
 		{"a broken stream goes on at a server of its software, though others are more", map[string]string{"a": "v1"},
 			map[string]string{"a": "v1", "b": "v2", "c": "v2", "d": "v2", "e": "v2", "y": "v1"}, map[string]int{"a": 3}, nil, repeated("desk/v1", lastEvent), true},
+		{"it goes on at the same server if its connection broke and no other runs its software", map[string]string{"a": "v1"},
+			map[string]string{"a": "v1", "b": "v2", "c": "v2"}, map[string]int{"a": 3}, nil, repeated("desk/v1", lastEvent), true},
 		{"it ends as broken if no server of its software is left", map[string]string{"a": "v1"},
 			map[string]string{"b": "v2", "c": "v2"}, map[string]int{"a": 3}, nil, repeated("desk/v1", 3), false},
 		{"it ends as broken if a server that started again with other software may have sent its events", map[string]string{"a": "v1"},
--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -115,11 +115,29 @@
 		limpetlog.Value("software", d.software), limpetlog.Value("outcome", outcome), limpetlog.Value("revision", f.View().Revision))
 }
 
+// allowTried lets a stream go on at servers of its software that it was on before, if
+// there are no others: their connections may have broken for another reason.
+func (d *dispatch) allowTried() {
+	if d.software == "" {
+		return
+	}
+	servers := d.forwarder.View().ServersOf(d.software)
+	for _, s := range servers {
+		if !d.tried[s.ID] {
+			return
+		}
+	}
+	for _, s := range servers {
+		delete(d.tried, s.ID)
+	}
+}
+
 // resume requests the rest of a stream from another server. It returns nil if
 // no server provides it.
 func (d *dispatch) resume(ctx context.Context, last int) *limpetupstream.Reply {
 	d.request.LastEventID = last
 	defer d.keepFailure(nil)
+	d.allowTried()
 	for d.startAttempt(ctx, retried) {
 		r := <-d.results
 		reply, retry := d.handleResult(ctx, r)
--- a/internal/limpethost/detour_test.go
+++ b/internal/limpethost/detour_test.go
@@ -339,6 +339,30 @@
 		time.Sleep(400 * time.Millisecond)
 		f.set(func() { check(t, f.running, convey.ShouldEqual, 0) })
 	}, 1)
+	withCutFleet(t, "a VM that shuts down answers the calls that it carries, and takes no more", func(t *testing.T, f *cutFleet) {
+		f.set(func() { f.runTime = 500 * time.Millisecond })
+		group := limpettask.New(ctx)
+		var mu sync.Mutex
+		served := 0
+		for n := range 20 {
+			group.Go(func(ctx context.Context) error {
+				a := f.vms[1].Forwarder.Forward(ctx, cutRequest(fmt.Sprint("stop", n)))
+				mu.Lock()
+				defer mu.Unlock()
+				if a.Reason == limpetforward.Served {
+					served++
+				}
+				return nil
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		// VM 4 is in the zone of VM 1, and carries its calls.
+		f.network.set("vm-4", f.vms[4])
+		check(t, f.vms[4].Shutdown(grace, 0, func(context.Context) error { return nil }), convey.ShouldBeNil)
+		time.Sleep(time.Second)
+		check(t, group.Stop(), convey.ShouldBeNil)
+		check(t, served, convey.ShouldEqual, 20)
+	}, 1)
 	withCutFleet(t, "servers get what is left of the deadline", func(t *testing.T, f *cutFleet) {
 		f.set(func() { f.runTime = 10 * time.Second })
 		began := time.Now()
--- a/internal/limpethost/shutdown.go
+++ b/internal/limpethost/shutdown.go
@@ -32,6 +32,7 @@
 		if err := finish(ctx); err != nil {
 			h.Log.Emit(limpetlog.RequestFailed, limpetlog.Value("cause", "the grace period ended"), limpetlog.Error(err))
 		}
+		h.detour.Drain(ctx)
 	}
 	return h.Stop()
 }
--- a/internal/limpetorigin/limpetorigin.go
+++ b/internal/limpetorigin/limpetorigin.go
@@ -60,8 +60,9 @@
 
 const (
 	// Retention is the least time for which a record is kept after it was made or
-	// made again. A stream that lasts is recorded again after RefreshInterval.
-	Retention       = time.Minute
+	// made again.
+	Retention = time.Minute
+	// RefreshInterval is the time after which a stream that lasts is recorded again.
 	RefreshInterval = 20 * time.Second
 	// maxRecords bounds the records in memory, which take about 20 bytes each. It is
 	// what 17,000 new streams a second make in Retention.
--- a/internal/limpetorigin/share.go
+++ b/internal/limpetorigin/share.go
@@ -106,6 +106,9 @@
 
 // putBack returns records to the front of those that wait.
 func (b *Book) putBack(waiting *[]Record, batch []Record) {
+	if len(batch) == 0 {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	*waiting = append(batch, *waiting...)
--- a/internal/limpetstub/engine.go
+++ b/internal/limpetstub/engine.go
@@ -58,7 +58,7 @@
 	version, staged uint64
 	starts          int
 	// Software names the version of the engine's software.
-	Software string
+	Software        string
 	fence           uint64
 	draining        bool
 	running, queued int
--- a/limpetsoak/internal/limpetharness/callers.go
+++ b/limpetsoak/internal/limpetharness/callers.go
@@ -15,9 +15,9 @@
 	requestInterval = 25 * time.Millisecond
 	requestTimeout  = 4 * time.Second
 	// Callers of streams leave after at most streamLeaveAfter events, and come back
-	// after streamPause.
+	// after streamRetryDelay.
 	streamLeaveAfter = 20
-	streamPause      = 150 * time.Millisecond
+	streamRetryDelay = 150 * time.Millisecond
 	maxStreamTries   = 8
 	stepInterval     = 1200 * time.Millisecond
 	stepTimeout      = 8 * time.Second
@@ -115,7 +115,7 @@
 			if whole || ctx.Err() != nil {
 				break
 			}
-			limpettask.Sleep(ctx, streamPause)
+			limpettask.Sleep(ctx, streamRetryDelay)
 		}
 	}
 	return nil
