--- a/internal/limpetorigin/limpetorigin_test.go
+++ b/internal/limpetorigin/limpetorigin_test.go
@@ -110,7 +110,7 @@
 	runtime.GC()
 	runtime.ReadMemStats(&m)
 	Convey("a flood of streams takes bounded memory, and the newest are known", t, func() {
-		So(b.Lookup(identity(3 << 20)).Software, ShouldEqual, software)
+		So(b.Lookup(identity(3<<20)).Software, ShouldEqual, software)
 		So(b.Lookup(identity(1)).Software, ShouldEqual, limpetsite.Software(""))
 		// What a VM may spend for control.
 		So(m.HeapAlloc-before, ShouldBeLessThan, 64<<20)
