--- a/internal/limpetbatch/dispatch.go
+++ b/internal/limpetbatch/dispatch.go
@@ -18,10 +18,13 @@
 // no engine has a free slot. The caller must start the runs returned.
 func (s *Scheduler) Dispatch(view *limpetsite.Snapshot, now time.Time) []*Run {
 	var starts []*Run
+	ready := s.readyEntries(now)
+	if len(ready) == 0 {
+		return nil
+	}
 	typical := s.typicalInterval(now)
 	full := map[candidateKey]bool{}
-	ready := s.readyEntries(now)
-	s.lasting = s.lastingSoftware(view, ready)
+	s.lasting = s.lastingSoftware(ready)
 	chooseUnlessFull := func(e *Entry) *engine {
 		key := candidateKey{service: e.Job.Rules.Service, model: e.Job.Model, mayProbe: e.mayProbe()}
 		if e.text.lastEvent > 0 {
--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -77,6 +77,7 @@
 		}
 	}
 	s.enginesByID = slices.SortedFunc(maps.Values(s.engines), func(a, b *engine) int { return cmp.Compare(a.server.ID, b.server.ID) })
+	s.countSoftware(view)
 	return detached
 }
 
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -181,6 +181,8 @@
 	workloads map[string]Workload
 	// runTimes holds the mean duration of complete runs by service.
 	runTimes map[string]time.Duration
+	// software counts the engines of each software; nil while there is only one.
+	software map[limpetsite.Software]*softwareCount
 	// lasting holds the cost of beginning a text at each software, for the current
 	// call of Dispatch.
 	lasting map[limpetsite.Software]float64
--- a/internal/limpetbatch/software.go
+++ b/internal/limpetbatch/software.go
@@ -107,16 +107,26 @@
 	return moving
 }
 
-// lastingSoftware returns what it costs to begin a text at each software, given the
-// items that wait for an engine. It is nil while there is one software only.
-func (s *Scheduler) lastingSoftware(view *limpetsite.Snapshot, ready []*Entry) map[limpetsite.Software]float64 {
-	type count struct{ staying, leaving int }
-	counts := map[limpetsite.Software]*count{}
+// A softwareCount counts the engines of a software that take work, and those that do
+// not any more.
+type softwareCount struct{ staying, leaving int }
+
+// countSoftware counts the engines of each software, if there are several.
+func (s *Scheduler) countSoftware(view *limpetsite.Snapshot) {
+	s.software = nil
+	several := false
+	for _, g := range s.enginesByID {
+		several = several || g.server.Software != s.enginesByID[0].server.Software
+	}
+	if !several {
+		return
+	}
+	s.software = map[limpetsite.Software]*softwareCount{}
 	for _, g := range s.enginesByID {
-		c := counts[g.server.Software]
+		c := s.software[g.server.Software]
 		if c == nil {
-			c = &count{}
-			counts[g.server.Software] = c
+			c = &softwareCount{}
+			s.software[g.server.Software] = c
 		}
 		if view.AcceptsWork(g.server.ID) {
 			c.staying++
@@ -124,11 +134,16 @@
 			c.leaving++
 		}
 	}
-	if len(counts) < 2 {
+}
+
+// lastingSoftware returns what it costs to begin a text at each software, given the
+// items that wait for an engine. It is nil while there is one software only.
+func (s *Scheduler) lastingSoftware(ready []*Entry) map[limpetsite.Software]float64 {
+	if s.software == nil {
 		return nil
 	}
 	costs := map[limpetsite.Software]float64{}
-	for software, c := range counts {
+	for software, c := range s.software {
 		costs[software] = replacedCost * float64(c.leaving) / float64(c.staying+c.leaving)
 		if c.staying <= 1 {
 			costs[software] += lastEngineCost
--- a/internal/limpethost/roster.go
+++ b/internal/limpethost/roster.go
@@ -20,6 +20,9 @@
 // how long after it is missing in a director's list.
 const peerTTL = 30 * time.Second
 
+// expireRosterInterval is the least time between two looks for VMs to remove.
+const expireRosterInterval = time.Second
+
 // A listedVM is a VM of the roster.
 type listedVM struct {
 	limpetrelay.Follower
@@ -38,6 +41,8 @@
 
 	mu  sync.Mutex
 	vms map[string]*listedVM
+	// expiredAt is when VMs were last removed.
+	expiredAt time.Time
 }
 
 func newRoster(now func() time.Time, publish func(limpetrelay.Follower, bool)) *roster {
@@ -68,6 +73,10 @@
 // caller holds the lock.
 func (r *roster) expire() []limpetrelay.Follower {
 	var gone []limpetrelay.Follower
+	if r.now().Sub(r.expiredAt) < expireRosterInterval {
+		return nil
+	}
+	r.expiredAt = r.now()
 	for vm, listed := range r.vms {
 		since := listed.contact
 		if !listed.missingSince.IsZero() && listed.missingSince.After(since) {
--- a/internal/limpetsite/leaving.go
+++ b/internal/limpetsite/leaving.go
@@ -105,6 +105,9 @@
 // said that they are leaving. If a service has no others, they take work for
 // LeavingGrace less leavingMargin, in case that is a mistake.
 func (s *State) leavingServers() map[string]*Server {
+	if len(s.leaving) == 0 {
+		return nil
+	}
 	staying := map[string]bool{}
 	for _, entry := range s.servers {
 		if !entry.server.Draining && !s.isLeaving(entry.server) {
--- a/internal/limpetsite/snapshot.go
+++ b/internal/limpetsite/snapshot.go
@@ -135,23 +135,41 @@
 
 // indexLasting fills lasting.
 func (s *Snapshot) indexLasting() {
-	staying, leaving := map[Software]int{}, map[Software]int{}
+	leaving := map[Software]bool{}
 	for _, server := range s.byID {
 		if server.Draining {
-			leaving[server.Software]++
-		} else {
-			staying[server.Software]++
+			leaving[server.Software] = true
 		}
 	}
 	for service, servers := range s.servers {
+		if sameSoftware(servers) {
+			// Most services run one version. Their servers last as one.
+			if len(servers) > 1 && !leaving[servers[0].Software] {
+				s.lasting[service] = servers
+			}
+			continue
+		}
+		staying := map[Software]int{}
+		for _, server := range servers {
+			staying[server.Software]++
+		}
 		for _, server := range servers {
-			if staying[server.Software] > 1 && leaving[server.Software] == 0 {
+			if staying[server.Software] > 1 && !leaving[server.Software] {
 				s.lasting[service] = append(s.lasting[service], server)
 			}
 		}
 	}
 }
 
+func sameSoftware(servers []*Server) bool {
+	for _, server := range servers {
+		if server.Software != servers[0].Software {
+			return false
+		}
+	}
+	return true
+}
+
 // Server returns the server with the given ID, draining or not, or nil.
 func (s *Snapshot) Server(id string) *Server { return s.byID[id] }
 
