--- a/internal/limpethost/detour.go
+++ b/internal/limpethost/detour.go
@@ -22,6 +22,7 @@
 	secretKey        = "relay/secret"
 	secretBytes      = 32
 	secretRetryDelay = 500 * time.Millisecond
+	maxSecretDelay   = 2 * time.Second
 )
 
 // startDetour lets calls to backend servers go through other VMs while this one
@@ -88,6 +89,10 @@
 // loadSecret reads the secret of the system, which the first VM that finds none
 // creates.
 func (h *Host) loadSecret(ctx context.Context) error {
+	// VMs that start together do not all ask the store at once.
+	if !limpettask.Sleep(ctx, time.Duration(limpettask.RandomInt(int(maxSecretDelay)))) {
+		return nil
+	}
 	for failed := false; ; failed = true {
 		secret, err := h.readSecret(ctx)
 		if err == nil {
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -169,7 +169,7 @@
 		Name: "limpet_leaving_servers_total", Help: "Backend servers that said in an answer that they are leaving, by who was told (this_vm, other_vm), and those of which a later start was registered (over).",
 	}, []string{"change"})
 	metrics.Registry.MustRegister(h.leavingChanges)
-	h.roster = newRoster(deps.Now, h.publishVM)
+	h.roster = newRoster(deps.Now)
 	h.view.Store(limpetsite.EmptySnapshot())
 	h.startLimits()
 	deps.Upstream = h.deps.Upstream
@@ -195,14 +195,13 @@
 	h.startDirector(meter.Wrap(deps.Store, "director"))
 	h.group.Go(h.gate.Run)
 	h.group.Go(h.origins.Run)
+	h.group.Go(h.publishRoster)
 	if settings.ServesCallers {
 		h.counter.SendToDirector = h.sendCounts
 		h.group.Go(h.followDeployment)
 		h.group.Go(h.connector.Run)
 		h.group.Go(h.counter.Run)
 		h.group.Go(h.loadSecret)
-		// While this VM is the director, the others learn of it like of each other.
-		h.publishVM(h.self(), false)
 		if deps.Upstream.Probe != nil {
 			h.group.Go(h.detour.Run)
 		}
--- a/internal/limpethost/roster.go
+++ b/internal/limpethost/roster.go
@@ -1,6 +1,7 @@
 package limpethost
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"strings"
@@ -11,6 +12,7 @@
 	"limpetmount.org/internal/limpetrelay"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
+	"limpetmount.org/internal/limpettask"
 )
 
 // vmPrefix is the prefix of the VMs in the mirror. They are not in the store.
@@ -33,20 +35,31 @@
 	missingSince time.Time
 }
 
+// publishInterval is the time between two publications of changes of the roster. All
+// VMs contact a new director at once, and each publication is told to all of them.
+const publishInterval = 1500 * time.Millisecond
+
+// A rosterChange is a VM that was added to the roster, or is gone.
+type rosterChange struct {
+	limpetrelay.Follower
+	gone bool
+}
+
 // A roster lists the VMs that serve callers: on the director those that follow it,
 // on the others those that a director named. It is safe for concurrent use.
 type roster struct {
-	now     func() time.Time
-	publish func(f limpetrelay.Follower, gone bool)
+	now func() time.Time
 
-	mu  sync.Mutex
-	vms map[string]*listedVM
+	mu sync.Mutex
+	// unpublished holds the changes by VM that were not published yet.
+	unpublished map[string]rosterChange
+	vms         map[string]*listedVM
 	// expiredAt is when VMs were last removed.
 	expiredAt time.Time
 }
 
-func newRoster(now func() time.Time, publish func(limpetrelay.Follower, bool)) *roster {
-	return &roster{now: now, publish: publish, vms: map[string]*listedVM{}}
+func newRoster(now func() time.Time) *roster {
+	return &roster{now: now, vms: map[string]*listedVM{}, unpublished: map[string]rosterChange{}}
 }
 
 // record records that a VM follows this one.
@@ -56,19 +69,25 @@
 		f.VM = f.Ready
 	}
 	r.mu.Lock()
-	listed := r.vms[f.VM]
-	isNew := listed == nil || listed.contact.IsZero() || listed.Follower != f
-	r.vms[f.VM] = &listedVM{Follower: f, contact: r.now()}
-	gone := r.expire()
-	r.mu.Unlock()
-	if isNew {
-		r.publish(f, false)
+	defer r.mu.Unlock()
+	if listed := r.vms[f.VM]; listed == nil || listed.contact.IsZero() || listed.Follower != f {
+		r.unpublished[f.VM] = rosterChange{Follower: f}
 	}
-	for _, f := range gone {
-		r.publish(f, true)
+	r.vms[f.VM] = &listedVM{Follower: f, contact: r.now()}
+	for _, f := range r.expire() {
+		r.unpublished[f.VM] = rosterChange{Follower: f, gone: true}
 	}
 }
 
+// takeUnpublished returns the changes that were not published yet.
+func (r *roster) takeUnpublished() map[string]rosterChange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changes := r.unpublished
+	r.unpublished = map[string]rosterChange{}
+	return changes
+}
+
 // expire removes the VMs that were not heard of for peerTTL, and returns them. The
 // caller holds the lock.
 func (r *roster) expire() []limpetrelay.Follower {
@@ -168,14 +187,31 @@
 	Relay string `json:"relay,omitempty"`
 }
 
-// publishVM passes a change of the roster on to the VMs that follow this one.
-func (h *Host) publishVM(f limpetrelay.Follower, gone bool) {
-	v := limpetrelay.Value{Value: limpetstore.Value{Key: vmPrefix + f.VM, Revision: h.rosterRevision.Add(1), Deleted: gone}}
-	if !gone {
+// publishRoster passes changes of the roster on to the VMs that follow this one.
+func (h *Host) publishRoster(ctx context.Context) error {
+	if h.Settings.ServesCallers {
+		// While this VM is the director, the others learn of it like of each other.
+		h.mirror.Apply(limpetrelay.Changes(vmPrefix, []limpetrelay.Value{h.rosterValue(rosterChange{Follower: h.self()})}))
+	}
+	for limpettask.Sleep(ctx, publishInterval) {
+		var values []limpetrelay.Value
+		for _, c := range h.roster.takeUnpublished() {
+			values = append(values, h.rosterValue(c))
+		}
+		if len(values) > 0 {
+			h.mirror.Apply(limpetrelay.Changes(vmPrefix, values))
+		}
+	}
+	return nil
+}
+
+func (h *Host) rosterValue(c rosterChange) limpetrelay.Value {
+	v := limpetrelay.Value{Value: limpetstore.Value{Key: vmPrefix + c.VM, Revision: h.rosterRevision.Add(1), Deleted: c.gone}}
+	if !c.gone {
 		// Encoding cannot fail for this type.
-		v.Data, _ = json.Marshal(vmDocument{Zone: f.Zone, Ready: f.Ready, Relay: f.Relay})
+		v.Data, _ = json.Marshal(vmDocument{Zone: c.Zone, Ready: c.Ready, Relay: c.Relay})
 	}
-	h.mirror.Apply(limpetrelay.Changes(vmPrefix, []limpetrelay.Value{v}))
+	return v
 }
 
 // newRosterFeed returns the feed of VMs, which VMs get from the director only.
