A server's word that it leaves is taken back from other VMs when it is forgotten

Found on reading the change: the state keeps 4,096 words, but the list that a director passes on to all VMs kept each for as long as the process lived, also in each full update. Red before: limpetsite TestServersThatSayThatTheyLeave (905 forgotten words, none told of).

--- a/internal/limpethost/leaving.go
+++ b/internal/limpethost/leaving.go
@@ -112,6 +112,9 @@
 	case limpetsite.LeavingOver:
 		h.leavingChanges.WithLabelValues("over").Inc()
 		h.publishLeaving(c.Name, 0, true)
+	case limpetsite.LeavingForgotten:
+		h.leavingChanges.WithLabelValues("forgotten").Inc()
+		h.publishLeaving(c.Name, 0, true)
 	}
 }
 
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -166,7 +166,7 @@
 	}
 	h.peerClient = h.newRelayClient()
 	h.leavingChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "limpet_leaving_servers_total", Help: "Backend servers that said in an answer that they are leaving, by who was told (this_vm, other_vm), and those of which a later start was registered (over).",
+		Name: "limpet_leaving_servers_total", Help: "Backend servers that said in an answer that they are leaving, by who was told (this_vm, other_vm), those of which a later start was registered (over), and those dropped because there are too many (forgotten).",
 	}, []string{"change"})
 	metrics.Registry.MustRegister(h.leavingChanges)
 	h.roster = newRoster(deps.Now)
--- a/internal/limpetsite/leaving.go
+++ b/internal/limpetsite/leaving.go
@@ -53,6 +53,9 @@
 const (
 	ServerLeaving = "server leaving"
 	LeavingOver   = "server leaving over"
+	// LeavingForgotten is the end of a word that was dropped because there are too
+	// many.
+	LeavingForgotten = "server leaving forgotten"
 )
 
 // evictLeaving forgets one word: the oldest of servers without a registration, or of
@@ -76,6 +79,7 @@
 		}
 	}
 	delete(s.leaving, oldest)
+	s.ended = append(s.ended, Change{What: LeavingForgotten, Name: oldest})
 }
 
 // endLeaving forgets the words of servers of which a later start is registered, with
--- a/internal/limpetsite/leaving_test.go
+++ b/internal/limpetsite/leaving_test.go
@@ -101,6 +101,8 @@
 			s.MarkLeaving(limpetsite.Leaving{Server: fmt.Sprint(n), Incarnation: 1}, startTime.Add(time.Duration(n)))
 		}
 		view := s.Snapshot()
+		// Whoever passed the words on hears which are forgotten.
+		So(len(s.TakeEnded()), ShouldEqual, 1+5000-4096)
 		So(view.IsLeaving("x", 1), ShouldBeTrue)
 		So(view.IsLeaving("0", 1), ShouldBeFalse)
 		So(view.IsLeaving("4999", 1), ShouldBeTrue)
