--- a/internal/limpetcrash/cases.go
+++ b/internal/limpetcrash/cases.go
@@ -230,7 +230,7 @@
 		return
 	}
 	switch m.condition {
-	case limpetupstream.Unreachable, limpetupstream.UnreachableToAll:
+	case limpetupstream.Unreachable, limpetupstream.UnreachableElsewhere:
 		w.unreachable++
 	default:
 		w.unreachable = 0
@@ -241,7 +241,7 @@
 		b.confirm(w, w.takeCases(), now)
 	case m.condition != limpetupstream.Alive:
 		w.silent = true
-		gone := m.condition == limpetupstream.UnreachableToAll || b.observe(w.server) == missing
+		gone := m.condition == limpetupstream.UnreachableElsewhere || b.observe(w.server) == missing
 		if w.unreachable >= unreachableChecks && gone {
 			b.presume(w, now)
 		}
--- a/internal/limpetdetour/limpetdetour.go
+++ b/internal/limpetdetour/limpetdetour.go
@@ -176,7 +176,7 @@
 		case cut || elsewhere == limpetupstream.Alive:
 			return elsewhere
 		case elsewhere == limpetupstream.Unreachable || elsewhere == limpetupstream.Ended:
-			return limpetupstream.UnreachableToAll
+			return limpetupstream.UnreachableElsewhere
 		}
 		return condition
 	}
--- a/internal/limpetupstream/limpetupstream.go
+++ b/internal/limpetupstream/limpetupstream.go
@@ -168,8 +168,8 @@
 	Undetermined Condition = iota
 	// Unreachable servers did not even take a connection, and did not refuse it.
 	Unreachable
-	// UnreachableToAll servers are unreachable to another VM too.
-	UnreachableToAll
+	// UnreachableElsewhere servers are unreachable to another VM too.
+	UnreachableElsewhere
 	// Alive servers answered, well or not.
 	Alive
 	// Ended servers no longer run: nothing listens at their address, or another
