The load of the director's duty does not move it, and renewing the lease does not wait for other work

Once the loop lagged, the director gave the duty up, and each successor took over a full load: its 303 followers, all entries and running items came at once, and it lagged too. The lease was renewed by the loop itself, so that a single step longer than 1.2 s lost it.

The lease is renewed by a goroutine of its own, which stops once the loop has not come back for 5 s (by the monotonic clock). A director that gives the duty up for lag says so in its term; for two minutes no successor does the same: what overwhelms two VMs is the load. One long gap between steps is not enough any more, since it is over when it is noticed. Events 1744 and 1745; limpet_director_step_gap_seconds tells a lost lease from a shed one. A failed renewal was not logged.

--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -179,8 +179,6 @@
 		return
 	}
 	d.record = dutyRecord{VM: d.VM, Incarnation: d.Incarnation, Revision: m.fence}
-	// renewedAt stays zero so that the next step renews the lease: with a slow
-	// store, much of its duration is already over.
 	d.leadership = &leadership{fence: m.fence, group: limpettask.New(d.group.Context()), since: now, reporting: map[string]bool{}}
 	d.setExecutorsUnsure(false)
 	d.Log.Emit(limpetlog.LeaseAcquired, limpetlog.Value("fence", m.fence))
@@ -188,6 +186,9 @@
 	if len(d.scheduler.Jobs()) == 0 {
 		l.dispatchAt = now.Add(executorJoinWait)
 	}
+	// The lease is renewed at once: with a slow store, much of its duration is
+	// already over.
+	l.group.Go(func(ctx context.Context) error { return d.renewLease(ctx, l) })
 	l.group.Go(func(ctx context.Context) error {
 		d.recordTerm(ctx, l)
 		return nil
--- a/internal/limpetdirector/env_test.go
+++ b/internal/limpetdirector/env_test.go
@@ -264,6 +264,28 @@
 	// storeUpElsewhere is what other VMs answer when asked whether they reach
 	// the store.
 	storeUpElsewhere bool
+	// stepDelay prolongs each step of the loop while the candidate is the director.
+	stepDelay time.Duration
+}
+
+// viewOf returns the view, as the loop reads it in each step.
+func (c *candidate) viewOf(env *testEnv) *limpetsite.Snapshot {
+	c.mu.Lock()
+	d := c.stepDelay
+	c.mu.Unlock()
+	if d > 0 && c.IsDirector() {
+		time.Sleep(d)
+	}
+	return env.currentView()
+}
+
+// delaySteps prolongs the steps of candidates while they are the director.
+func delaySteps(d time.Duration, candidates ...*candidate) {
+	for _, c := range candidates {
+		c.mu.Lock()
+		c.stepDelay = d
+		c.mu.Unlock()
+	}
 }
 
 func (c *candidate) setDisconnected(disconnected bool) {
@@ -368,7 +390,7 @@
 	store := c.store(env)
 	upstream := limpetupstream.Client{Send: env.send, Order: env.order, Report: env.report}
 	c.Director = limpetdirector.New(limpetdirector.Deps{
-		VM: name, Incarnation: fmt.Sprintf("%s.%d", name, start), Store: store, Upstream: upstream, View: env.currentView, Log: limpetlog.Discard(), Metrics: limpetmetric.New(),
+		VM: name, Incarnation: fmt.Sprintf("%s.%d", name, start), Store: store, Upstream: upstream, View: func() *limpetsite.Snapshot { return c.viewOf(env) }, Log: limpetlog.Discard(), Metrics: limpetmetric.New(),
 		Now: time.Now, AcquireDelay: acquireDelay, MinLeaseTTL: time.Second, MinTakeoverInterval: 3 * time.Second, JobRetention: 2 * time.Minute, DutyWatchTimeout: 2 * time.Second,
 		FollowDeployment: func(bool) {}, ReportRetired: func(_ context.Context, vm string) error {
 			if err := c.checkConnected(); err != nil {
--- a/internal/limpetdirector/lease.go
+++ b/internal/limpetdirector/lease.go
@@ -16,12 +16,22 @@
 	toleratedLag = 120 * time.Millisecond
 	// maxLag is the accumulated lag at which a director gives up the duty.
 	maxLag = 600 * time.Millisecond
+	// minLongGaps is the number of long gaps from which on the duty is given up. A
+	// single one is over when it is noticed.
+	minLongGaps = 2
 	// candidacyBackoff is how long a VM does not compete for the duty after it
 	// gave it up because its loop lagged or it did not reach the store.
 	candidacyBackoff = 6 * time.Second
 	// minLeadership is how long a director keeps the duty before it gives it up
 	// for lag, so that the duty does not change quickly between slow VMs.
 	minLeadership = 5 * time.Second
+	// overloadMemory is how long after a director gave the duty up for lag its
+	// successors do not: what overwhelms several VMs is the load, and a change of
+	// directors adds to it.
+	overloadMemory = 2 * time.Minute
+	// maxLoopStall is how long the loop may be busy with one step before the lease
+	// is not renewed any more.
+	maxLoopStall = 5 * time.Second
 )
 
 // checkLag gives up the duty when the loop of this VM lags too much, as it does
@@ -32,12 +42,30 @@
 		gap = 0
 	}
 	d.lastStep, d.lastStepGap = now, gap
+	d.stepped.Store(int64(now.Sub(d.startedAt)))
 	decay := float64(gap) / float64(lagDecay)
-	d.lag = time.Duration(float64(d.lag)/(1+decay)) + max(0, gap-toleratedLag)
-	if d.leadership == nil || d.lag < maxLag || now.Sub(d.leadership.since) < minLeadership {
+	d.lag = time.Duration(float64(d.lag) / (1 + decay))
+	if d.lag < toleratedLag {
+		d.longGaps = 0
+	}
+	if gap > toleratedLag {
+		d.lag += gap - toleratedLag
+		d.longGaps++
+	}
+	d.Metrics.ObserveDirectorStep(gap)
+	l := d.leadership
+	if l == nil || d.lag < maxLag || d.longGaps < minLongGaps || !l.termEntered || now.Sub(l.since) < minLeadership {
+		return
+	}
+	if now.Before(l.keepUntil) {
+		if !l.keptLogged {
+			l.keptLogged = true
+			d.Log.Emit(limpetlog.DutyKept, limpetlog.Value("fence", l.fence), limpetlog.Value("lag_ms", d.lag.Milliseconds()), limpetlog.Value("until", l.keepUntil))
+		}
 		return
 	}
-	d.flushDrafts(d.leadership)
+	d.flushDrafts(l)
+	d.recordOverload(l, now)
 	d.stepDown("the event loop of this VM lags")
 	d.lag = 0
 	d.backoffUntil = now.Add(candidacyBackoff)
@@ -45,7 +73,7 @@
 	d.releaseLease()
 }
 
-// maintainLease renews the lease, and steps down when it may have expired.
+// maintainLease steps down when the lease may have expired.
 func (d *Director) maintainLease(now time.Time) {
 	l := d.leadership
 	if _, ok := d.holder.Holds(DutyName, 0); !ok {
@@ -56,29 +84,37 @@
 	if l.termEntered && !now.Before(l.actAfter) {
 		d.lastHeldAt = now
 	}
-	if l.renewing || now.Sub(l.renewedAt) < renewPeriod {
-		return
-	}
-	l.renewing, l.renewedAt = true, now
-	l.group.Go(func(ctx context.Context) error {
-		lost, err := d.holder.Renew(ctx)
-		d.post(ctx, renewResult{leadership: l, lost: len(lost) > 0, err: err})
-		return nil
-	})
 }
 
-type renewResult struct {
-	leadership *leadership
-	lost       bool
-	err        error
+// renewLease renews the lease until ctx ends. It does not wait for the loop, which
+// has other work, unless that seems to be stuck.
+func (d *Director) renewLease(ctx context.Context, l *leadership) error {
+	failed := false
+	for ctx.Err() == nil {
+		started := d.Now()
+		if stall := started.Sub(d.startedAt) - time.Duration(d.stepped.Load()); stall > maxLoopStall {
+			d.Log.Emit(limpetlog.LeaseNotRenewed, limpetlog.Value("fence", l.fence), limpetlog.Value("cause", "the event loop is stuck"), limpetlog.Value("stall_ms", stall.Milliseconds()))
+			return nil
+		}
+		lost, err := d.holder.Renew(ctx)
+		if len(lost) > 0 {
+			d.post(ctx, leaseEnded{leadership: l})
+			return nil
+		}
+		if err != nil && !failed && ctx.Err() == nil {
+			d.Log.Emit(limpetlog.LeaseNotRenewed, limpetlog.Value("fence", l.fence), limpetlog.Error(err))
+		}
+		failed = err != nil
+		limpettask.Sleep(ctx, renewPeriod-d.Now().Sub(started))
+	}
+	return nil
 }
 
-func (m renewResult) apply(d *Director) {
-	if d.leadership != m.leadership {
-		return
-	}
-	m.leadership.renewing = false
-	if m.lost {
+// leaseEnded reports that the store no longer holds the lease.
+type leaseEnded struct{ leadership *leadership }
+
+func (m leaseEnded) apply(d *Director) {
+	if d.leadership == m.leadership {
 		d.stepDown("the store no longer holds the lease")
 	}
 }
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -93,6 +93,11 @@
 	sharedSessions sync.Map
 	// stopped is closed when the loop has ended.
 	stopped chan struct{}
+	// startedAt is when this process started.
+	startedAt time.Time
+	// stepped is the time from startedAt to lastStep, for goroutines other than the
+	// loop.
+	stepped atomic.Int64
 
 	// The fields below are owned by the loop.
 	group *limpettask.Group
@@ -119,10 +124,12 @@
 	// backoffUntil is when the VM may compete for the duty again.
 	backoffUntil time.Time
 	// lastStep is when the loop last ran, stepGap the time between its last two
-	// steps, and lag the decaying sum of gaps beyond toleratedLag.
+	// steps, and lag the decaying sum of gaps beyond toleratedLag, which longGaps
+	// counts.
 	lastStep      time.Time
 	lastStepGap   time.Duration
 	lag           time.Duration
+	longGaps      int
 	storeProbedAt time.Time
 
 	// sessions holds the executor sessions by ID, and runsSent counts the runs
@@ -168,13 +175,15 @@
 	committedAt  time.Time
 	savingDrafts bool
 	draftsSaved  time.Time
-	renewing     bool
-	renewedAt    time.Time
 	cleaningUp   bool
 	cleanedUpAt  time.Time
 	// reporting holds the retiring VMs that were reported as empty or are being
 	// reported.
 	reporting map[string]bool
+	// Until keepUntil, the duty is kept although the loop lags; keptLogged is set
+	// once that has happened.
+	keepUntil  time.Time
+	keptLogged bool
 }
 
 // mayDispatch reports whether items may be dispatched.
@@ -211,7 +220,7 @@
 		holder:  limpetlease.New(deps.Store, deps.VM, deps.Incarnation, ttl, deps.Now),
 		cancels: map[*limpetbatch.Run]context.CancelFunc{}, rewardCancels: map[*limpetbatch.Entry]context.CancelFunc{}, view: limpetsite.EmptySnapshot(),
 		acceptedJobs: map[string]limpetjob.Summary{}, endedJobs: map[string]bool{}, loadingJobs: map[string]bool{}, fullyCommitted: map[string]bool{},
-		updateStarted: map[string]time.Time{}, suspendedUntil: map[string]time.Time{}, orderCounts: map[modelVersion]int{},
+		startedAt: deps.Now(), updateStarted: map[string]time.Time{}, suspendedUntil: map[string]time.Time{}, orderCounts: map[modelVersion]int{},
 	}
 }
 
--- a/internal/limpetdirector/term.go
+++ b/internal/limpetdirector/term.go
@@ -20,10 +20,13 @@
 type Term struct {
 	VM      string `json:"vm"`
 	Address string `json:"address"`
+	// OverloadedMs is when a director last gave the duty up because its event loop
+	// lagged, in Unix time; 0 if none did.
+	OverloadedMs int64 `json:"overloaded_ms,omitempty"`
 }
 
 func (t Term) encode() []byte {
-	// Marshaling a struct of strings cannot fail.
+	// Marshaling strings and numbers cannot fail.
 	data, _ := json.Marshal(t)
 	return data
 }
@@ -48,10 +51,10 @@
 // recordTerm records this VM as the director and learns the previous one. Until
 // that has succeeded, the VM sends no orders and makes no reports.
 func (d *Director) recordTerm(ctx context.Context, l *leadership) {
-	first := ""
+	first := Term{}
 	for ctx.Err() == nil {
 		previous, err := d.writeTerm(ctx, l.fence)
-		if first == "" {
+		if first.VM == "" {
 			// Keep the first answer: after a write whose answer was lost, the
 			// store already names this VM.
 			first = previous
@@ -65,30 +68,43 @@
 	}
 }
 
-func (d *Director) writeTerm(ctx context.Context, fence uint64) (previous string, err error) {
+func (d *Director) writeTerm(ctx context.Context, fence uint64) (previous Term, err error) {
 	before, err := ReadTerm(ctx, d.Store)
 	if limpeterror.Is(err, limpeterror.Invalid) {
 		// The value is overwritten, and the previous director counts as
 		// unknown.
 		d.Log.Emit(limpetlog.ValueIgnored, limpetlog.Value("key", TermKey), limpetlog.Error(err))
 	} else if err != nil {
-		return "", err
+		return Term{}, err
 	}
-	own := Term{VM: d.VM, Address: d.RelayAddress}
-	if before == own {
-		return before.VM, nil
+	if before.VM == d.VM && before.Address == d.RelayAddress {
+		return before, nil
 	}
-	_, err = d.Store.Commit(ctx, limpetstore.Transaction{
+	return before, d.putTerm(ctx, Term{VM: d.VM, Address: d.RelayAddress, OverloadedMs: before.OverloadedMs}, fence)
+}
+
+// putTerm writes a term while the duty is held under a fencing token.
+func (d *Director) putTerm(ctx context.Context, t Term, fence uint64) error {
+	_, err := d.Store.Commit(ctx, limpetstore.Transaction{
 		Checks: []limpetstore.Check{{Key: limpetlease.Prefix + DutyName, Revision: fence}},
-		Writes: []limpetstore.Write{{Key: TermKey, Data: own.encode()}},
+		Writes: []limpetstore.Write{{Key: TermKey, Data: t.encode()}},
 	})
-	return before.VM, err
+	return err
+}
+
+// recordOverload records that this VM gives the duty up because its loop lags.
+func (d *Director) recordOverload(l *leadership, now time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := d.putTerm(ctx, Term{VM: d.VM, Address: d.RelayAddress, OverloadedMs: now.UnixMilli()}, l.fence); err != nil {
+		d.Log.Emit(limpetlog.DutyNotAcquired, limpetlog.Value("cause", "the overload could not be recorded"), limpetlog.Error(err))
+	}
 }
 
 // termEntered reports the previous director.
 type termEntered struct {
 	leadership *leadership
-	previous   string
+	previous   Term
 }
 
 func (m termEntered) apply(d *Director) {
@@ -97,14 +113,17 @@
 	}
 	now := d.Now()
 	m.leadership.actAfter = now
-	if m.previous != d.VM && !d.lastHeldAt.IsZero() {
+	if m.previous.OverloadedMs != 0 {
+		m.leadership.keepUntil = time.UnixMilli(m.previous.OverloadedMs).Add(overloadMemory)
+	}
+	if m.previous.VM != d.VM && !d.lastHeldAt.IsZero() {
 		// Another VM was the director since: orders and reports of this VM must
 		// wait for MinTakeoverInterval.
 		m.leadership.actAfter = d.lastHeldAt.Add(d.MinTakeoverInterval + takeoverMargin)
 	}
 	d.lastHeldAt = now
 	m.leadership.termEntered = true
-	d.Log.Emit(limpetlog.TermStarted, limpetlog.Value("fence", m.leadership.fence), limpetlog.Value("previous", m.previous),
+	d.Log.Emit(limpetlog.TermStarted, limpetlog.Value("fence", m.leadership.fence), limpetlog.Value("previous", m.previous.VM),
 		limpetlog.Value("wait_ms", m.leadership.actAfter.Sub(now).Milliseconds()))
 	d.startDuties()
 }
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -109,6 +109,8 @@
 	ExecutorLost        = newEvent(1735, logrus.InfoLevel, "executor lost", "A VM (field carrier) no longer sends runs for the director; its runs are queued again.")
 	ExecutorSuspected   = newEvent(1737, logrus.InfoLevel, "executor suspected", "An executor (field carrier) got no response from several engines; other executors send to these engines for a while.")
 	RunTakenOver        = newEvent(1736, logrus.InfoLevel, "run taken over", "The director continues a run that an executor held for an earlier director.")
+	LeaseNotRenewed     = newEvent(1744, logrus.WarnLevel, "lease not renewed", "The director could not renew its lease. It goes on until the lease may have expired.")
+	DutyKept            = newEvent(1745, logrus.WarnLevel, "duty kept under load", "The event loop of the director lags, but an earlier director gave the duty up for the same reason: another change of directors would not help.")
 	TermStarted         = newEvent(1733, logrus.InfoLevel, "director term started", "This VM is recorded as the director. It sends orders and reports once the minimum interval between two directors is over.")
 )
 
--- a/internal/limpetmetric/limpetmetric.go
+++ b/internal/limpetmetric/limpetmetric.go
@@ -26,6 +26,7 @@
 	continuations            *prometheus.CounterVec
 	yieldedDuties            prometheus.Counter
 	eventIntervals           *prometheus.HistogramVec
+	directorSteps            prometheus.Histogram
 	openRequests             prometheus.Gauge
 	configIndex              prometheus.Gauge
 	keysAccepted             prometheus.Gauge
@@ -61,12 +62,16 @@
 			Name: "limpet_event_interval_seconds", Help: "Time between two events of a text, by model and by the number of texts that the engine generates at once.",
 			Buckets: []float64{0.01, 0.02, 0.03, 0.035, 0.04, 0.045, 0.05, 0.055, 0.06, 0.08, 0.1, 0.15, 0.25, 0.5, 1, 2},
 		}, []string{"model", "texts"}),
+		directorSteps: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "limpet_director_step_gap_seconds", Help: "Time between two steps of the loop that carries out the director's work.",
+			Buckets: []float64{0.01, 0.03, 0.05, 0.12, 0.25, 0.5, 1, 2, 4},
+		}),
 		openRequests: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_open_requests", Help: "Requests open on this VM."}),
 		configIndex:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_config_index", Help: "Log index of the configuration in force."}),
 		keysAccepted: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_keys_honoured", Help: "1 while this VM accepts keys."}),
 		accounts:     map[string]bool{},
 	}
-	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.continuations, s.yieldedDuties, s.eventIntervals, s.openRequests, s.configIndex, s.keysAccepted)
+	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.continuations, s.yieldedDuties, s.eventIntervals, s.directorSteps, s.openRequests, s.configIndex, s.keysAccepted)
 	return s
 }
 
@@ -109,6 +114,9 @@
 // CountRetry counts an attempt after the first.
 func (s *Set) CountRetry(service, cause string) { s.retries.WithLabelValues(service, cause).Inc() }
 
+// ObserveDirectorStep records the time between two steps of the director's loop.
+func (s *Set) ObserveDirectorStep(gap time.Duration) { s.directorSteps.Observe(gap.Seconds()) }
+
 // CountBrokenAttempt counts an attempt without a usable answer.
 func (s *Set) CountBrokenAttempt(service, ending string) {
 	s.brokenAttempts.WithLabelValues(service, ending).Inc()
