A few VMs look for the director in the store, the others ask them

Change. limpetlookup: from 24 VMs on, five VMs that all choose alike read the store, one read each 0.1 s at most, whatever its outcome; the others ask two of them in turn, and read the store only if neither can be asked. VMs of an earlier release do not know the question, so that they count as ones that cannot be asked.

Weighed: a longer interval between lookups (takeovers would take longer), a push by the new director (it does not know the VMs).

--- a/internal/limpethost/executor.go
+++ b/internal/limpethost/executor.go
@@ -6,6 +6,7 @@
 	"limpetmount.org/internal/limpetdirector"
 	"limpetmount.org/internal/limpetexecutor"
 	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetlookup"
 	"limpetmount.org/internal/limpetrelay"
 	"limpetmount.org/internal/limpetsite"
 )
@@ -24,18 +25,46 @@
 	}
 }
 
-// directorAddress reads the director's address from the store. It is empty if
-// there is no director, or if this VM is the director.
+// newFinder returns the finder of the director.
+func (h *Host) newFinder() *limpetlookup.Finder {
+	return limpetlookup.New(limpetlookup.Deps{
+		VM: h.Settings.VM, Now: h.deps.Now,
+		Read: func(ctx context.Context) (limpetlookup.Director, error) {
+			t, err := limpetdirector.ReadTerm(ctx, h.deps.Store)
+			return limpetlookup.Director{VM: t.VM, Address: t.Address}, err
+		},
+		Ask: func(ctx context.Context, vm limpetlookup.VM) (limpetlookup.Director, error) {
+			name, address, err := limpetrelay.NewClient(h.peerClient, vm.Address, h.self()).Term(ctx)
+			return limpetlookup.Director{VM: name, Address: address}, err
+		},
+		Others: func() []limpetlookup.VM {
+			var vms []limpetlookup.VM
+			for _, f := range h.roster.others(h.Settings.VM) {
+				vms = append(vms, limpetlookup.VM{Name: f.VM, Address: f.Relay})
+			}
+			return vms
+		},
+	})
+}
+
+// answerTerm answers other VMs that look for the director.
+func (h *Host) answerTerm(ctx context.Context) (vm, address string, err error) {
+	d, err := h.finder.Answer(ctx)
+	return d.VM, d.Address, err
+}
+
+// directorAddress returns the recorded director's address. It is empty if there is no
+// director, or if this VM is the director.
 func (h *Host) directorAddress(ctx context.Context) (string, error) {
-	t, err := limpetdirector.ReadTerm(ctx, h.deps.Store)
+	d, err := h.finder.Find(ctx)
 	if err != nil {
 		h.Log.Emit(limpetlog.DirectorLookupFailed, limpetlog.Error(err))
 		return "", err
 	}
-	if t.VM == h.Settings.VM {
+	if d.VM == h.Settings.VM {
 		return "", nil
 	}
-	return t.Address, nil
+	return d.Address, nil
 }
 
 // refuses reports whether this VM knows that a server must not get work.
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -24,6 +24,7 @@
 	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlimit"
 	"limpetmount.org/internal/limpetlog"
+	"limpetmount.org/internal/limpetlookup"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetorigin"
 	"limpetmount.org/internal/limpetrelay"
@@ -105,6 +106,7 @@
 	// lastDirector is the client of the director that this VM followed last.
 	lastDirector atomic.Pointer[limpetrelay.Client]
 	roster       *roster
+	finder       *limpetlookup.Finder
 	// peerClient carries the calls to other VMs.
 	peerClient *http.Client
 
@@ -170,6 +172,7 @@
 	}, []string{"change"})
 	metrics.Registry.MustRegister(h.leavingChanges)
 	h.roster = newRoster(deps.Now)
+	h.finder = h.newFinder()
 	h.view.Store(limpetsite.EmptySnapshot())
 	h.startLimits()
 	deps.Upstream = h.deps.Upstream
--- a/internal/limpetrelay/client.go
+++ b/internal/limpetrelay/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -125,6 +126,20 @@
 	}, nil
 }
 
+// Term asks the VM which VM the store recorded as the director lately. The error has
+// type Unavailable if that VM got no answer from the store.
+func (c *Client) Term(ctx context.Context) (vm, address string, err error) {
+	reply, err := c.relay.Term(ctx, connect.NewRequest(&limpetwire.TermRequest{}))
+	var refusal *connect.Error
+	if errors.As(err, &refusal) && connect.IsWireError(err) && refusal.Code() == connect.CodeUnavailable {
+		return "", "", limpeterror.Unavailable.Wrap(err, "the VM gets no answer from the store")
+	}
+	if err != nil {
+		return "", "", limpeterror.Unknown.Wrap(err, "ask for the director")
+	}
+	return reply.Msg.Vm, reply.Msg.Address, nil
+}
+
 // SendOrigins hands records of which software began streams to the director. The
 // error has type Unavailable if the VM is not the director.
 func (c *Client) SendOrigins(ctx context.Context, records []limpetorigin.Record) error {
--- a/internal/limpetrelay/serve.go
+++ b/internal/limpetrelay/serve.go
@@ -42,6 +42,9 @@
 	// Permit answers a request for a permit to send to a limited server. Directing
 	// is false if this VM is not the director.
 	Permit func(r limpetlimit.Request) (grant limpetlimit.Grant, directing bool)
+	// Term returns the VM that the store recorded as the director lately, and its
+	// address. An error says that the store did not answer.
+	Term func(ctx context.Context) (vm, address string, err error)
 	// IsOwn reports whether a secret proves that the calling VM is one of the system.
 	IsOwn func(secret []byte) bool
 	// CarryCall sends a call of a VM that reaches no backend server. It calls taken
@@ -138,6 +141,15 @@
 	return connect.NewResponse(reply), nil
 }
 
+// Term implements limpetwire.RelayHandler.
+func (s server) Term(ctx context.Context, _ *connect.Request[limpetwire.TermRequest]) (*connect.Response[limpetwire.TermReply], error) {
+	vm, address, err := s.handlers.Term(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&limpetwire.TermReply{Vm: vm, Address: address}), nil
+}
+
 // Permit implements limpetwire.RelayHandler.
 func (s server) Permit(_ context.Context, r *connect.Request[limpetwire.PermitRequest]) (*connect.Response[limpetwire.PermitReply], error) {
 	now := time.Now()
--- a/internal/limpetwire/limpetwire.connect.go
+++ b/internal/limpetwire/limpetwire.connect.go
@@ -69,6 +69,8 @@
 	RelayPermitProcedure = "/limpetmount.v1.Relay/Permit"
 	// RelayOriginProcedure is the fully-qualified name of the Relay's Origin RPC.
 	RelayOriginProcedure = "/limpetmount.v1.Relay/Origin"
+	// RelayTermProcedure is the fully-qualified name of the Relay's Term RPC.
+	RelayTermProcedure = "/limpetmount.v1.Relay/Term"
 	// RelayPassProcedure is the fully-qualified name of the Relay's Pass RPC.
 	RelayPassProcedure = "/limpetmount.v1.Relay/Pass"
 	// RelayCheckProcedure is the fully-qualified name of the Relay's Check RPC.
@@ -476,6 +478,9 @@
 	// Origin hands records of which software began streams to the director, and asks
 	// any VM for a stream.
 	Origin(context.Context, *connect.Request[OriginRequest]) (*connect.Response[OriginReply], error)
+	// Term asks which VM is recorded as the director, so that not every VM asks the
+	// store.
+	Term(context.Context, *connect.Request[TermRequest]) (*connect.Response[TermReply], error)
 	// Pass sends one attempt at a backend server for a VM that reaches none. The reply
 	// is a stream: taken, then the answer, its events and their end.
 	Pass(context.Context, *connect.Request[PassRequest]) (*connect.ServerStreamForClient[PassReply], error)
@@ -530,6 +535,12 @@
 			connect.WithSchema(relayMethods.ByName("Origin")),
 			connect.WithClientOptions(opts...),
 		),
+		term: connect.NewClient[TermRequest, TermReply](
+			httpClient,
+			baseURL+RelayTermProcedure,
+			connect.WithSchema(relayMethods.ByName("Term")),
+			connect.WithClientOptions(opts...),
+		),
 		pass: connect.NewClient[PassRequest, PassReply](
 			httpClient,
 			baseURL+RelayPassProcedure,
@@ -564,6 +575,7 @@
 	count   *connect.Client[CountRequest, CountReply]
 	permit  *connect.Client[PermitRequest, PermitReply]
 	origin  *connect.Client[OriginRequest, OriginReply]
+	term    *connect.Client[TermRequest, TermReply]
 	pass    *connect.Client[PassRequest, PassReply]
 	check   *connect.Client[CheckRequest, CheckReply]
 	carry   *connect.Client[CarryRequest, CarryReply]
@@ -595,6 +607,11 @@
 	return c.origin.CallUnary(ctx, req)
 }
 
+// Term calls limpetmount.v1.Relay.Term.
+func (c *relayClient) Term(ctx context.Context, req *connect.Request[TermRequest]) (*connect.Response[TermReply], error) {
+	return c.term.CallUnary(ctx, req)
+}
+
 // Pass calls limpetmount.v1.Relay.Pass.
 func (c *relayClient) Pass(ctx context.Context, req *connect.Request[PassRequest]) (*connect.ServerStreamForClient[PassReply], error) {
 	return c.pass.CallServerStream(ctx, req)
@@ -630,6 +647,9 @@
 	// Origin hands records of which software began streams to the director, and asks
 	// any VM for a stream.
 	Origin(context.Context, *connect.Request[OriginRequest]) (*connect.Response[OriginReply], error)
+	// Term asks which VM is recorded as the director, so that not every VM asks the
+	// store.
+	Term(context.Context, *connect.Request[TermRequest]) (*connect.Response[TermReply], error)
 	// Pass sends one attempt at a backend server for a VM that reaches none. The reply
 	// is a stream: taken, then the answer, its events and their end.
 	Pass(context.Context, *connect.Request[PassRequest], *connect.ServerStream[PassReply]) error
@@ -680,6 +700,12 @@
 		connect.WithSchema(relayMethods.ByName("Origin")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayTermHandler := connect.NewUnaryHandler(
+		RelayTermProcedure,
+		svc.Term,
+		connect.WithSchema(relayMethods.ByName("Term")),
+		connect.WithHandlerOptions(opts...),
+	)
 	relayPassHandler := connect.NewServerStreamHandler(
 		RelayPassProcedure,
 		svc.Pass,
@@ -716,6 +742,8 @@
 			relayPermitHandler.ServeHTTP(w, r)
 		case RelayOriginProcedure:
 			relayOriginHandler.ServeHTTP(w, r)
+		case RelayTermProcedure:
+			relayTermHandler.ServeHTTP(w, r)
 		case RelayPassProcedure:
 			relayPassHandler.ServeHTTP(w, r)
 		case RelayCheckProcedure:
@@ -753,6 +781,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Origin is not implemented"))
 }
 
+func (UnimplementedRelayHandler) Term(context.Context, *connect.Request[TermRequest]) (*connect.Response[TermReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Term is not implemented"))
+}
+
 func (UnimplementedRelayHandler) Pass(context.Context, *connect.Request[PassRequest], *connect.ServerStream[PassReply]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("limpetmount.v1.Relay.Pass is not implemented"))
 }
