Soak: two releases side by side, VMs replaced one after the other, forward, half back, forward

deploy/system.toml names the release in production (the last landed commit). make upgrade builds it from the history and lets the soak begin with it; VMs are stopped or killed and go on with the other program while all other faults go on. A shallow history, or a release that is no ancestor, fails with a message.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # RED matches only tests that KNOWN-RED.txt lists.
 RED := ^$$
 
-.PHONY: build demo test lint docs generate bench soak tools
+.PHONY: build demo test lint docs generate bench soak upgrade production tools
 
 build:
 	@mkdir -p bin
@@ -36,6 +36,23 @@
 	@go build -o bin/limpetsoak ./limpetsoak
 	./bin/limpetsoak --seed $(SEED) --runs $(RUNS) --time $(TIME)
 
+# upgrade runs the soak test with the release that deploy/system.toml names as the
+# one in production, whose VMs are replaced by this one's and partly back again.
+PRODUCTION := $(shell sed -n 's/^production = "\(.*\)"/\1/p' deploy/system.toml)
+upgrade: production
+	@mkdir -p bin target
+	@go build -ldflags=-linkmode=external -o target/limpetplatform ./platform
+	@go build -o bin/limpetsoak ./limpetsoak
+	./bin/limpetsoak --production target/limpetplatform-production --seed $(SEED) --runs $(RUNS) --time $(TIME)
+
+production:
+	@git cat-file -e "$(PRODUCTION)^{commit}" 2>/dev/null || { echo "the history lacks commit $(PRODUCTION), which deploy/system.toml names as in production; a shallow clone does: git fetch --unshallow"; exit 1; }
+	@git merge-base --is-ancestor "$(PRODUCTION)" HEAD || { echo "commit $(PRODUCTION), which deploy/system.toml names as in production, is no ancestor of this one"; exit 1; }
+	@rm -rf target/production && mkdir -p target/production
+	@git archive "$(PRODUCTION)" | tar -x -C target/production
+	@cd target/production && go build -ldflags=-linkmode=external -o ../limpetplatform-production ./platform
+	@rm -rf target/production
+
 bench:
 	go -C internal test -run '^$$' -bench . -benchmem ./limpetroute ./limpetadmission ./limpetlang ./limpetdispatch
 
--- a/limpetsoak/internal/limpetharness/harness.go
+++ b/limpetsoak/internal/limpetharness/harness.go
@@ -26,6 +26,9 @@
 type Plan struct {
 	// Binary is the path of the program that each VM runs.
 	Binary string
+	// Production is the path of the program of an earlier release. If it is set, all
+	// VMs run it at first, and Binary after an upgrade that is taken back on the way.
+	Production string
 	Seed   uint64
 	// Time is how long faults are injected.
 	Time time.Duration
@@ -50,6 +53,8 @@
 	// TakenUp counts the streams that callers came back for, and WentOn those that
 	// went on.
 	TakenUp, WentOn int
+	// Replaced counts the VMs that went on with the other release.
+	Replaced int
 }
 
 // Summary returns the report as one line.
@@ -58,8 +63,8 @@
 	for _, c := range r.Injected {
 		n += c
 	}
-	return fmt.Sprintf("seed %d: %d violations; %d faults of %d kinds, %d answers, %d refusals, %d jobs, %d results, %d windows, %d of %d streams went on",
-		r.Seed, len(r.Violations), n, len(r.Injected), r.Plain, r.Refused, r.Jobs, r.Results, r.Windows, r.WentOn, r.TakenUp)
+	return fmt.Sprintf("seed %d: %d violations; %d faults of %d kinds, %d answers, %d refusals, %d jobs, %d results, %d windows, %d of %d streams went on, %d replaced",
+		r.Seed, len(r.Violations), n, len(r.Injected), r.Plain, r.Refused, r.Jobs, r.Results, r.Windows, r.WentOn, r.TakenUp, r.Replaced)
 }
 
 // A harness holds the state of a run.
@@ -85,6 +90,7 @@
 	// takenUp counts the streams that callers came back for, and wentOn those that
 	// went on.
 	takenUp, wentOn int
+	replaced        int
 	// version is the newest published version of the model.
 	version int
 }
@@ -152,7 +158,7 @@
 func (h *harness) report() Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := Report{Seed: h.plan.Seed, Injected: h.injected, Plain: h.plain, TakenUp: h.takenUp, WentOn: h.wentOn, Refused: len(h.refused), Jobs: len(h.jobs), Windows: h.record.ReportedWindows()}
+	out := Report{Seed: h.plan.Seed, Injected: h.injected, Plain: h.plain, TakenUp: h.takenUp, WentOn: h.wentOn, Replaced: h.replaced, Refused: len(h.refused), Jobs: len(h.jobs), Windows: h.record.ReportedWindows()}
 	for v := range h.violations {
 		out.Violations = append(out.Violations, v)
 	}
@@ -255,7 +261,7 @@
 		return err
 	}
 	vm := &VM{
-		Name: fmt.Sprintf("vm-%d", n), Edge: n < h.plan.Edges, Store: p, binary: h.plan.Binary, group: h.group,
+		Name: fmt.Sprintf("vm-%d", n), Edge: n < h.plan.Edges, Store: p, binary: h.plan.firstBinary(), group: h.group,
 		settingsFile: filepath.Join(logDir, fmt.Sprintf("vm-%d.conf", n)), logDir: logDir,
 	}
 	if err := vm.writeSettings(ip, n%2, p.Address, cloud); err != nil {
@@ -332,6 +338,10 @@
 	callers.Go(func(ctx context.Context) error { return h.runTrainer(ctx) })
 	callers.Go(func(ctx context.Context) error { return h.rereadJobs(ctx, readerRandom) })
 	limpettask.Sleep(ctx, time.Second)
+	if h.plan.Production != "" {
+		upgradeRandom := rand.New(rand.NewPCG(h.plan.Seed, 60))
+		callers.Go(func(ctx context.Context) error { return h.upgrade(ctx, upgradeRandom) })
+	}
 	h.injectFaults(ctx, faultRandom, h.plan.Time)
 	limpettask.Sleep(ctx, recoveryTime)
 	// The callers return no errors.
--- a/limpetsoak/internal/limpetharness/vm.go
+++ b/limpetsoak/internal/limpetharness/vm.go
@@ -27,10 +27,12 @@
 	// Store is the proxy through which the VM reaches the store.
 	Store *Proxy
 
-	binary, settingsFile, logDir string
-	group                        *limpettask.Group
+	settingsFile, logDir string
+	group                *limpettask.Group
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// binary is the program of the next start.
+	binary     string
 	cmd        *exec.Cmd
 	startCount int
 	// keepRunning is set while the process is to be restarted whenever it ends.
@@ -85,14 +87,14 @@
 func (v *VM) run(ctx context.Context) bool {
 	v.mu.Lock()
 	v.startCount++
-	path := filepath.Join(v.logDir, fmt.Sprintf("%s.%d.log", v.Name, v.startCount))
+	path, binary := filepath.Join(v.logDir, fmt.Sprintf("%s.%d.log", v.Name, v.startCount)), v.binary
 	v.mu.Unlock()
 	file, err := os.Create(path)
 	if err != nil {
 		return false
 	}
 	defer file.Close()
-	cmd := exec.Command(v.binary, "run")
+	cmd := exec.Command(binary, "run")
 	cmd.Env = append(os.Environ(), limpetsettingsfile.PathVariable+"="+v.settingsFile, "GOMAXPROCS=1")
 	cmd.Stdout, cmd.Stderr = file, file
 	if err := cmd.Start(); err != nil {
@@ -109,6 +111,16 @@
 	return v.keepRunning && ctx.Err() == nil
 }
 
+// SetBinary sets the program of the next start, and reports whether it is another
+// one.
+func (v *VM) SetBinary(path string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	changed := v.binary != path
+	v.binary = path
+	return changed
+}
+
 // Signal sends a signal to the process, if it runs.
 func (v *VM) Signal(s syscall.Signal) {
 	v.mu.Lock()
--- a/limpetsoak/main.go
+++ b/limpetsoak/main.go
@@ -13,14 +13,15 @@
 )
 
 type commandLine struct {
-	Binary  string        `help:"Program that each VM runs." default:"target/limpetplatform" type:"path"`
-	Seed    uint64        `help:"Seed of the faults." default:"1"`
-	Runs    int           `help:"Number of runs, each with the next seed." default:"1"`
-	Time    time.Duration `help:"Time during which faults are injected." default:"15s"`
-	Edges   int           `help:"VMs that serve callers." default:"3"`
-	Keepers int           `help:"VMs with a disk." default:"2"`
-	Engines int           `help:"Fake engines." default:"4"`
-	Logs    string        `help:"Folder for the logs of a run that fails." default:"out/soak" type:"path"`
+	Binary     string        `help:"Program that each VM runs." default:"target/limpetplatform" type:"path"`
+	Production string        `help:"Program of an earlier release, from which VMs are upgraded during each run." type:"path"`
+	Seed       uint64        `help:"Seed of the faults." default:"1"`
+	Runs       int           `help:"Number of runs, each with the next seed." default:"1"`
+	Time       time.Duration `help:"Time during which faults are injected." default:"15s"`
+	Edges      int           `help:"VMs that serve callers." default:"3"`
+	Keepers    int           `help:"VMs with a disk." default:"2"`
+	Engines    int           `help:"Fake engines." default:"4"`
+	Logs       string        `help:"Folder for the logs of a run that fails." default:"out/soak" type:"path"`
 }
 
 // Run executes the runs. It returns an error if a guarantee was violated in one
@@ -30,7 +31,7 @@
 	for n := range c.Runs {
 		seed := c.Seed + uint64(n)
 		report, err := limpetharness.Run(limpetharness.Plan{
-			Binary: c.Binary, Seed: seed, Time: c.Time, Edges: c.Edges, Keepers: c.Keepers, Engines: c.Engines, Logs: c.Logs,
+			Binary: c.Binary, Production: c.Production, Seed: seed, Time: c.Time, Edges: c.Edges, Keepers: c.Keepers, Engines: c.Engines, Logs: c.Logs,
 		})
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
