--- a/internal/limpetdirector/runs.go
+++ b/internal/limpetdirector/runs.go
@@ -34,7 +34,7 @@
 		remaining = min(remaining, max(time.Second, e.Job.Arrived.Add(e.Job.Rules.ItemTTL).Sub(d.Now())))
 	}
 	call := limpetupstream.Call{
-		Server: r.Server, ID: e.Item.ID, Method: http.MethodPost, Target: e.Item.Path, Host: e.Job.Host,
+		Server: r.Server, Purpose: limpetupstream.ForItem, ID: e.Item.ID, Method: http.MethodPost, Target: e.Item.Path, Host: e.Job.Host,
 		Header: header, Body: e.Item.Body, Account: e.Job.Account, Remaining: remaining,
 		LastEventID: r.After, Version: r.Version, Priority: -1,
 	}
--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -255,10 +255,13 @@
 func (d *dispatch) call(server *limpetsite.Server, remaining time.Duration) limpetupstream.Call {
 	r := d.request
 	c := limpetupstream.Call{
-		Server: server, ID: r.ID, Method: r.Method, Target: r.Target, Host: r.Host,
+		Server: server, Purpose: limpetupstream.ForRequest, ID: r.ID, Method: r.Method, Target: r.Target, Host: r.Host,
 		Header: r.Header, Body: r.Body, Remaining: remaining, LastEventID: r.LastEventID, Priority: -1,
 		Once: !d.route.Repeatable(),
 	}
+	if d.yields {
+		c.Purpose = limpetupstream.ForReward
+	}
 	if d.account != nil {
 		c.Account = d.account.Name
 	}
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -184,6 +184,13 @@
 	})
 	h.group.Go(h.crashes.Run)
 	h.origins = h.newOrigins(meter.Wrap(deps.Store, "origin"))
+	if deps.Upstream.OnConnect != nil {
+		connections := prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "limpet_server_connections_total", Help: "New connections to backend servers, by what the first request on them was for.",
+		}, []string{"purpose"})
+		metrics.Registry.MustRegister(connections)
+		deps.Upstream.OnConnect(func(p limpetupstream.Purpose) { connections.WithLabelValues(string(p)).Inc() })
+	}
 	if deps.Upstream.OnLeaving != nil {
 		deps.Upstream.OnLeaving(h.markLeaving)
 	}
--- a/internal/limpetrelay/runs.go
+++ b/internal/limpetrelay/runs.go
@@ -96,7 +96,8 @@
 		}
 		partialText := textOf(o.Begun)
 		b.Orders = append(b.Orders, limpetexecutor.Order{Run: o.Run, Job: o.Job, PartialText: partialText, Call: limpetupstream.Call{
-			Server: &limpetsite.Server{ID: o.Server, Address: o.Address, Software: limpetsite.Software(o.Software), Incarnation: o.Incarnation}, ID: partialText.Item, Method: http.MethodPost,
+			Purpose: limpetupstream.ForItem,
+			Server:  &limpetsite.Server{ID: o.Server, Address: o.Address, Software: limpetsite.Software(o.Software), Incarnation: o.Incarnation}, ID: partialText.Item, Method: http.MethodPost,
 			Target: o.Target, Host: o.Host, Header: header, Body: o.Body, Account: o.Account,
 			Remaining: time.Duration(o.RemainingMs) * time.Millisecond, LastEventID: partialText.LastEvent, Version: int(o.Version), Priority: -1,
 		}})
--- a/internal/limpetupstream/limpetupstream.go
+++ b/internal/limpetupstream/limpetupstream.go
@@ -13,9 +13,27 @@
 	"limpetmount.org/internal/limpetsite"
 )
 
+// A Purpose says, for metrics, what a call or a connection is for.
+type Purpose string
+
+// The purposes of calls.
+const (
+	ForRequest Purpose = "request"
+	ForItem    Purpose = "item"
+	ForReward  Purpose = "reward"
+	ForOrder   Purpose = "order"
+	ForReport  Purpose = "report"
+	ForCheck   Purpose = "check"
+	ForProbe   Purpose = "probe"
+	// ForOther is a call that another VM passed on.
+	ForOther Purpose = "passed"
+)
+
 // A Call is one attempt at one backend server.
 type Call struct {
 	Server *limpetsite.Server
+	// Purpose is for metrics only.
+	Purpose Purpose
 	// ID identifies the caller's request, or the item of a batch job. All
 	// attempts at it share the ID, which the server echoes in its answer.
 	ID     string
@@ -195,6 +213,9 @@
 	// OnLeaving sets the function that is called when a server says in the answer to
 	// an order, a report or a check that it is leaving; nil if answers cannot.
 	OnLeaving func(notify func(s *limpetsite.Server))
+	// OnConnect sets the function that is called with the purpose of each new
+	// connection to a server; nil if that is not known.
+	OnConnect func(notify func(p Purpose))
 	// Check finds out whether a server still runs. HealthPath is the path at
 	// which it answers health checks; empty if none is configured.
 	Check func(ctx context.Context, s *limpetsite.Server, healthPath string) Condition
