A VM that is slow to report does not make its engines silent

An executor with runs reports at least each 0.15 s (0.8 s before), so that a silent engine is noticed 0.15 s later at most.

TestSlowReportsAreNotSilenceOfEngines (pattern: reports 0.45 s late again and again, or each 0.38 s late) was red: runs were started again. TestRunsAtExecutors (an executor that loses its engines: whole within 4 s) stays green.

--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -139,6 +139,9 @@
 	started, lastActivity time.Time
 	// respondedAt is when the response header was handled.
 	respondedAt time.Time
+	// reportedAt is up to when another VM reported the events; zero if this VM reads
+	// them itself.
+	reportedAt time.Time
 	// events counts the events of this run.
 	events    int
 	gotHeader bool
--- a/internal/limpetbatch/overdue.go
+++ b/internal/limpetbatch/overdue.go
@@ -17,6 +17,9 @@
 	// loadingAllowance is added to these while the engine changes the weights of
 	// the run's model.
 	loadingAllowance = 2500 * time.Millisecond
+	// maxReportDelay is how late the report of another VM may be on the events of its
+	// runs. A VM that reports nothing for longer is replaced.
+	maxReportDelay = 400 * time.Millisecond
 	// maxMoves is the number of moves after which an item stays on a slow engine.
 	maxMoves = 6
 	// minRunBeforeMove is how long a run must last before it moves away from a
@@ -35,7 +38,7 @@
 		timedOut, slow := false, g.slow(typical, now)
 		for _, r := range g.runs {
 			switch {
-			case now.Sub(r.lastActivity) > g.eventTimeout(r, typical):
+			case r.silence(now) > g.eventTimeout(r, typical):
 				r.timedOut = true
 				detached = append(detached, r)
 				timedOut = timedOut || g.loading == ""
@@ -60,6 +63,24 @@
 	return detached
 }
 
+// silence returns for how long an engine is known to have sent nothing for a run. What
+// another VM has not reported yet is not known, for up to maxReportDelay: that VM may
+// be slow, and not the engine.
+func (r *Run) silence(now time.Time) time.Duration {
+	known := now
+	if !r.reportedAt.IsZero() {
+		known = r.reportedAt
+		if earliest := now.Add(-maxReportDelay); known.Before(earliest) {
+			known = earliest
+		}
+	}
+	return known.Sub(r.lastActivity)
+}
+
+// SetReported records that another VM, which reads the run's events, has reported all
+// of them up to a time.
+func (r *Run) SetReported(at time.Time) { r.reportedAt = at }
+
 // eventTimeout returns how long a run may go without activity.
 func (g *engine) eventTimeout(r *Run, typical time.Duration) time.Duration {
 	limit := max(minEventTimeout, eventTimeoutIntervals*typical)
--- a/internal/limpetdirector/executors.go
+++ b/internal/limpetdirector/executors.go
@@ -165,6 +165,7 @@
 // trackRun records that an executor has a run.
 func (d *Director) trackRun(s *session, id string, r *limpetbatch.Run) {
 	s.runs[id] = r
+	r.SetReported(d.Now())
 	d.cancels[r] = func() {
 		delete(s.runs, id)
 		s.out.cancel(id)
@@ -237,6 +238,9 @@
 	for _, p := range m.delivery.Progress {
 		d.applyProgress(s, p, m.at)
 	}
+	for _, r := range s.runs {
+		r.SetReported(m.at)
+	}
 	switch {
 	case m.delivery.Superseded && d.leadership == nil:
 		d.Log.Emit(limpetlog.LeaseLost, limpetlog.Value("cause", "an executor reported a newer director"), limpetlog.Value("carrier", s.vm))
--- a/internal/limpetdirector/executors_test.go
+++ b/internal/limpetdirector/executors_test.go
@@ -25,6 +25,8 @@
 	// While unresponsive is set, the executor exchanges nothing with the
 	// director; while enginesUnreachable is set, it gets nothing from engines.
 	unresponsive, enginesUnreachable atomic.Bool
+	// reportDelay delays each delivery to the director.
+	reportDelay atomic.Int64
 }
 
 // send forwards calls to the engines, and blocks while they are unreachable.
@@ -79,6 +81,7 @@
 						limpettask.Sleep(ctx, time.Minute)
 						return false, limpeterror.Unknown.New("no answer")
 					}
+					time.Sleep(time.Duration(x.reportDelay.Load()))
 					return d.Deliver(ctx, m), nil
 				},
 			}
@@ -160,6 +163,50 @@
 	}
 }
 
+// Guards against work that is started again, and engines that are blamed, because the
+// VM that reads their events is slow to report.
+func TestSlowReportsAreNotSilenceOfEngines(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		delay time.Duration
+		// interval is the time between slow reports.
+		interval time.Duration
+	}{
+		{"the executor reports 0.45 s late, again and again", 450 * time.Millisecond, 600 * time.Millisecond},
+		{"each report of the executor is 0.38 s late", 380 * time.Millisecond, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			env := newTestEnv(3)
+			a := env.candidate("a", 0)
+			time.Sleep(time.Second)
+			x := env.executor("x", map[string]*candidate{"a": a})
+			time.Sleep(time.Second)
+			env.submit(t, "j", 9, 1)
+			time.Sleep(300 * time.Millisecond)
+			for range 6 {
+				x.reportDelay.Store(int64(c.delay))
+				time.Sleep(200 * time.Millisecond)
+				if c.interval > 0 {
+					x.reportDelay.Store(0)
+				}
+				time.Sleep(c.interval)
+			}
+			x.reportDelay.Store(0)
+			time.Sleep(3 * time.Second)
+			runs, generated := env.counts()
+			Convey("pattern: "+c.name+", while its engines are sound: no run is started again", t, func() {
+				So(runs, ShouldEqual, 9)
+				So(generated, ShouldEqual, 9*events)
+				So(len(env.results(t, "j")), ShouldEqual, 9)
+			})
+			if err := x.group.Stop(); err != nil {
+				t.Error(err)
+			}
+			a.stop(t)
+		})
+	}
+}
+
 func TestExecutorCountIsLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(4)
--- a/internal/limpetexecutor/limpetexecutor.go
+++ b/internal/limpetexecutor/limpetexecutor.go
@@ -99,8 +99,11 @@
 	// deliveryDelay is how long events wait to be delivered together with
 	// others.
 	deliveryDelay = 80 * time.Millisecond
-	// idleDeliveryPeriod is the time between deliveries without progress.
+	// idleDeliveryPeriod is the time between deliveries without progress, and
+	// busyDeliveryPeriod the time while there are runs: only a delivery tells the
+	// director that their engines are silent, and not this VM.
 	idleDeliveryPeriod = 800 * time.Millisecond
+	busyDeliveryPeriod = 150 * time.Millisecond
 	// deliveryTimeout limits one delivery.
 	deliveryTimeout = 500 * time.Millisecond
 	// directorTimeout is how long a director may be silent; it sends a batch at
@@ -157,6 +160,18 @@
 	return len(e.runs) > 0
 }
 
+// running reports whether there are runs that have not ended.
+func (e *Executor) running() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.runs {
+		if !r.ended {
+			return true
+		}
+	}
+	return false
+}
+
 // Unsure reports whether the director announced that it may have a successor.
 func (e *Executor) Unsure() bool { return e.unsure.Load() }
 
--- a/internal/limpetexecutor/session.go
+++ b/internal/limpetexecutor/session.go
@@ -142,7 +142,11 @@
 // waitForProgress returns when there is progress to deliver, or an empty
 // delivery is due.
 func (e *Executor) waitForProgress(ctx context.Context, ended chan error) error {
-	ready, err := e.wait(ctx, ended, idleDeliveryPeriod, e.progressReady)
+	period := idleDeliveryPeriod
+	if e.running() {
+		period = busyDeliveryPeriod
+	}
+	ready, err := e.wait(ctx, ended, period, e.progressReady)
 	if ready && err == nil {
 		_, err = e.wait(ctx, ended, deliveryDelay, nil)
 	}
