Large values go to other VMs packed once; messages between VMs are not compressed otherwise

Cause. connect compresses each message by default.

The mirror packs a value of 4 KB and more once, when it changes, for VMs that say that they unpack it (FollowRequest.unpacks); others get it as it is. Messages are not compressed otherwise.

--- a/internal/limpetrelay/client.go
+++ b/internal/limpetrelay/client.go
@@ -42,7 +42,7 @@
 
 func (f Follower) request(epoch string, position uint64, wait time.Duration, leaving []limpetsite.Leaving) *limpetwire.FollowRequest {
 	r := &limpetwire.FollowRequest{
-		Epoch: epoch, Position: position, WaitMs: wait.Milliseconds(), Ready: f.Ready, Vm: f.VM, Zone: f.Zone, Relay: f.Relay,
+		Epoch: epoch, Position: position, WaitMs: wait.Milliseconds(), Ready: f.Ready, Vm: f.VM, Zone: f.Zone, Relay: f.Relay, Unpacks: true,
 	}
 	for _, l := range leaving {
 		r.Leaving = append(r.Leaving, &limpetwire.LeavingServer{Id: l.Server, Incarnation: l.Incarnation})
@@ -57,7 +57,7 @@
 
 // NewClient returns a client of the VM at an address, IP:PORT, for the VM self.
 func NewClient(client *http.Client, address string, self Follower) *Client {
-	return &Client{self: self, relay: limpetwire.NewRelayClient(client, "http://"+address)}
+	return &Client{self: self, relay: limpetwire.NewRelayClient(client, "http://"+address, uncompressed)}
 }
 
 // Follow returns what changed since a position, and whether the VM is the
@@ -75,6 +75,11 @@
 		Age: time.Duration(r.Msg.AgeMs) * time.Millisecond,
 	}
 	for _, v := range r.Msg.Values {
+		if len(v.Packed) > 0 {
+			if v.Data, err = unpack(v.Packed); err != nil {
+				return Update{}, false, err
+			}
+		}
 		u.Changes = append(u.Changes, Change{Feed: v.Feed, Value: limpetstore.Value{
 			Key: v.Key, Data: v.Data, Revision: v.Revision, Deleted: v.Deleted,
 		}})
--- a/internal/limpetrelay/limpetrelay.go
+++ b/internal/limpetrelay/limpetrelay.go
@@ -25,6 +25,9 @@
 	position uint64
 	// topic is what the value is about; empty if all VMs need it.
 	topic string
+	// packed is the value's data as sent to VMs that unpack it; nil if that would not
+	// be smaller.
+	packed []byte
 }
 
 // A Value is a value of the store with its topic, which is empty if all VMs need
@@ -156,7 +159,7 @@
 		e := entry{feed: feed, value: v.Value, position: m.position, topic: v.Topic}
 		if isRelevant(m.relevant, v.Topic) {
 			m.position++
-			e.position = m.position
+			e.position, e.packed = m.position, pack(v.Data)
 		} else if wasRelevant {
 			m.addTombstone(feed, limpetstore.Value{Key: v.Key, Revision: v.Revision, Deleted: true})
 		}
@@ -191,6 +194,8 @@
 type Change struct {
 	Feed  string
 	Value limpetstore.Value
+	// packed is the value's data in gzip format; nil if it was not packed.
+	packed []byte
 }
 
 // An Update describes what changed in a mirror since a position.
@@ -295,7 +300,7 @@
 	}
 	for _, e := range m.values {
 		if isRelevant(m.relevant, e.topic) && (u.Full || e.position > position) {
-			u.Changes = append(u.Changes, Change{Feed: e.feed, Value: e.value})
+			u.Changes = append(u.Changes, Change{Feed: e.feed, Value: e.value, packed: e.packed})
 		}
 	}
 	if u.Full {
--- a/internal/limpetrelay/limpetrelay_test.go
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -340,7 +340,7 @@
 	text := limpetjob.Draft{Item: "i", Pieces: []string{"a", "b"}, LastEvent: 2, Versions: []int{3, 4}, Version: 4, Software: limpetsite.SoftwareOf("llm", "v1")}
 	batch := limpetexecutor.Batch{CancelRuns: []string{"old"}, Unsure: true, Orders: []limpetexecutor.Order{{
 		Run: "r", Job: "j", PartialText: text, Call: limpetupstream.Call{
-			Server: &limpetsite.Server{ID: "e", Address: "10.0.0.1:1", Software: limpetsite.SoftwareOf("llm", "v1")}, ID: "i", Method: http.MethodPost, Target: "/p?x=1", Host: "h",
+			Purpose: limpetupstream.ForItem, Server: &limpetsite.Server{ID: "e", Address: "10.0.0.1:1", Software: limpetsite.SoftwareOf("llm", "v1")}, ID: "i", Method: http.MethodPost, Target: "/p?x=1", Host: "h",
 			Header: http.Header{"X-Model": {"m"}}, Body: []byte{0, 255}, Account: "acme", Remaining: 9 * time.Second, LastEventID: 2, Version: 4, Priority: -1,
 		},
 	}}}
--- a/internal/limpetrelay/serve.go
+++ b/internal/limpetrelay/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -63,12 +64,16 @@
 // Handler returns an HTTP handler for the calls of other VMs.
 func (h *Handlers) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(limpetwire.NewRelayHandler(server{h}))
+	mux.Handle(limpetwire.NewRelayHandler(server{h}, uncompressed))
 	return mux
 }
 
 type server struct{ handlers *Handlers }
 
+// uncompressed turns off the compression of messages, which costs more than all else
+// that is done for a message. Large values are packed once for all VMs.
+var uncompressed = connect.WithCompressMinBytes(math.MaxInt)
+
 func waitTime(millis int64) time.Duration {
 	return min(maxWait, max(0, time.Duration(millis)*time.Millisecond))
 }
@@ -90,9 +95,11 @@
 		Epoch: u.Epoch, Position: u.Position, Full: u.Full, AgeMs: u.Age.Milliseconds(), Directing: s.handlers.IsDirector(),
 	}
 	for _, c := range u.Changes {
-		reply.Values = append(reply.Values, &limpetwire.RelayedValue{
-			Feed: c.Feed, Key: c.Value.Key, Data: c.Value.Data, Revision: c.Value.Revision, Deleted: c.Value.Deleted,
-		})
+		v := &limpetwire.RelayedValue{Feed: c.Feed, Key: c.Value.Key, Data: c.Value.Data, Revision: c.Value.Revision, Deleted: c.Value.Deleted}
+		if r.Msg.Unpacks && c.packed != nil {
+			v.Data, v.Packed = nil, c.packed
+		}
+		reply.Values = append(reply.Values, v)
 	}
 	for feed, revision := range u.Feeds {
 		reply.Feeds = append(reply.Feeds, &limpetwire.RelayedFeed{Feed: feed, Revision: revision})
