--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # RED matches only tests that KNOWN-RED.txt lists.
 RED := ^$$
 
-.PHONY: build demo test lint docs generate bench soak upgrade production tools
+.PHONY: build demo test lint docs generate bench soak upgrade production compatible tools
 
 build:
 	@mkdir -p bin
@@ -53,8 +53,17 @@
 	@cd target/production && go build -ldflags=-linkmode=external -o ../limpetplatform-production ./platform
 	@rm -rf target/production
 
+# compatible checks that the messages between VMs can be exchanged with the release in
+# production.
+compatible:
+	@mkdir -p bin && rm -rf target/production-wire && mkdir -p target/production-wire
+	@git archive "$(PRODUCTION)" buf.yaml internal/limpetwire | tar -x -C target/production-wire
+	@GOWORK=off go -C tools build -o ../bin/ github.com/bufbuild/buf/cmd/buf
+	./bin/buf breaking --against target/production-wire
+	@rm -rf target/production-wire
+
 bench:
-	go -C internal test -run '^$$' -bench . -benchmem ./limpetroute ./limpetadmission ./limpetlang ./limpetdispatch
+	go -C internal test -run '^$$' -bench . -benchmem ./limpetroute ./limpetadmission ./limpetlang ./limpetdispatch ./limpetbatch ./limpetsite ./limpetweights ./limpetrelay
 
 generate:
 	@mkdir -p bin
