--- a/limpetsoak/internal/limpetharness/harness.go
+++ b/limpetsoak/internal/limpetharness/harness.go
@@ -29,7 +29,7 @@
 	// Production is the path of the program of an earlier release. If it is set, all
 	// VMs run it at first, and Binary after an upgrade that is taken back on the way.
 	Production string
-	Seed   uint64
+	Seed       uint64
 	// Time is how long faults are injected.
 	Time time.Duration
 	// Edges is the number of VMs that serve callers, Keepers the number of
