A term lists former directors from the first release on that records them

A term written by an earlier release says nothing of former directors; the next one carried that on for good, so that each young process that took the duty waited for 3.5 s. Now only the first successor of such a term treats it as unknown.

--- a/internal/limpetdirector/term.go
+++ b/internal/limpetdirector/term.go
@@ -25,7 +25,7 @@
 	// lagged, in Unix time; 0 if none did.
 	OverloadedMs int64 `json:"overloaded_ms,omitempty"`
 	// Former lists the VMs that were the director before, the latest first and each
-	// once. It is nil if that is not known.
+	// once. It is nil in a term of an earlier release, which did not record them.
 	Former []string `json:"former"`
 }
 
@@ -35,11 +35,6 @@
 // next returns the term of a VM that follows t.
 func (t Term) next(vm, address string) Term {
 	next := Term{VM: vm, Address: address, OverloadedMs: t.OverloadedMs, Former: []string{}}
-	if t.VM != "" && t.Former == nil {
-		// Written by an earlier release: there may have been others.
-		next.Former = nil
-		return next
-	}
 	for _, former := range append([]string{t.VM}, t.Former...) {
 		if former != "" && former != vm && len(next.Former) < maxFormer {
 			next.Former = append(next.Former, former)
