--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -144,6 +144,9 @@
 	loadingJobs    map[string]bool
 	fullyCommitted map[string]bool
 
+	// examined is the scheduler's count of examined engines that the metric has.
+	examined uint64
+
 	updateStarted  map[string]time.Time
 	suspendedUntil map[string]time.Time
 	orderCounts    map[modelVersion]int
@@ -325,6 +328,9 @@
 	for _, r := range d.scheduler.StartRewardCalls(now) {
 		d.callScorer(r)
 	}
+	examined := d.scheduler.Examined()
+	d.Metrics.AddExaminedEngines(examined - d.examined)
+	d.examined = examined
 }
 
 // stepDuties runs what is due of the work that needs the duty. Any part of it
--- a/internal/limpetmetric/limpetmetric.go
+++ b/internal/limpetmetric/limpetmetric.go
@@ -27,6 +27,7 @@
 	yieldedDuties            prometheus.Counter
 	eventIntervals           *prometheus.HistogramVec
 	directorSteps            prometheus.Histogram
+	examinedEngines          prometheus.Counter
 	openRequests             prometheus.Gauge
 	configIndex              prometheus.Gauge
 	keysAccepted             prometheus.Gauge
@@ -66,12 +67,15 @@
 			Name: "limpet_director_step_gap_seconds", Help: "Time between two steps of the loop that carries out the director's work.",
 			Buckets: []float64{0.01, 0.03, 0.05, 0.12, 0.25, 0.5, 1, 2, 4},
 		}),
+		examinedEngines: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "limpet_examined_engines_total", Help: "Engines that the director's decisions on items looked at, an engine once for each decision.",
+		}),
 		openRequests: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_open_requests", Help: "Requests open on this VM."}),
 		configIndex:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_config_index", Help: "Log index of the configuration in force."}),
 		keysAccepted: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_keys_honoured", Help: "1 while this VM accepts keys."}),
 		accounts:     map[string]bool{},
 	}
-	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.continuations, s.yieldedDuties, s.eventIntervals, s.directorSteps, s.openRequests, s.configIndex, s.keysAccepted)
+	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.continuations, s.yieldedDuties, s.eventIntervals, s.directorSteps, s.examinedEngines, s.openRequests, s.configIndex, s.keysAccepted)
 	return s
 }
 
@@ -117,6 +121,9 @@
 // ObserveDirectorStep records the time between two steps of the director's loop.
 func (s *Set) ObserveDirectorStep(gap time.Duration) { s.directorSteps.Observe(gap.Seconds()) }
 
+// AddExaminedEngines counts engines that decisions looked at.
+func (s *Set) AddExaminedEngines(n uint64) { s.examinedEngines.Add(float64(n)) }
+
 // CountBrokenAttempt counts an attempt without a usable answer.
 func (s *Set) CountBrokenAttempt(service, ending string) {
 	s.brokenAttempts.WithLabelValues(service, ending).Inc()
