--- a/internal/limpetcluster/limpetcluster.go
+++ b/internal/limpetcluster/limpetcluster.go
@@ -124,14 +124,19 @@
 	return net.IPv4(127, byte(1+os.Getpid()%octet), byte(i/octet), byte(2+i%octet))
 }
 
-// freeAddress returns an address with a free port.
-func freeAddress(ip net.IP) (string, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
-	if err != nil {
-		return "", fmt.Errorf("free port: %w", err)
+// freeAddresses returns n addresses with free ports, all different: a port that is
+// closed again may be chosen for the next address.
+func freeAddresses(ip net.IP, n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
+		if err != nil {
+			return nil, fmt.Errorf("free port: %w", err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return addresses, nil
 }
 
 // prepare creates the certificate and the settings of VM i, and adds the VM to
@@ -143,11 +148,13 @@
 	}
 	s := limpetsettings.Default()
 	s.VM = limpetsettings.VM{Name: name, Zone: c.Zones[i%len(c.Zones)]}
-	for _, address := range []*string{&s.Caller.Address, &s.Peer.Address, &s.Operator.Address, &s.Metrics.Address} {
-		var err error
-		if *address, err = freeAddress(vmIP(i)); err != nil {
-			return err
-		}
+	sections := []*string{&s.Caller.Address, &s.Peer.Address, &s.Operator.Address, &s.Metrics.Address}
+	addresses, err := freeAddresses(vmIP(i), len(sections))
+	if err != nil {
+		return err
+	}
+	for n, address := range sections {
+		*address = addresses[n]
 	}
 	s.Peer.Cert = filepath.Join(c.Folder, name+".pem")
 	s.Peer.Key = filepath.Join(c.Folder, name+"-key.pem")
