--- a/internal/limpethost/site.go
+++ b/internal/limpethost/site.go
@@ -14,15 +14,15 @@
 	// expireInterval is how often servers that did not register again in time
 	// are removed.
 	expireInterval = 100 * time.Millisecond
-	// viewPausePerServer is the pause after a view for each server in it, during which
+	// viewIntervalPerServer is the least time after a view for each server in it, during which
 	// changes are gathered: a view costs time in proportion to the servers.
-	viewPausePerServer = 20 * time.Microsecond
-	maxViewPause       = 100 * time.Millisecond
+	viewIntervalPerServer = 20 * time.Microsecond
+	maxViewInterval       = 100 * time.Millisecond
 )
 
-// viewPause returns the pause after a view of a number of servers.
-func viewPause(servers int) time.Duration {
-	return min(maxViewPause, time.Duration(servers)*viewPausePerServer)
+// viewInterval returns the least time after a view of a number of servers.
+func viewInterval(servers int) time.Duration {
+	return min(maxViewInterval, time.Duration(servers)*viewIntervalPerServer)
 }
 
 // A siteUpdate holds changes of a feed for the goroutine that owns the state
@@ -89,7 +89,7 @@
 		}
 		h.Forwarder.Tracker.Forget(func(id string) bool { return view.Server(id) != nil })
 		h.limits.Forget(view)
-		limpettask.Sleep(ctx, viewPause(len(view.AllServers())))
+		limpettask.Sleep(ctx, viewInterval(len(view.AllServers())))
 	}
 }
 
