--- a/internal/limpetrelay/bench_test.go
+++ b/internal/limpetrelay/bench_test.go
@@ -20,12 +20,12 @@
 		b.Run(fmt.Sprint(routes), func(b *testing.B) {
 			var config []map[string]any
 			for n := range routes {
-				config = append(config, map[string]any{"name": fmt.Sprint("route", n*7919), "host": fmt.Sprintf("h%d.example", n%40), "pathPrefix": fmt.Sprintf("/lohu%d/", n*31), "timeoutMs": 2000, "goalMs": 150, "kind": "idempotent", "targets": []any{map[string]any{"service": "gopu72b", "weight": 1}}})
+				config = append(config, map[string]any{"name": fmt.Sprint("route", n*7919), "host": fmt.Sprintf("h%d.example", n%40), "path": fmt.Sprintf("/lohu%d/", n*31), "timeoutMs": 2000, "goalMs": 150, "kind": "idempotent", "targets": []any{map[string]any{"service": "gopu72b", "weight": 1}}})
 			}
 			data, _ := json.Marshal(config)
 			m := limpetrelay.NewMirror("a", time.Now)
 			m.MarkConfirmed(time.Now())
-			m.Apply(limpetrelay.Changes("op/", []limpetrelay.Value{{Value: limpetstore.Value{Key: "op/config", Data: data, Revision: 1}}}))
+			m.Apply(limpetrelay.Changes("cfg/", []limpetrelay.Value{{Value: limpetstore.Value{Key: "cfg/config", Data: data, Revision: 1}}}))
 			h := &limpetrelay.Handlers{Mirror: m, OnFollower: func(limpetrelay.Follower) {}, IsDirector: func() bool { return true }, Permit: func(limpetlimit.Request) (limpetlimit.Grant, bool) { return limpetlimit.Grant{}, true }}
 			s := httptest.NewServer(h.Handler())
 			defer s.Close()
--- a/internal/limpetrelay/pack_test.go
+++ b/internal/limpetrelay/pack_test.go
@@ -24,8 +24,8 @@
 func TestLargeValuesArePacked(t *testing.T) {
 	m := NewMirror("a", time.Now)
 	small := []byte("small")
-	m.Apply(Changes("op/", []Value{
-		{Value: limpetstore.Value{Key: "op/config", Data: repetitive, Revision: 1}}, {Value: limpetstore.Value{Key: "op/x", Data: small, Revision: 2}},
+	m.Apply(Changes("cfg/", []Value{
+		{Value: limpetstore.Value{Key: "cfg/config", Data: repetitive, Revision: 1}}, {Value: limpetstore.Value{Key: "cfg/x", Data: small, Revision: 2}},
 	}))
 	h := &Handlers{Mirror: m, OnFollower: func(Follower) {}, IsDirector: func() bool { return true }}
 	s := httptest.NewServer(h.Handler())
@@ -37,7 +37,7 @@
 		for _, c := range u.Changes {
 			values[c.Value.Key] = string(c.Value.Data)
 		}
-		So(values, ShouldResemble, map[string]string{"op/config": string(repetitive), "op/x": "small"})
+		So(values, ShouldResemble, map[string]string{"cfg/config": string(repetitive), "cfg/x": "small"})
 	})
 	follow := func(unpacks bool) map[string]*limpetwire.RelayedValue {
 		r, err := limpetwire.NewRelayClient(s.Client(), s.URL).Follow(context.Background(), connect.NewRequest(&limpetwire.FollowRequest{Unpacks: unpacks}))
@@ -51,12 +51,12 @@
 		return values
 	}
 	Convey("a large value goes packed to VMs that say that they unpack it, and as it is to those of earlier releases", t, func() {
-		packed, plain := follow(true)["op/config"], follow(false)["op/config"]
+		packed, plain := follow(true)["cfg/config"], follow(false)["cfg/config"]
 		So(packed.Data, ShouldBeEmpty)
 		So(len(packed.Packed), ShouldBeLessThan, len(repetitive)/10)
 		So(plain.Data, ShouldResemble, repetitive)
 		So(plain.Packed, ShouldBeEmpty)
-		So(follow(true)["op/x"].Data, ShouldResemble, small)
+		So(follow(true)["cfg/x"].Data, ShouldResemble, small)
 	})
 	Convey("it is packed when it changes, not for each VM", t, func() {
 		first, second := m.Since(context.Background(), "", 0, 0), m.Since(context.Background(), "", 0, 0)
