A VM that cannot confirm its configuration does not tell callers that their key was withdrawn

Cause: limpetd cancels the open requests of all keys when it stops accepting keys, and gave each of them the cause "the key was withdrawn" (401), also when it only could not confirm its configuration for a moment: with the store down for all, one late heartbeat of another VM is enough. A request between its two authentications got the same answer. Trainers end at a 401.

Change: the cause says which of the two it was; 503, not run, with Retry-After, or 502 where the request may have run. A withdrawal stays 401.

Ruled out: the trainer's key (never changed in the test), suspensions (none).

--- a/internal/limpetcaller/complete.go
+++ b/internal/limpetcaller/complete.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -219,12 +220,12 @@
 }
 
 // withdrawalError returns the error to send for a request that failed with err: the
-// cancellation cause if the request was canceled because its key was withdrawn, err
-// otherwise. The outcome remains that of err, since a withdrawal does not undo
-// what has run.
+// cancellation cause if the request was canceled because its key is not accepted any
+// more, err otherwise. The outcome remains that of err, since the cancellation does
+// not undo what has run.
 func withdrawalError(ctx context.Context, err error) error {
 	cause := context.Cause(ctx)
-	if cause == nil || !limpeterror.Is(cause, limpeterror.Denied) {
+	if !errors.Is(cause, errWithdrawn) && !errors.Is(cause, errUnconfirmed) {
 		return err
 	}
 	if _, body := classifyError(err); body.Outcome == Unknown {
--- a/internal/limpetcaller/limpetcaller.go
+++ b/internal/limpetcaller/limpetcaller.go
@@ -58,8 +58,12 @@
 	cancel  context.CancelCauseFunc
 }
 
-// errWithdrawn is the cancellation cause of a request whose key was withdrawn.
-var errWithdrawn = limpeterror.Denied.New("the key was withdrawn")
+// The causes for which a request is canceled because its key is not accepted any
+// more.
+var (
+	errWithdrawn   = limpeterror.Denied.New("the key was withdrawn")
+	errUnconfirmed = limpeterror.Unavailable.New("this VM cannot confirm its configuration")
+)
 
 // New returns a Frontend.
 func New(deps Dependencies, limits limpetsettings.Limits, timing limpetsettings.Timing) *Frontend {
@@ -177,8 +181,12 @@
 		// Authenticate again: CancelWithdrawn does not cancel this request if
 		// the key was withdrawn after the first authentication and before
 		// addOpen.
-		if again, err := f.authenticate(r); err != nil || again != principal {
-			writeError(w, errWithdrawn, 0)
+		again, err := f.authenticate(r)
+		if err == nil && again != principal {
+			err = errWithdrawn
+		}
+		if err != nil {
+			writeError(w, err, shortRetryAfter)
 			return
 		}
 		h(w, r.WithContext(ctx), principal)
@@ -192,7 +200,7 @@
 	}
 	v := f.View()
 	if !v.KeysAccepted {
-		return limpetkey.Principal{}, limpeterror.Unavailable.New("this VM cannot confirm its configuration; the request was not run")
+		return limpetkey.Principal{}, limpeterror.Unavailable.Wrap(errUnconfirmed, "the request was not run")
 	}
 	principal, err := limpetkey.Authenticate(v.Config, v.Suspended, token)
 	if err == nil && principal.Role != limpetconfig.Caller && principal.Role != limpetconfig.Trainer {
@@ -233,7 +241,8 @@
 }
 
 // CancelWithdrawn cancels the open requests of keys that are not accepted under
-// the new view.
+// the new view, because they were withdrawn or because this VM cannot confirm its
+// configuration.
 func (f *Frontend) CancelWithdrawn(v *limpetview.View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -241,10 +250,15 @@
 		k, exists := v.Config.Keys[key]
 		canceled := 0
 		for open := range requests {
-			if !exists || v.Suspended[key] || !v.KeysAccepted || k.Account != open.account {
+			switch {
+			case !exists || v.Suspended[key] || k.Account != open.account:
 				open.cancel(errWithdrawn)
-				canceled++
+			case !v.KeysAccepted:
+				open.cancel(errUnconfirmed)
+			default:
+				continue
 			}
+			canceled++
 		}
 		if canceled > 0 {
 			f.Log.Emit(limpetlog.KeyStreamsEnded, limpetlog.Value("key", key), limpetlog.Value("streams", canceled))
