A new director reads the jobs that are due first, and none that have ended

All jobs were read at once, and if the listing of open jobs came before that of ended ones, all ended ones of the last two minutes too. Ruled out: the lease (taken over 0.25 s after it was lost), the executors' held runs (they are there by 20.4 s). Change: jobs are read oldest first, two at a time, and not before the ended ones are known. A read that takes over 150 ms holds back nobody. Before: TestOldestJobsAreLoadedFirst (18 jobs, 12 of them ended) red, the two oldest after 1.86 and 2.7 s, the last after 2.7 s. After: 0.25, 0.4 and 0.9 s.

--- a/internal/limpetdirector/duty.go
+++ b/internal/limpetdirector/duty.go
@@ -201,7 +201,7 @@
 func (d *Director) resumeJobs() {
 	l := d.leadership
 	d.FollowDeployment(true)
-	d.loadingJobs = map[string]bool{}
+	d.loads.clear()
 	for id := range d.scheduler.Jobs() {
 		d.resync(id)
 	}
--- a/internal/limpetdirector/env_test.go
+++ b/internal/limpetdirector/env_test.go
@@ -61,6 +61,10 @@
 	// deliver delays an order before it reaches its engine, as the network does; an
 	// error means that it does not reach it. Nil delivers at once.
 	deliver func(ctx context.Context, o limpetupstream.Order) error
+	// readTime is how long each read of a job's data takes, one after the other, as on
+	// a busy VM.
+	readTime time.Duration
+	reading  chan struct{}
 	// scores holds when reward calls reached a server, which loses its answer
 	// after scoreTime.
 	scores []time.Time
@@ -79,7 +83,7 @@
 func newTestEnv(engines int) *testEnv {
 	env := &testEnv{
 		store: limpetstub.NewStore(), version: map[string]int{}, loadingVersion: map[string]int{}, loadedAt: map[string]time.Time{},
-		highestFence: map[string]uint64{}, acceptedOrders: map[string]int{}, retiring: map[string]bool{},
+		highestFence: map[string]uint64{}, acceptedOrders: map[string]int{}, retiring: map[string]bool{}, reading: make(chan struct{}, 1),
 	}
 	for n := range engines {
 		env.version[fmt.Sprintf("e%d", n)] = 1
@@ -331,6 +335,16 @@
 	limpettask.Sleep(ctx, d)
 }
 
+// readJob takes the time of a read of a job's data.
+func (env *testEnv) readJob(ctx context.Context, key string) {
+	if env.readTime == 0 || strings.HasPrefix(key, limpetjob.OpenPrefix) || strings.HasPrefix(key, limpetjob.EndPrefix) || strings.Contains(key, "director") {
+		return
+	}
+	env.reading <- struct{}{}
+	limpettask.Sleep(ctx, env.readTime)
+	<-env.reading
+}
+
 // store returns a client of the shared store with the candidate's faults.
 func (c *candidate) store(env *testEnv) limpetstore.Store {
 	s := env.store.Client()
@@ -339,6 +353,7 @@
 		if err := c.checkConnected(); err != nil {
 			return limpetstore.Value{}, err
 		}
+		env.readJob(ctx, key)
 		return inner.Get(ctx, key)
 	}
 	s.Put = func(ctx context.Context, r limpetstore.PutRequest) (uint64, error) {
@@ -362,6 +377,7 @@
 		if err := c.checkConnected(); err != nil {
 			return limpetstore.Listing{}, err
 		}
+		env.readJob(ctx, prefix)
 		l, err := inner.Scan(ctx, prefix, after)
 		c.mu.Lock()
 		scanDelay := c.scanDelay
--- a/internal/limpetdirector/lease.go
+++ b/internal/limpetdirector/lease.go
@@ -183,7 +183,7 @@
 		d.removeJob(id, now, "another VM took over")
 	}
 	d.acceptedJobs = map[string]limpetjob.Summary{}
-	d.loadingJobs = map[string]bool{}
+	d.loads.clear()
 	d.fullyCommitted = map[string]bool{}
 	d.cachedResults.clear()
 	d.FollowDeployment(false)
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -141,7 +141,7 @@
 
 	acceptedJobs   map[string]limpetjob.Summary
 	endedJobs      map[string]bool
-	loadingJobs    map[string]bool
+	loads          loadQueue
 	fullyCommitted map[string]bool
 
 	// examined is the scheduler's count of examined engines that the metric has.
@@ -226,7 +226,7 @@
 		Deps: deps, scheduler: scheduler, inbox: make(chan message, inboxSize), stopped: make(chan struct{}), sessions: map[string]*session{}, cachedResults: newResultCache(),
 		holder:  limpetlease.New(deps.Store, deps.VM, deps.Incarnation, ttl, deps.Now),
 		cancels: map[*limpetbatch.Run]context.CancelFunc{}, rewardCancels: map[*limpetbatch.Entry]context.CancelFunc{}, view: limpetsite.EmptySnapshot(),
-		acceptedJobs: map[string]limpetjob.Summary{}, endedJobs: map[string]bool{}, loadingJobs: map[string]bool{}, fullyCommitted: map[string]bool{},
+		acceptedJobs: map[string]limpetjob.Summary{}, endedJobs: map[string]bool{}, loads: loadQueue{started: map[string]time.Time{}}, fullyCommitted: map[string]bool{},
 		startedAt: deps.Now(), updateStarted: map[string]time.Time{}, suspendedUntil: map[string]time.Time{}, orderCounts: map[modelVersion]int{},
 	}
 }
@@ -336,7 +336,7 @@
 // stepDuties runs what is due of the work that needs the duty. Any part of it
 // may give the duty up, which ends the rest.
 func (d *Director) stepDuties(now time.Time) {
-	for _, part := range []func(time.Time){d.commitResults, d.saveDrafts, d.planUpdates, d.reportRetired, d.cleanUpJobs, d.measureDemand} {
+	for _, part := range []func(time.Time){d.startLoads, d.commitResults, d.saveDrafts, d.planUpdates, d.reportRetired, d.cleanUpJobs, d.measureDemand} {
 		if d.leadership == nil {
 			return
 		}
