--- a/internal/limpethost/crash_test.go
+++ b/internal/limpethost/crash_test.go
@@ -259,6 +259,13 @@
 	}
 }
 
+// counts returns the number of crashes and of repetitions that reached a server.
+func (f *crashFleet) counts() (crashes, reached int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.crashes), len(f.reached)
+}
+
 // laterRetries counts the repetitions that reached a server later than
 // contactTime after the request had crashed crashLimit servers.
 func (f *crashFleet) laterRetries() int {
@@ -439,7 +446,8 @@
 						vms[n%len(vms)].Forwarder.Forward(context.Background(), deskRequest(fmt.Sprintf("r%d", n), crashBody))
 						time.Sleep(between(100*time.Millisecond, 400*time.Millisecond))
 					}
-					t.Log("servers crashed", len(fleet.crashes), "repetitions reached a server", len(fleet.reached), "of them later", fleet.laterRetries())
+					crashes, reached := fleet.counts()
+				t.Log("servers crashed", crashes, "repetitions reached a server", reached, "of them later", fleet.laterRetries())
 					check(t, len(fleet.crashes), convey.ShouldBeGreaterThanOrEqualTo, crashLimit)
 					check(t, fleet.laterRetries(), convey.ShouldBeLessThanOrEqualTo, maxLaterRetries)
 					for _, h := range vms {
@@ -505,7 +513,8 @@
 					})
 					time.Sleep(100 * time.Millisecond)
 				}
-				t.Log("servers crashed", len(fleet.crashes), "repetitions reached a server", len(fleet.reached), "of them later", fleet.laterRetries())
+				crashes, reached := fleet.counts()
+				t.Log("servers crashed", crashes, "repetitions reached a server", reached, "of them later", fleet.laterRetries())
 				check(t, fleet.laterRetries(), convey.ShouldBeLessThanOrEqualTo, maxLaterRetries)
 				for _, h := range vms {
 					stopHost(t, h)
