Rare requests use the connection of the health check; idle VMs check in proportion to the contact bound

Change: an idle VM asks a server in its zone, and the balancer knows that it has a connection there. It asks three times in the bound within which it must know that it is cut off (1 s at 3 s as before, 1.67 s at 5 s).

--- a/internal/limpetbalancer/limpetbalancer.go
+++ b/internal/limpetbalancer/limpetbalancer.go
@@ -98,6 +98,14 @@
 	return best
 }
 
+// KeepWarm records that this VM has a connection to a server that was used for
+// something other than a request.
+func (t *Tracker) KeepWarm(id string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.get(id).lastUsed = now
+}
+
 // HasRoom reports whether a server that is not excluded has a free slot and is
 // not ejected after a failure or a refusal.
 func (t *Tracker) HasRoom(servers []*limpetsite.Server, exclude func(id string) bool, now time.Time) bool {
--- a/internal/limpetdetour/evidence.go
+++ b/internal/limpetdetour/evidence.go
@@ -32,10 +32,10 @@
 	// not make all VMs probe all the time.
 	minConfirmInterval = 250 * time.Millisecond
 	maxConfirmInterval = 4 * time.Second
-	// idleAfter is how long without an answer a VM asks a server for its health, and
-	// idleInterval how often it looks.
-	idleAfter    = time.Second
-	idleInterval = 350 * time.Millisecond
+	// defaultIdleAfter is how long without an answer a VM asks a server for its health,
+	// and idleInterval how often it looks.
+	defaultIdleAfter = time.Second
+	idleInterval     = 350 * time.Millisecond
 	// healedRounds is the number of consecutive rounds of healInterval in which all
 	// of healedServers must answer on new connections until this VM uses its own
 	// links again.
@@ -126,10 +126,7 @@
 	s := t.evidence.answeredBy
 	t.mu.Unlock()
 	if s == nil || !view.AcceptsWork(s.ID) || t.Limited(s.ID) {
-		s = nil
-		if picked := t.pick(view, 1); len(picked) > 0 {
-			s = picked[0]
-		}
+		s = t.nearest(view)
 	}
 	alive := false
 	if s != nil {
@@ -143,6 +140,9 @@
 	switch {
 	case alive:
 		t.answered(s)
+		if t.OnWarm != nil {
+			t.OnWarm(s)
+		}
 	case s != nil:
 		t.confirm()
 	}
@@ -263,6 +263,28 @@
 	return ""
 }
 
+// nearest returns a server that takes work, drawn at random among those in this VM's
+// availability zone, or among all if there is none; nil if there are no servers.
+func (t *Detour) nearest(view *limpetsite.Snapshot) *limpetsite.Server {
+	var all, near []*limpetsite.Server
+	for id, s := range view.AllServers() {
+		if s.Draining || t.Limited(id) {
+			continue
+		}
+		all = append(all, s)
+		if s.Zone == t.Zone {
+			near = append(near, s)
+		}
+	}
+	if len(near) > 0 {
+		all = near
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	return all[limpettask.RandomInt(len(all))]
+}
+
 // pick returns up to n servers that take work, drawn at random, with as few as
 // possible of the same service, and among these of the same availability zone.
 func (t *Detour) pick(view *limpetsite.Snapshot, n int) []*limpetsite.Server {
@@ -321,4 +343,4 @@
 }
 
 // checkIdle asks a server for its health if none has answered for a while.
-func (t *Detour) checkIdle() { t.suspect(t.Now().Add(-idleAfter)) }
+func (t *Detour) checkIdle() { t.suspect(t.Now().Add(-t.IdleAfter)) }
--- a/internal/limpetdetour/limpetdetour.go
+++ b/internal/limpetdetour/limpetdetour.go
@@ -38,9 +38,15 @@
 	CheckFrom func(ctx context.Context, vm VM, s *limpetsite.Server, healthPath string) (limpetupstream.Condition, error)
 	// OnChange is called when this VM finds that it reaches no server, or some again.
 	OnChange func(cut bool)
-	Log      *limpetlog.Logger
-	Metrics  prometheus.Registerer
-	Now      func() time.Time
+	// OnWarm is called when a server answered a check, for which a connection to it is
+	// kept; nil if nobody needs to know.
+	OnWarm func(s *limpetsite.Server)
+	// IdleAfter is how long without an answer this VM asks a server for its health; 0
+	// means defaultIdleAfter.
+	IdleAfter time.Duration
+	Log       *limpetlog.Logger
+	Metrics   prometheus.Registerer
+	Now       func() time.Time
 }
 
 // suspectAfter is how long a server may take to begin its answer before this VM
@@ -76,6 +82,9 @@
 		}, []string{"direction", "outcome"}),
 		state: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_cut_off", Help: "1 while this VM reaches no backend server and sends calls through other VMs."}),
 	}
+	if t.IdleAfter <= 0 {
+		t.IdleAfter = defaultIdleAfter
+	}
 	t.evidence.failures = map[string]failure{}
 	d.Metrics.MustRegister(t.passed, t.state)
 	return t
--- a/internal/limpethost/detour.go
+++ b/internal/limpethost/detour.go
@@ -23,6 +23,9 @@
 	secretBytes      = 32
 	secretRetryDelay = 500 * time.Millisecond
 	maxSecretDelay   = 2 * time.Second
+	// idleChecksPerContact is the number of health checks of a VM without requests in
+	// the time after which a VM must know that it is cut off.
+	idleChecksPerContact = 3
 )
 
 // startDetour lets calls to backend servers go through other VMs while this one
@@ -32,7 +35,9 @@
 		VM: h.Settings.VM, Zone: h.Settings.Zone, Direct: h.deps.Upstream, View: h.View,
 		Limited: func(id string) bool { return h.gate.Limited(id) },
 		Others:  h.otherVMs, PassTo: h.passTo, CheckFrom: h.checkFrom, OnChange: h.reachChanged,
-		Log: h.Log, Metrics: h.Metrics.Registry, Now: h.deps.Now,
+		OnWarm:    func(s *limpetsite.Server) { h.Forwarder.Tracker.KeepWarm(s.ID, h.deps.Now()) },
+		IdleAfter: h.Settings.Bounds.Contact / idleChecksPerContact,
+		Log:       h.Log, Metrics: h.Metrics.Registry, Now: h.deps.Now,
 	})
 	if h.deps.Upstream.Probe != nil && h.Settings.ServesCallers {
 		h.deps.Upstream = h.detour.Client()
--- a/internal/limpethost/settings.go
+++ b/internal/limpethost/settings.go
@@ -35,6 +35,9 @@
 	// VMs, and Drain the time within which a draining server must stop getting
 	// requests.
 	Config, Drain time.Duration
+	// Contact is the time after which a VM must serve although it is cut off from
+	// backend servers; 0 if none is stated.
+	Contact time.Duration
 	// MinTakeoverInterval is the time within which a duty must not pass back
 	// and forth between two VMs.
 	MinTakeoverInterval time.Duration
