Readers of jobs take what cannot change from old reads

Change: GetOld and ScanOld of the store; a reader takes from them what is there, and reads currently only what is missing. If the old read fails, the store is not asked a second time.

--- a/internal/limpethost/crash_test.go
+++ b/internal/limpethost/crash_test.go
@@ -447,7 +447,7 @@
 						time.Sleep(between(100*time.Millisecond, 400*time.Millisecond))
 					}
 					crashes, reached := fleet.counts()
-				t.Log("servers crashed", crashes, "repetitions reached a server", reached, "of them later", fleet.laterRetries())
+					t.Log("servers crashed", crashes, "repetitions reached a server", reached, "of them later", fleet.laterRetries())
 					check(t, len(fleet.crashes), convey.ShouldBeGreaterThanOrEqualTo, crashLimit)
 					check(t, fleet.laterRetries(), convey.ShouldBeLessThanOrEqualTo, maxLaterRetries)
 					for _, h := range vms {
--- a/internal/limpetjob/reader.go
+++ b/internal/limpetjob/reader.go
@@ -65,8 +65,10 @@
 	bytes    int
 }
 
-// NewReader returns a Reader with an empty cache.
+// NewReader returns a Reader with an empty cache. It reads summaries and items, which
+// never change, as old as the store has them.
 func NewReader(store limpetstore.Store, now func() time.Time) *Reader {
+	store.Get = store.GetImmutable
 	return &Reader{store: store, now: now, jobs: map[string]*cachedJob{}, fullJobs: map[string]*Job{}}
 }
 
@@ -170,8 +172,21 @@
 			return true, err
 		}
 	}
+	if lastKey == "" && r.store.ScanOld != nil {
+		// Readers of a job that this VM does not know yet mostly begin at its start.
+		l, err := r.store.ScanOld(ctx, prefix, "")
+		if err == nil {
+			err = r.add(j, l, false)
+		}
+		if err != nil || r.knows(j, after) {
+			return false, err
+		}
+	}
 	// Changes that a watch does not report may exist all the same. Only a
 	// listing shows what the store holds.
+	r.mu.Lock()
+	lastKey = j.lastKey
+	r.mu.Unlock()
 	l, err := r.store.Scan(ctx, prefix, lastKey)
 	if err != nil {
 		return true, err
@@ -179,6 +194,13 @@
 	return wait <= 0, r.add(j, l, true)
 }
 
+// knows reports whether results from a position on are cached.
+func (r *Reader) knows(j *cachedJob, after int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(j.results) > after
+}
+
 // add appends chunks to the cached results; listed tells that they come from a
 // listing. If a chunk does not follow the cached results, the next refresh lists
 // the missing ones.
--- a/internal/limpetstore/limpetstore.go
+++ b/internal/limpetstore/limpetstore.go
@@ -46,6 +46,12 @@
 type Store struct {
 	// Get returns the value of a key, or an error of type limpeterror.NotFound.
 	Get func(ctx context.Context, key string) (Value, error)
+	// GetOld and ScanOld are Get and Scan of what the store held at some time in the
+	// last seconds, at a fraction of their cost. They suit values that never change:
+	// one that is found is valid, one that is not may exist all the same. If nil, the
+	// store has no such reads.
+	GetOld  func(ctx context.Context, key string) (Value, error)
+	ScanOld func(ctx context.Context, prefix, after string) (Listing, error)
 	// Put performs a conditional write and returns the new revision.
 	Put func(ctx context.Context, r PutRequest) (uint64, error)
 	// Delete deletes a key whose current revision is expect.
@@ -74,6 +80,17 @@
 	Follow func(ctx context.Context, prefix string, after uint64, wait time.Duration) (Listing, error)
 }
 
+// GetImmutable is Get for a key whose value never changes once it exists.
+func (s Store) GetImmutable(ctx context.Context, key string) (Value, error) {
+	if s.GetOld != nil {
+		v, err := s.GetOld(ctx, key)
+		if !limpeterror.Is(err, limpeterror.NotFound) {
+			return v, err
+		}
+	}
+	return s.Get(ctx, key)
+}
+
 const (
 	initialBackoff = 20 * time.Millisecond
 	maxBackoff     = 2 * time.Second
@@ -165,7 +182,7 @@
 func NewMeter(r prometheus.Registerer) *Meter {
 	m := &Meter{calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "limpet_store_calls_total",
-		Help: "Calls to the platform's store by mechanism, kind (read, write, watch) and outcome.",
+		Help: "Calls to the platform's store by mechanism, kind (read, old_read, write, watch) and outcome.",
 	}, []string{"mechanism", "kind", "outcome"})}
 	r.MustRegister(m.calls)
 	return m
@@ -177,7 +194,7 @@
 
 // Wrap returns a store that counts each call of s under mechanism.
 func (m *Meter) Wrap(s Store, mechanism string) Store {
-	return Store{
+	w := Store{
 		Get: func(ctx context.Context, key string) (Value, error) {
 			v, err := s.Get(ctx, key)
 			m.observe(mechanism, "read", err)
@@ -234,6 +251,21 @@
 			return v, err
 		},
 	}
+	if s.GetOld != nil {
+		w.GetOld = func(ctx context.Context, key string) (Value, error) {
+			v, err := s.GetOld(ctx, key)
+			m.observe(mechanism, "old_read", err)
+			return v, err
+		}
+	}
+	if s.ScanOld != nil {
+		w.ScanOld = func(ctx context.Context, prefix, after string) (Listing, error) {
+			v, err := s.ScanOld(ctx, prefix, after)
+			m.observe(mechanism, "old_read", err)
+			return v, err
+		}
+	}
+	return w
 }
 
 // An Outcome says whether a call took effect.
