A caller's stream does not go on when its server may have started again before the first event

Cause: the record of a stream names the software that was registered for its server when that was chosen. A server that starts again under its identifier with other software registers up to 1.2 s later; until then it is sent streams on the word of its earlier registration. Change: a record names the start of the server that was chosen and when its answer began. Who takes a stream up compares that with the starts that are registered now or were in the last 150 s, also of servers that are gone, and asks the server for its start. A record that is younger than 3 s counts only if the server confirms it. Otherwise the attempt is refused as not run; event 1321 says why. Records in the store carry the same in a form in which the earlier release still finds the software; messages between VMs gain fields. Weighed: withdrawing records when a restart shows (lost when the director dies too); asking each server at each first event (doubles the requests of small streams); trusting the registration after a delay alone (a store outage delays it). Before: TestStreamsTakenUpAfterAllVMsDied, with the comparison taken out, mixed all 12 streams in 11 of 40 cases. Also: the stub of TestCallersComeBackForStreams gives reports, as engines do.

--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -62,6 +62,9 @@
 	respondedAt time.Time
 	// software is set once the request's stream may go on only at servers of it.
 	software limpetsite.Software
+	// sender is the server that was chosen to begin the request's stream; zero if an
+	// earlier attempt began it.
+	sender limpetorigin.Sender
 	// origin identifies the request's stream for callers that come back for the rest
 	// of it; 0 if they cannot. It was recorded last at originRecordedAt.
 	origin           limpetorigin.Stream
--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -8,6 +8,7 @@
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetorigin"
+	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -23,6 +24,7 @@
 			if err == nil {
 				if last == 0 {
 					d.software = d.server.Software
+					d.sender = limpetorigin.Sender{Server: d.server.ID, Incarnation: d.server.Incarnation, Began: d.respondedAt}
 				}
 				d.recordOrigin()
 				last = event.ID
@@ -82,8 +84,13 @@
 	if d.origin == 0 || now.Sub(d.originRecordedAt) < limpetorigin.RefreshInterval {
 		return
 	}
+	first := d.originRecordedAt.IsZero()
 	d.originRecordedAt = now
-	d.forwarder.Origins.Record(d.origin, d.software)
+	if first {
+		d.forwarder.Origins.Record(limpetorigin.Record{Stream: d.origin, Software: d.software, Sender: d.sender})
+		return
+	}
+	d.forwarder.Origins.Renew(d.origin)
 }
 
 // mayGoOn reports whether a broken stream, of which the caller has the events up to
@@ -94,9 +101,9 @@
 		return true
 	}
 	view, outcome := d.forwarder.View(), ""
-	restarted := view.Server(d.server.ID)
+	chosen := limpetsite.Start{Server: d.server.ID, Incarnation: d.server.Incarnation, Software: d.server.Software}
 	switch {
-	case events > 0 && restarted != nil && restarted.MayHaveSent(d.server, d.respondedAt):
+	case events > 0 && view.StartedAgain(chosen, d.respondedAt):
 		outcome = limpetmetric.UnknownSoftware
 	case d.software != "" && len(view.ServersOf(d.software)) == 0:
 		outcome = limpetmetric.NoneLeft
--- a/internal/limpethost/origin_test.go
+++ b/internal/limpethost/origin_test.go
@@ -68,10 +68,15 @@
 	}}, nil
 }
 
+// report is the report of a server, none of which starts again.
+func (f *chatFleet) report(context.Context, *limpetsite.Server) (limpetupstream.Report, error) {
+	return limpetupstream.Report{Incarnation: 1}, nil
+}
+
 func (f *chatFleet) start(n int) *limpethost.Host {
 	name := fmt.Sprintf("vm-%d", n)
 	feed := (&crashFleet{}).feed()
-	h := startVMWith(f.store, name, limpetupstream.Client{Send: f.send}, func(s *limpethost.Settings, d *limpethost.Deps) {
+	h := startVMWith(f.store, name, limpetupstream.Client{Send: f.send, Report: f.report}, func(s *limpethost.Settings, d *limpethost.Deps) {
 		s.RelayAddress, s.ReadyAddress, d.RelayTransport, s.HasDisk = name, name, f.network, n == 0
 		if n > 1 {
 			s.Zone = "b"
--- a/internal/limpethost/origins.go
+++ b/internal/limpethost/origins.go
@@ -7,6 +7,7 @@
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetorigin"
 	"limpetmount.org/internal/limpetrelay"
+	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpettask"
 )
@@ -23,10 +24,20 @@
 func (h *Host) newOrigins(store limpetstore.Store) *limpetorigin.Book {
 	return limpetorigin.New(limpetorigin.Deps{
 		VM: h.Settings.VM, Incarnation: h.deps.Incarnation, Store: store, Send: h.sendOrigins, Ask: h.askOrigin,
+		View: h.View, IncarnationOf: h.incarnationOf,
 		Directing: func() bool { return h.director.IsDirector() }, VMs: h.roster.size, Log: h.Log, Metrics: h.Metrics.Registry, Now: h.deps.Now,
 	})
 }
 
+// incarnationOf asks a server for the start of its process.
+func (h *Host) incarnationOf(ctx context.Context, s *limpetsite.Server) (int64, error) {
+	if h.deps.Upstream.Report == nil {
+		return 0, limpeterror.Unavailable.New("servers give no reports")
+	}
+	r, err := h.deps.Upstream.Report(ctx, s)
+	return r.Incarnation, err
+}
+
 // sendOrigins hands records to the director.
 func (h *Host) sendOrigins(ctx context.Context, records []limpetorigin.Record) error {
 	client := h.relay.Load()
--- a/internal/limpetorigin/limpetorigin_test.go
+++ b/internal/limpetorigin/limpetorigin_test.go
@@ -25,7 +25,7 @@
 // newBook returns a book of a VM that is the director or knows none.
 func newBook(store limpetstore.Store, directing bool) *limpetorigin.Book {
 	return limpetorigin.New(limpetorigin.Deps{
-		VM: "vm", Incarnation: "x", Store: store, Directing: func() bool { return directing }, VMs: func() int { return 1 },
+		VM: "vm", Incarnation: "x", Store: store, View: limpetsite.EmptySnapshot, Directing: func() bool { return directing }, VMs: func() int { return 1 },
 		Send:    func(context.Context, []limpetorigin.Record) error { return errors.New("no director") },
 		Ask:     func(context.Context, limpetorigin.Stream) limpetorigin.Found { return limpetorigin.Found{} },
 		Metrics: prometheus.NewRegistry(), Log: limpetlog.Discard(), Now: time.Now,
@@ -34,17 +34,22 @@
 
 func stream(n int) limpetorigin.Stream { return limpetorigin.StreamOf("acme", fmt.Sprint(n)) }
 
+// recordOf returns a record that is in no doubt.
+func recordOf(s limpetorigin.Stream) limpetorigin.Record {
+	return limpetorigin.Record{Stream: s, Software: software}
+}
+
 func TestRecordsLast(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBook(limpetstub.NewStore().Client(), false)
-		b.Record(stream(1), software)
+		b.Record(recordOf(stream(1)))
 		time.Sleep(limpetorigin.Retention - time.Second)
-		b.Record(stream(2), software)
+		b.Record(recordOf(stream(2)))
 		kept := b.Lookup(stream(1))
 		// A stream that lasts is recorded again and again.
 		for range 9 {
 			time.Sleep(limpetorigin.RefreshInterval)
-			b.Record(stream(2), software)
+			b.Record(recordOf(stream(2)))
 		}
 		Convey("a record is kept for the time that callers have to come back, and as long as its stream lasts", t, func() {
 			So(kept.Software, ShouldEqual, software)
@@ -65,7 +70,7 @@
 		group.Go(b.Run)
 		store.SetDown(true)
 		for n := range 100 {
-			b.Record(stream(n), software)
+			b.Record(recordOf(stream(n)))
 		}
 		time.Sleep(5 * time.Second)
 		store.SetDown(false)
@@ -73,11 +78,11 @@
 		found, source := newBook(store.Client(), false).Find(context.Background(), stream(7))
 		before, _ := store.Client().List(context.Background(), limpetorigin.Prefix)
 		for n := range 120 {
-			b.Record(stream(1000+n), software)
+			b.Record(recordOf(stream(1000 + n)))
 			time.Sleep(time.Second)
 		}
 		time.Sleep(2 * limpetorigin.Retention)
-		b.Record(stream(2000), software)
+		b.Record(recordOf(stream(2000)))
 		time.Sleep(5 * time.Second)
 		left, err := store.Client().List(context.Background(), limpetorigin.Prefix)
 		Convey("records that an outage held up are written, found by other VMs, and removed in time", t, func() {
@@ -123,6 +128,6 @@
 	book := newBook(limpetstub.NewStore().Client(), false)
 	b.ReportAllocs()
 	for n := range b.N {
-		book.Record(limpetorigin.Stream(n%100_000+1), software)
+		book.Record(recordOf(limpetorigin.Stream(n%100_000 + 1)))
 	}
 }
--- a/internal/limpetorigin/share.go
+++ b/internal/limpetorigin/share.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpettask"
 )
@@ -163,24 +161,19 @@
 
 // transaction returns the writes of records, one for each shard.
 func (b *Book) transaction(batch []Record, now time.Time) limpetstore.Transaction {
-	var values [shards]map[limpetsite.Software][]byte
+	var values [shards][]Record
 	for _, r := range batch {
 		n := shardOf(r.Stream)
-		if values[n] == nil {
-			values[n] = map[limpetsite.Software][]byte{}
-		}
-		values[n][r.Software] = binary.BigEndian.AppendUint64(values[n][r.Software], uint64(r.Stream))
+		values[n] = append(values[n], r)
 	}
 	var t limpetstore.Transaction
-	for n, value := range values {
-		if value == nil {
+	for n, records := range values {
+		if records == nil {
 			continue
 		}
 		b.keeper.writes++
-		// Encoding cannot fail for this type.
-		data, _ := json.Marshal(value)
 		key := fmt.Sprintf("%s%013d-%s-%d", shardPrefix(n), now.UnixMilli(), b.VM+"."+b.Incarnation, b.keeper.writes)
-		t.Writes = append(t.Writes, limpetstore.Write{Key: key, Data: data})
+		t.Writes = append(t.Writes, limpetstore.Write{Key: key, Data: encode(records)})
 	}
 	return t
 }
@@ -213,12 +206,16 @@
 	now := b.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, v := range l.Values {
+	// What VMs have said meanwhile is newer than the store, and the writes of a shard
+	// are listed oldest first.
+	for _, v := range slices.Backward(l.Values) {
 		for _, r := range b.decode(v) {
 			if _, known := b.lookup(r.Stream); !known {
 				b.put(r)
 			}
 		}
+	}
+	for _, v := range l.Values {
 		b.keeper.written = append(b.keeper.written, writtenKey{key: v.Key, at: writtenAt(v.Key, now)})
 	}
 	b.keeper.loaded = true
@@ -236,22 +233,6 @@
 	return time.UnixMilli(ms)
 }
 
-// decode returns the records of a value; none if it cannot be decoded.
-func (b *Book) decode(v limpetstore.Value) []Record {
-	var value map[limpetsite.Software][]byte
-	if err := json.Unmarshal(v.Data, &value); err != nil {
-		b.Log.Emit(limpetlog.ValueIgnored, limpetlog.Value("key", v.Key), limpetlog.Error(err))
-		return nil
-	}
-	var records []Record
-	for software, streams := range value {
-		for ; len(streams) >= 8; streams = streams[8:] {
-			records = append(records, Record{Stream: Stream(binary.BigEndian.Uint64(streams)), Software: software})
-		}
-	}
-	return records
-}
-
 // readStore looks for a stream in the store.
 func (b *Book) readStore(ctx context.Context, s Stream) Found {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -263,12 +244,14 @@
 		}
 		return Found{}
 	}
+	found := Found{Sure: true}
 	for _, v := range l.Values {
 		for _, r := range b.decode(v) {
 			if r.Stream == s {
-				return Found{Software: r.Software, Sure: true}
+				// A later write may have settled the record.
+				found.Software, found.Sender = r.Software, r.Sender
 			}
 		}
 	}
-	return Found{Sure: true}
+	return found
 }
--- a/internal/limpetrelay/client.go
+++ b/internal/limpetrelay/client.go
@@ -148,14 +148,25 @@
 // SendOrigins hands records of which software began streams to the director. The
 // error has type Unavailable if the VM is not the director.
 func (c *Client) SendOrigins(ctx context.Context, records []limpetorigin.Record) error {
-	batches := map[limpetsite.Software]*limpetwire.OriginBatch{}
+	type start struct {
+		software    limpetsite.Software
+		server      string
+		incarnation int64
+	}
+	batches := map[start]*limpetwire.OriginBatch{}
 	request := &limpetwire.OriginRequest{}
 	for _, r := range records {
-		if batches[r.Software] == nil {
-			batches[r.Software] = &limpetwire.OriginBatch{Software: string(r.Software)}
-			request.Records = append(request.Records, batches[r.Software])
+		key := start{software: r.Software, server: r.Sender.Server, incarnation: r.Sender.Incarnation}
+		batch := batches[key]
+		if batch == nil {
+			batch = &limpetwire.OriginBatch{Software: string(r.Software), Server: r.Sender.Server, Incarnation: r.Sender.Incarnation}
+			batches[key] = batch
+			request.Records = append(request.Records, batch)
+		}
+		batch.Streams = append(batch.Streams, uint64(r.Stream))
+		if r.Sender.Server != "" {
+			batch.BeganMs = append(batch.BeganMs, r.Sender.Began.UnixMilli())
 		}
-		batches[r.Software].Streams = append(batches[r.Software].Streams, uint64(r.Stream))
 	}
 	reply, err := c.relay.Origin(ctx, connect.NewRequest(request))
 	if err != nil {
@@ -173,7 +184,11 @@
 	if err != nil {
 		return limpetorigin.Found{}, err
 	}
-	return limpetorigin.Found{Software: limpetsite.Software(reply.Msg.Software), Sure: reply.Msg.Sure}, nil
+	found := limpetorigin.Found{Software: limpetsite.Software(reply.Msg.Software), Sure: reply.Msg.Sure}
+	if reply.Msg.Server != "" {
+		found.Sender = limpetorigin.Sender{Server: reply.Msg.Server, Incarnation: reply.Msg.Incarnation, Began: time.UnixMilli(reply.Msg.BeganMs)}
+	}
+	return found, nil
 }
 
 // Count sends usage counts to the VM. It reports whether they were accepted.
--- a/internal/limpetrelay/serve.go
+++ b/internal/limpetrelay/serve.go
@@ -136,14 +136,21 @@
 func (s server) Origin(_ context.Context, r *connect.Request[limpetwire.OriginRequest]) (*connect.Response[limpetwire.OriginReply], error) {
 	var records []limpetorigin.Record
 	for _, batch := range r.Msg.Records {
-		for _, stream := range batch.Streams {
-			records = append(records, limpetorigin.Record{Stream: limpetorigin.Stream(stream), Software: limpetsite.Software(batch.Software)})
+		for n, stream := range batch.Streams {
+			r := limpetorigin.Record{Stream: limpetorigin.Stream(stream), Software: limpetsite.Software(batch.Software)}
+			if batch.Server != "" && n < len(batch.BeganMs) {
+				r.Sender = limpetorigin.Sender{Server: batch.Server, Incarnation: batch.Incarnation, Began: time.UnixMilli(batch.BeganMs[n])}
+			}
+			records = append(records, r)
 		}
 	}
 	reply := &limpetwire.OriginReply{Taken: len(records) > 0 && s.handlers.Origins.Accept(records)}
 	if r.Msg.Asked != 0 {
 		found := s.handlers.Origins.Lookup(limpetorigin.Stream(r.Msg.Asked))
 		reply.Software, reply.Sure = string(found.Software), found.Sure
+		if found.Sender.Server != "" {
+			reply.Server, reply.Incarnation, reply.BeganMs = found.Sender.Server, found.Sender.Incarnation, found.Sender.Began.UnixMilli()
+		}
 	}
 	return connect.NewResponse(reply), nil
 }
--- a/internal/limpetsite/limpetsite.go
+++ b/internal/limpetsite/limpetsite.go
@@ -136,17 +136,6 @@
 	Software Software
 }
 
-// restartSkew allows for the difference between the clocks of a server and of a
-// VM.
-const restartSkew = 500 * time.Millisecond
-
-// MayHaveSent reports whether a later start of a server with other software, and
-// not the one that was chosen, may have sent an answer that began at a time.
-func (s *Server) MayHaveSent(chosen *Server, began time.Time) bool {
-	return s.ID == chosen.ID && s.Incarnation != chosen.Incarnation && s.Software != chosen.Software &&
-		began.After(time.UnixMilli(s.Incarnation).Add(-restartSkew))
-}
-
 // Software names a service and the version of the software that some of its
 // servers run. A stream that one version began can be continued by servers of the
 // same version only. The empty name means that the software is not known; no
--- a/internal/limpetsite/snapshot.go
+++ b/internal/limpetsite/snapshot.go
@@ -27,6 +27,8 @@
 	// leaving holds the incarnations of servers that said that they are leaving, by
 	// ID.
 	leaving map[string]int64
+	// former holds earlier starts of servers.
+	former formerStarts
 	// latest holds the server that started last at each address.
 	latest map[string]*Server
 }
--- a/internal/limpetsite/state.go
+++ b/internal/limpetsite/state.go
@@ -56,6 +56,9 @@
 	ended []Change
 	// clock is the time up to which the passing of LeavingGrace was considered.
 	clock time.Time
+	// former holds earlier starts of servers; it is replaced and never modified, since
+	// snapshots share it.
+	former formerStarts
 	// ids holds the IDs of servers in order; nil if it must be made anew.
 	ids []string
 	// indexed is the last snapshot, whose tables of the configuration the next one
@@ -127,13 +130,13 @@
 			s.servers[id] = entry
 			return Change{}, false
 		}
-		s.remove(id)
+		s.remove(id, now)
 		return Change{What: "server gone", Name: id}, true
 	}
 	if r.Server == nil {
 		// A server whose entry cannot be decoded must not be used.
 		if known {
-			s.remove(id)
+			s.remove(id, now)
 			return Change{What: "server unreadable", Name: id}, true
 		}
 		return Change{}, false
@@ -141,12 +144,15 @@
 	s.ended = append(s.ended, s.endLeaving(r.Server)...)
 	if !known {
 		s.ids = nil
+	} else if entry.server.Incarnation != r.Server.Incarnation {
+		s.former = s.former.with(entry.server, now)
 	}
 	s.servers[id] = serverEntry{server: r.Server, revision: r.Revision}
 	return serverChange(entry, r.Server), !known || !equalServers(entry.server, r.Server) || !entry.removalDue.IsZero()
 }
 
-func (s *State) remove(id string) {
+func (s *State) remove(id string, now time.Time) {
+	s.former = s.former.with(s.servers[id].server, now)
 	delete(s.servers, id)
 	s.ids = nil
 }
@@ -224,7 +230,7 @@
 			due = s.graceEnds
 		}
 		if !now.Before(due) {
-			s.remove(id)
+			s.remove(id, now)
 			removed = append(removed, Change{What: "server gone", Name: id})
 			continue
 		}
@@ -240,7 +246,7 @@
 	view := &Snapshot{
 		Revision: s.revision, Config: s.config, PublishedVersions: map[string]int{}, Retiring: maps.Clone(s.retiring),
 		servers: map[string][]*Server{}, byID: make(map[string]*Server, len(s.servers)), latest: make(map[string]*Server, len(s.servers)),
-		lasting: map[string][]*Server{}, leaving: map[string]int64{},
+		lasting: map[string][]*Server{}, leaving: map[string]int64{}, former: s.former,
 	}
 	for _, p := range s.published {
 		view.PublishedVersions[p.Model] = p.Version
--- a/internal/limpetupstream/limpetupstream.go
+++ b/internal/limpetupstream/limpetupstream.go
@@ -143,8 +143,10 @@
 
 // A Report is an engine's state, which may be a few hundred milliseconds old.
 type Report struct {
-	Versions map[string]int
-	Busy     bool
+	// Incarnation identifies the start of the engine's process; 0 if it names none.
+	Incarnation int64
+	Versions    map[string]int
+	Busy        bool
 	// Accepted is the number of orders that the engine has accepted since it
 	// started.
 	Accepted int
