The build of a VM shows in its start line, in a metric and in show vms

Rows of show vms from VMs of another release are aligned by the names of columns: before, a row of fewer columns ended the query with a panic of its handler.

--- a/internal/limpetlang/table.go
+++ b/internal/limpetlang/table.go
@@ -58,6 +58,25 @@
 	Rows    [][]Cell
 }
 
+// AppendAligned appends the rows of another table, whose columns may be others, as
+// those of another release are. Columns that it lacks are empty.
+func (t *Table) AppendAligned(other Table) {
+	places := make([]int, len(t.Columns))
+	for n, column := range t.Columns {
+		places[n] = slices.Index(other.Columns, column)
+	}
+	for _, row := range other.Rows {
+		aligned := make([]Cell, len(places))
+		for n, place := range places {
+			aligned[n] = Text("")
+			if place >= 0 && place < len(row) {
+				aligned[n] = row[place]
+			}
+		}
+		t.Rows = append(t.Rows, aligned)
+	}
+}
+
 // Evaluate applies the filters, grouping, sums, sort order and limit of a query to a
 // table. Its errors are *limpeterror.Findings about fields that the table does not
 // have and invalid patterns.
--- a/internal/limpetmetric/limpetmetric.go
+++ b/internal/limpetmetric/limpetmetric.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"limpetmount.org/internal/limpetbuild"
 )
 
 const (
@@ -75,6 +77,7 @@
 		keysAccepted: prometheus.NewGauge(prometheus.GaugeOpts{Name: "limpet_keys_honoured", Help: "1 while this VM accepts keys."}),
 		accounts:     map[string]bool{},
 	}
+	limpetbuild.Register(s.Registry)
 	s.Registry.MustRegister(s.queue, s.firstToken, s.total, s.requests, s.tokens, s.retries, s.brokenAttempts, s.continuations, s.yieldedDuties, s.eventIntervals, s.directorSteps, s.examinedEngines, s.openRequests, s.configIndex, s.keysAccepted)
 	return s
 }
--- a/internal/limpetnode/limpetnode.go
+++ b/internal/limpetnode/limpetnode.go
@@ -21,6 +21,7 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"limpetmount.org/internal/limpetbuild"
 	"limpetmount.org/internal/limpetcaller"
 	"limpetmount.org/internal/limpetclaim"
 	"limpetmount.org/internal/limpetconfig"
@@ -144,7 +145,7 @@
 		return nil, err
 	}
 	n.startLoops()
-	logger.Emit(limpetlog.NodeStarted, limpetlog.Value("caller", settings.Caller.Address), limpetlog.Value("incarnation", n.self.Incarnation))
+	logger.Emit(limpetlog.NodeStarted, limpetlog.Value("caller", settings.Caller.Address), limpetlog.Value("incarnation", n.self.Incarnation), limpetlog.Value("build", limpetbuild.Revision()))
 	return n, nil
 }
 
--- a/internal/limpetnode/operator.go
+++ b/internal/limpetnode/operator.go
@@ -357,7 +357,7 @@
 				source.Error = err.Error()
 				source.AgeMs = time.Since(m.ReportedAt).Milliseconds()
 			} else {
-				t.Rows = append(t.Rows, limpetoperator.DecodeTable(reply.Msg.GetTable()).Rows...)
+				t.AppendAligned(limpetoperator.DecodeTable(reply.Msg.GetTable()))
 			}
 			sources = append(sources, source)
 			return nil
--- a/internal/limpetnode/tables.go
+++ b/internal/limpetnode/tables.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"limpetmount.org/internal/limpetbuild"
 	"limpetmount.org/internal/limpetconfig"
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetfleet"
@@ -47,11 +48,11 @@
 	var age int64
 	n.withControl(func(c *control) { age = time.Since(c.confirmedAt).Milliseconds() })
 	return limpetlang.Table{
-		Columns: []string{"vm", "zone", "ready", "index", "confirmed_ms", "store", "members", "requests"},
+		Columns: []string{"vm", "zone", "ready", "index", "confirmed_ms", "store", "members", "requests", "build"},
 		Rows: [][]limpetlang.Cell{{
 			limpetlang.Text(n.self.Name), limpetlang.Text(n.self.Zone), limpetlang.Text(fmt.Sprint(v.Ready())),
 			limpetlang.Number(v.Config.Index), limpetlang.Number(age), limpetlang.Text(formatUpDown(v.StoreDown)),
-			limpetlang.Number(len(v.Members)), limpetlang.Number(open),
+			limpetlang.Number(len(v.Members)), limpetlang.Number(open), limpetlang.Text(limpetbuild.Revision()),
 		}},
 	}
 }
