--- a/internal/limpethost/rejoin_test.go
+++ b/internal/limpethost/rejoin_test.go
@@ -224,6 +224,9 @@
 			f.mu.Unlock()
 			f.register(t, "s0", false)
 		}},
+		{name: "a server had started again with the same software", dead: edges, wentOn: true, before: func(t *testing.T, f *restartFleet) {
+			restartWith(t, f, "v1")
+		}},
 		{name: "a server had started again with other software", dead: edges, before: restart},
 		{name: "a server had started again with other software, and the director dies too", dead: all, before: restart},
 		{name: "the store is down meanwhile", dead: edges, before: restart, storeDown: true},
@@ -272,10 +275,12 @@
 	}
 }
 
-// restart starts the server that gets the streams again, with other software. It
-// registers later.
-func restart(t *testing.T, f *restartFleet) {
-	f.startServer("s0", "v2")
+// restart starts the server that gets the streams again, with other software.
+func restart(t *testing.T, f *restartFleet) { restartWith(t, f, "v2") }
+
+// restartWith starts that server again with a version, as which it registers later.
+func restartWith(t *testing.T, f *restartFleet, version string) {
+	f.startServer("s0", version)
 	time.AfterFunc(registerDelay, func() { f.register(t, "s0", false) })
 }
 
--- a/internal/limpetorigin/limpetorigin.go
+++ b/internal/limpetorigin/limpetorigin.go
@@ -321,6 +321,9 @@
 		return j
 	case incarnation == r.Sender.Incarnation || limpetsite.StartedAfter(incarnation, r.Sender.Began):
 		return certain
+	case incarnation == server.Incarnation:
+		// Its software is known, and not another one.
+		return certain
 	}
 	// It is not known yet whether the software differs.
 	return unsettled
