The earlier starts of one server are bounded

Each registration that names another start adds one to what is remembered of the server, and all of them were kept while new ones came. Before: TestStartsOfOneServerAreBounded red, 1,000 of 1,000 kept. After: the latest 8.

--- a/internal/limpetsite/restart.go
+++ b/internal/limpetsite/restart.go
@@ -30,8 +30,10 @@
 	// formerRetention is how long an earlier start of a server is remembered, which is
 	// longer than callers may take up what it began.
 	formerRetention = 150 * time.Second
-	// maxFormerStarts bounds the servers of which earlier starts are remembered.
-	maxFormerStarts = 4096
+	// maxFormerStarts bounds the servers of which earlier starts are remembered, and
+	// maxStartsOfServer those of one server, the latest of which are kept.
+	maxFormerStarts   = 4096
+	maxStartsOfServer = 8
 )
 
 // A formerStart is an earlier start of a server, with the time at which this VM
@@ -69,6 +71,7 @@
 		delete(next, oldest)
 	}
 	earlier := next[ended.ID]
+	earlier = earlier[max(0, len(earlier)-maxStartsOfServer+1):]
 	next[ended.ID] = append(earlier[:len(earlier):len(earlier)], formerStart{server: ended, endedAt: now})
 	return next
 }
