--- a/review/platform/system.go
+++ b/review/platform/system.go
@@ -23,6 +23,9 @@
 	model     = "daka510000"
 	edgePort  = 8405
 	readyPort = 8406
+	// The memory limits of a process, in MB.
+	edgeMemoryMB    = 284
+	storageMemoryMB = 294
 )
 
 // A deployment is a small deployment: the platform's stand-ins and the system's
@@ -203,9 +206,9 @@
 
 func (m *machine) writeSettings(storeAddress string) {
 	lines := []string{"node=" + m.name, "role=" + m.class, "class=" + m.class, "serves=" + m.class, "ip=" + m.ip, "zone=" + m.zone, "region=wa-south"}
-	memory := 294
+	memory := storageMemoryMB
 	if m.class == "edge" {
-		memory = 284
+		memory = edgeMemoryMB
 		lines = append(lines, fmt.Sprintf("listen.front=%s:%d", m.ip, edgePort), fmt.Sprintf("listen.ready=%s:%d", m.ip, readyPort))
 	}
 	lines = append(lines, "portRange=7360,7375", "bootstrap=true", fmt.Sprintf("limits.memoryMb=%d", memory), "limits.maxFds=4100", "discovery=platform", "entry=vip", "heartbeatMs=1200",
