Review: sources of the stand-ins lie in case 1; disruptions keep to their named limits

The folder review/platform was no case; the lost engine of case 1 was a third of its service (limit 0.2), those of cases 2 and 4 the only one; items had no scorer; case 5 rested on a burst without a named limit, and its clients would have given up. Done: case 1 loses one of five; case 2 reclaims all spot engines of a zone; case 3 counts the engines of both services; case 4 needs the split alone; case 5 kills two of three edges.

--- a/review/platform/client.go
+++ b/review/1/platform/client.go
@@ -47,6 +47,11 @@
 	return answer.StatusCode, data, answer.Header
 }
 
+const (
+	scorePrefix  = "/score/"
+	scoreService = "desk"
+)
+
 type result struct {
 	ID, State, Text, Score string
 	Versions               []int
@@ -72,6 +77,7 @@
 			items = append(items, map[string]any{
 				"id": name, "path": path + name, "headers": map[string]string{"X-Model": model, "X-Token-Counts": fmt.Sprintf("40,%d", tokens), "X-Prompt-Prefix": fmt.Sprintf("%x:40", 16+g)},
 				"body": []byte("prompt of " + name), "tokens": 40 + tokens, "group": fmt.Sprintf("%s-%d", id, g),
+				"scorer": map[string]any{"id": "score-" + name, "host": host, "path": scorePrefix + name, "body": []byte("score " + name)},
 			})
 		}
 	}
--- a/review/platform/engine.go
+++ b/review/1/platform/engine.go
@@ -38,14 +38,17 @@
 	mu       sync.Mutex
 	draining bool
 	gone     bool
-	running  int
-	version  int
-	loading  int
-	loaded   time.Time
-	seq      int
-	fence    uint64
-	server   *http.Server
-	beats    atomic.Int64
+	spot     bool
+	// leaves is when a spot engine is taken away; zero if that is not known.
+	leaves  time.Time
+	running int
+	version int
+	loading int
+	loaded  time.Time
+	seq     int
+	fence   uint64
+	server  *http.Server
+	beats   atomic.Int64
 }
 
 // start serves, and registers the engine in the store.
@@ -83,6 +86,12 @@
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots,
 		"state": state, "coldLeftMs": 0, "stage": "both", "seq": e.beats.Add(1), "born": e.born,
 	}
+	if e.spot {
+		entry["spot"] = true
+	}
+	if !e.leaves.IsZero() {
+		entry["leaves_ms"] = max(0, time.Until(e.leaves).Milliseconds())
+	}
 	if e.events != nil {
 		entry["models"] = []map[string]any{{"name": model, "version": e.version, "adapters": []string{}}}
 	}
@@ -105,6 +114,14 @@
 	}()
 }
 
+// reclaim takes a spot engine away after a notice.
+func (e *engine) reclaim(notice time.Duration) {
+	e.mu.Lock()
+	e.leaves = time.Now().Add(notice)
+	e.mu.Unlock()
+	e.drain(notice)
+}
+
 // exit ends the engine's process: nothing listens at its address any more.
 func (e *engine) exit() {
 	e.mu.Lock()
@@ -215,6 +232,12 @@
 		full = true
 		e.d.note("engine %s rejects %s, which is larger than its memory", e.id, id)
 	}
+	if want := r.Header.Get("X-Expect-Version"); want != "" && want != strconv.Itoa(version) {
+		e.mu.Unlock()
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if full || e.loading > 0 {
 		e.mu.Unlock()
 		w.Header().Set("X-Not-Executed", "1")
--- a/review/platform/speeds.go
+++ b/review/1/platform/speeds.go
@@ -29,7 +29,7 @@
 			time.Sleep(2500 * time.Millisecond)
 			go func() {
 				for n := 0; ; n++ {
-					j := newJob(fmt.Sprintf("fast%d", n), "/fast/", n, 1, 9, 4, 400)
+					j := newJob(fmt.Sprintf("fast%d", n), "/fast/", n, 1, 3, 4, 400)
 					d.submit(j)
 					d.follow(j, j.accepted.Add(trainTime))
 					d.end(j)
--- a/review/platform/step.go
+++ b/review/1/platform/step.go
@@ -24,6 +24,9 @@
 
 // startSmall starts three edges and three storage machines in three zones.
 func (d *deployment) startSmall() {
+	for _, zone := range []string{"perth-north", "perth-south", "bunbury"} {
+		d.addEngine(scoreService, zone, 6, 30*time.Millisecond, nil)
+	}
 	for _, zone := range []string{"perth-north", "perth-south", "bunbury"} {
 		d.addMachine("edge", zone)
 	}
@@ -65,9 +68,12 @@
 	go func() {
 		for range time.Tick(100 * time.Millisecond) {
 			x := sample{at: time.Now(), running: map[string]int{}, slots: map[string]int{}}
-			for _, e := range d.engines {
+			d.mu.Lock()
+			engines := slices.Clone(d.engines)
+			d.mu.Unlock()
+			for _, e := range engines {
 				e.mu.Lock()
-				if !e.gone {
+				if !e.gone && e.events != nil {
 					x.running[e.service] += e.running
 					x.slots[e.service] += e.slots
 				}
@@ -90,8 +96,8 @@
 // judgeStep reads a job until its trainer's time is over, and reports whether the
 // rule LOST was broken: a step runs out of time while one of its items, which no
 // engine has finished or failed, has been at no engine for 5 s; others of the step had
-// begun; the engines of the services to which its route leads were under half full,
-// and no version was named then or in the 6 s before.
+// begun; the engines of the services to which its route leads were under half full, and
+// so were all model engines; and no version was named then or in the 6 s before.
 func (d *deployment) judgeStep(j *job, services ...string) bool {
 	d.follow(j, j.accepted.Add(trainTime))
 	now := time.Now()
@@ -104,27 +110,29 @@
 	}
 	idle := d.stranded(j, now.Add(-idleTime))
 	underHalf := true
-	most := 0
+	most, mostOfAll := 0, 0
 	d.mu.Lock()
 	for _, x := range d.samples {
 		if x.at.Before(now.Add(-idleTime)) {
 			continue
 		}
-		running, slots := 0, 0
+		running, slots, allRunning, allSlots := 0, 0, 0, 0
 		for service := range x.slots {
+			allRunning += x.running[service]
+			allSlots += x.slots[service]
 			if slices.Contains(services, service) {
 				running += x.running[service]
 				slots += x.slots[service]
 			}
 		}
-		most = max(most, running)
-		underHalf = underHalf && slots > 0 && 2*running < slots
+		most, mostOfAll = max(most, running), max(mostOfAll, allRunning)
+		underHalf = underHalf && slots > 0 && 2*running < slots && 2*allRunning < allSlots
 	}
 	named := d.namedAt
 	d.mu.Unlock()
 	quiet := named.IsZero() || named.Before(now.Add(-idleTime-quietTime))
 	d.note("%d items of the step had begun; %d without a result have been at no engine for 5 s: %v", begun, len(idle), idle)
-	d.note("in these 5 s at most %d places of the engines of %v were taken, under half: %v; no version was named then or in the 6 s before: %v", most, services, underHalf, quiet)
+	d.note("in these 5 s at most %d places of the engines of %v were taken, and %d of all model engines, both under half: %v; no version was named then or in the 6 s before: %v", most, services, mostOfAll, underHalf, quiet)
 	broken := begun > 0 && len(idle) > 0 && underHalf && quiet
 	if broken {
 		// What becomes of the items later does not matter for the rule.
--- a/review/platform/system.go
+++ b/review/1/platform/system.go
@@ -23,6 +23,8 @@
 	model     = "daka510000"
 	edgePort  = 8405
 	readyPort = 8406
+	// restartTime is how long after its end a process is started again.
+	restartTime = 500 * time.Millisecond
 	// The memory limits of a process, in MB.
 	edgeMemoryMB    = 284
 	storageMemoryMB = 294
@@ -49,8 +51,10 @@
 	store    *store
 	machines []*machine
 	engines  []*engine
-	// onCloud, if set, is called for each call to the platform's API.
-	onCloud                    func(r *http.Request, body []byte)
+	// scaled holds the bounds of services whose engines are ordered, and dryUntil when
+	// the platform has engines again.
+	scaled                     map[string]map[string]any
+	dryUntil                   time.Time
 	storeAddress, cloudAddress string
 }
 
@@ -174,21 +178,66 @@
 	}
 	d.note("platform gets %s %s from %s with fence %d", r.URL.Path, body, holder, fence)
 	d.acted(subject, holder, fence)
-	if d.onCloud != nil {
-		d.onCloud(r, body)
+	d.mu.Lock()
+	dry := subject != r.URL.Path && time.Now().Before(d.dryUntil)
+	d.mu.Unlock()
+	if dry {
+		reply(w, http.StatusConflict, map[string]any{})
+		return
+	}
+	if subject != r.URL.Path {
+		d.boot(body)
 	}
 	reply(w, 200, map[string]any{})
 }
 
+// bootTime is how long an engine that was ordered takes to start.
+const bootTime = 4 * time.Second
+
+// boot starts the engines that an order asks for beyond those that there are.
+func (d *deployment) boot(body []byte) {
+	var o struct {
+		Service, Zone string
+		Desired       int
+		Spot          bool
+	}
+	_ = json.Unmarshal(body, &o)
+	time.AfterFunc(bootTime, func() {
+		d.mu.Lock()
+		there := 0
+		var like *engine
+		for _, e := range d.engines {
+			if e.service == o.Service {
+				like = e
+				e.mu.Lock()
+				if !e.gone && e.zone == o.Zone && e.spot == o.Spot {
+					there++
+				}
+				e.mu.Unlock()
+			}
+		}
+		d.mu.Unlock()
+		for ; like != nil && there < o.Desired; there++ {
+			d.addEngineOf(o.Service, o.Zone, o.Spot, like.slots, like.pause, like.events)
+		}
+	})
+}
+
 // addEngine adds an engine of a service and starts it. Events is nil for a plain
 // service.
 func (d *deployment) addEngine(service, zone string, slots int, pause time.Duration, events func(string) int) *engine {
+	return d.addEngineOf(service, zone, false, slots, pause, events)
+}
+
+func (d *deployment) addEngineOf(service, zone string, spot bool, slots int, pause time.Duration, events func(string) int) *engine {
+	d.mu.Lock()
 	n := len(d.engines)
 	e := &engine{
-		d: d, id: fmt.Sprintf("i-%02d", n), service: service, zone: zone, slots: slots, pause: pause, events: events, version: 1,
+		d: d, id: fmt.Sprintf("i-%02d", n), service: service, zone: zone, spot: spot, slots: slots, pause: pause, events: events, version: 1,
 		address: fmt.Sprintf("%s.%d:0", d.network, 100+n), born: time.Now().UnixMilli(),
 	}
 	d.engines = append(d.engines, e)
+	d.mu.Unlock()
 	e.start()
 	return e
 }
@@ -196,7 +245,7 @@
 // addMachine adds a machine of the system and starts its process.
 func (d *deployment) addMachine(class, zone string) *machine {
 	n := len(d.machines)
-	m := &machine{d: d, name: fmt.Sprintf("%s-%s-%d", class, zone, n), class: class, zone: zone, ip: fmt.Sprintf("%s.%d", d.network, 10+n), restart: 500 * time.Millisecond}
+	m := &machine{d: d, name: fmt.Sprintf("%s-%s-%d", class, zone, n), class: class, zone: zone, ip: fmt.Sprintf("%s.%d", d.network, 10+n), restart: restartTime}
 	d.machines = append(d.machines, m)
 	m.file = filepath.Join(d.folder, m.name+".conf")
 	m.writeSettings(d.storeAddress)
@@ -339,9 +388,16 @@
 // configure writes a version of the configuration.
 func (d *deployment) configure(version int, services []string, routes []map[string]any) {
 	var all []map[string]any
-	for _, s := range services {
-		all = append(all, map[string]any{"name": s, "healthPath": "/healthz", "maxConns": 140, "protocol": "h1", "tls": false})
+	for _, s := range append(services, scoreService) {
+		service := map[string]any{"name": s, "healthPath": "/healthz", "maxConns": 140, "protocol": "h1", "tls": false}
+		if scale := d.scaled[s]; scale != nil {
+			service["scale"] = scale
+		}
+		all = append(all, service)
 	}
+	routes = append(routes, map[string]any{
+		"name": "r-score", "host": host, "pathPrefix": scorePrefix, "kind": "idempotent", "timeoutMs": 2000, "goalMs": 400, "priority": 2, "maxAttempts": 4, "public": true, "service": scoreService,
+	})
 	d.store.put("op/config", map[string]any{
 		"version": version, "routes": routes, "services": all,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 33554432, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
--- a/review/platform/weights.go
+++ b/review/1/platform/weights.go
@@ -15,7 +15,7 @@
 }
 
 // Two services serve the trained model. The engine of the trainer's service that is kept
-// up to date is lost for good; the service has two more.
+// up to date is lost for good; the service has four more.
 func init() {
 	cases["weights"] = func(d *deployment) bool {
 		events := func(string) int { return 30 }
@@ -24,8 +24,8 @@
 		for n := range 8 {
 			d.addEngine("live", zones[n%3], 8, 40*time.Millisecond, events)
 		}
-		for n := range 2 {
-			d.addEngine("rollouts", zones[1+n], 8, 40*time.Millisecond, events)
+		for n := range 4 {
+			d.addEngine("rollouts", zones[n%3], 8, 40*time.Millisecond, events)
 		}
 		chat := map[string]any{"name": "r-chat", "host": host, "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 9000, "goalMs": 400, "priority": 0, "maxAttempts": 2, "public": false, "service": "live"}
 		d.configure(1, []string{"rollouts", "live"}, []map[string]any{jobsRoute(map[string]any{"service": "rollouts"}), chat})
