--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The one engine of a trained service that is kept up to date is lost for good.
+# One engine of a trained service, the one that is kept up to date, is lost for good.
 # Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 # TROUBLE=0 leaves out the disruption. It needs target/limpetplatform, by the build
 # command of deploy/system.toml, and review/build.sh.
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The only engine of the first service of a split route is lost for good.
+# A configuration splits a route for batch jobs.
 # Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 # TROUBLE=0 leaves out the disruption. It needs target/limpetplatform, by the build
 # command of deploy/system.toml, and review/build.sh.
