--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -198,7 +198,7 @@
 // canServe reports whether an engine can start an item once it has a free slot.
 func (g *engine) canServe(e *Entry, view *limpetsite.Snapshot, now time.Time) bool {
 	j := e.Job
-	if g.server.Service != j.Rules.Service || !view.AcceptsWork(g.server.ID) || now.Before(g.ejectedUntil) || !e.continuesAt(g.server.Software) {
+	if !j.runsAt(g.server.Service) || !view.AcceptsWork(g.server.ID) || now.Before(g.ejectedUntil) || !e.continuesAt(g.server.Software) {
 		return false
 	}
 	version, serves := g.versions[j.Model]
--- a/internal/limpetbatch/fleet.go
+++ b/internal/limpetbatch/fleet.go
@@ -66,12 +66,13 @@
 	return max(1, sum/max(len(s.enginesByID), 1))
 }
 
-// UsableEngines returns the number of engines with weights that a job accepts.
+// UsableEngines returns the number of engines that may run a job's items and have
+// weights that it accepts.
 func (s *Scheduler) UsableEngines(j *Job) int {
 	n := 0
 	for _, g := range s.enginesByID {
 		version, serves := g.versions[j.Model]
-		if serves && version >= j.MinVersion && g.loading != j.Model {
+		if serves && j.runsAt(g.server.Service) && version >= j.MinVersion && g.loading != j.Model {
 			n++
 		}
 	}
@@ -85,6 +86,9 @@
 		demand[g.server.Service] += len(g.runs)
 	}
 	for _, j := range s.jobsByArrival {
+		if j.Rules.Withdrawn {
+			continue
+		}
 		for _, e := range j.entries {
 			if e.phase == waiting {
 				demand[j.Rules.Service]++
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -14,21 +14,6 @@
 	"limpetmount.org/internal/limpetsite"
 )
 
-// Rules holds the settings of a job that come from its route.
-type Rules struct {
-	// Service is the service whose engines run the items.
-	Service string
-	// RunTarget is when all results are due, and ItemTTL when an item may be
-	// given up. Both count from the arrival of the job.
-	RunTarget, ItemTTL time.Duration
-	// MaxAttempts is the number of failures after which an item is errored.
-	MaxAttempts int
-	// OnPolicy requires that each text has exactly one weight version.
-	OnPolicy bool
-	// Priority is the rank of the client account or the route; 0 is the highest.
-	Priority int
-}
-
 // A phase is the progress of an item.
 type phase int
 
@@ -94,11 +79,14 @@
 // A Job is an accepted job that has not ended.
 type Job struct {
 	*limpetjob.Job
+	// Rules change only by SetRules.
 	Rules Rules
 
-	entries []*Entry
-	byID    map[string]*Entry
-	groups  map[string]*group
+	// withdrawnAt is since when Rules.Withdrawn is set.
+	withdrawnAt time.Time
+	entries     []*Entry
+	byID        map[string]*Entry
+	groups      map[string]*group
 	// uncommitted holds the settled entries in the order of their commit.
 	uncommitted []*Entry
 	committed   int
@@ -215,7 +203,7 @@
 
 // AddJob adds a job. The results that the store already holds are in done.
 func (s *Scheduler) AddJob(spec *limpetjob.Job, rules Rules, done []limpetjob.Result, now time.Time) *Job {
-	j := &Job{Job: spec, Rules: rules, byID: map[string]*Entry{}, groups: map[string]*group{}}
+	j := &Job{Job: spec, Rules: rules, withdrawnAt: now, byID: map[string]*Entry{}, groups: map[string]*group{}}
 	for n := range spec.Items {
 		e := &Entry{Item: &spec.Items[n], Job: j}
 		j.entries = append(j.entries, e)
--- a/internal/limpetbatch/order.go
+++ b/internal/limpetbatch/order.go
@@ -65,6 +65,9 @@
 	if s.queueStale {
 		s.queue = s.queue[:0]
 		for _, j := range s.jobsByArrival {
+			if j.Rules.Withdrawn {
+				continue
+			}
 			for _, e := range j.entries {
 				if e.phase == waiting {
 					s.queue = append(s.queue, e)
@@ -87,7 +90,7 @@
 func (s *Scheduler) WaitingItems(model string) int {
 	n := 0
 	for _, j := range s.jobsByArrival {
-		if j.Model != model {
+		if j.Model != model || j.Rules.Withdrawn {
 			continue
 		}
 		for _, e := range j.entries {
@@ -104,8 +107,11 @@
 func (s *Scheduler) requiredWaiting(model string) int {
 	n := 0
 	for _, j := range s.jobsByArrival {
+		if j.Model != model || j.Rules.Withdrawn {
+			continue
+		}
 		for _, e := range j.entries {
-			if j.Model == model && e.phase == waiting && e.group.required {
+			if e.phase == waiting && e.group.required {
 				n++
 			}
 		}
@@ -118,7 +124,7 @@
 func (s *Scheduler) RequiredVersions() map[string]int {
 	need := map[string]int{}
 	for _, j := range s.jobsByArrival {
-		if !j.Complete() {
+		if !j.Complete() && !j.Rules.Withdrawn {
 			need[j.Model] = max(need[j.Model], j.MinVersion)
 		}
 	}
--- a/internal/limpetbatch/overdue.go
+++ b/internal/limpetbatch/overdue.go
@@ -98,6 +98,9 @@
 func (s *Scheduler) spareSlots(limit int, view *limpetsite.Snapshot, typical time.Duration, now time.Time) int {
 	n := 0
 	for _, j := range s.jobsByArrival {
+		if j.Rules.Withdrawn {
+			continue
+		}
 		for _, e := range j.entries {
 			if e.phase == waiting && e.group.required {
 				n--
--- a/internal/limpetbatch/pool.go
+++ b/internal/limpetbatch/pool.go
@@ -16,6 +16,9 @@
 // serving returns the engines that take work and have weights that a job accepts,
 // in the order of their IDs. The slice is valid until the engines change.
 func (s *Scheduler) serving(j *Job, view *limpetsite.Snapshot) []*engine {
+	if j.Rules.Withdrawn {
+		return nil
+	}
 	if view != s.servingView {
 		s.forgetServing()
 		s.servingView = view
@@ -28,7 +31,7 @@
 	s.examined += uint64(len(s.enginesByID))
 	for _, g := range s.enginesByID {
 		version, serves := g.versions[j.Model]
-		if serves && version >= j.MinVersion && g.server.Service == j.Rules.Service && view.AcceptsWork(g.server.ID) {
+		if serves && version >= j.MinVersion && j.runsAt(g.server.Service) && view.AcceptsWork(g.server.ID) {
 			engines = append(engines, g)
 		}
 	}
--- a/internal/limpetbatch/run.go
+++ b/internal/limpetbatch/run.go
@@ -145,7 +145,7 @@
 	e.notBefore = now
 	switch ending {
 	case Complete:
-		s.recordRunTime(e.Job.Rules.Service, now.Sub(r.started))
+		s.recordRunTime(r.Server.Service, now.Sub(r.started))
 		if len(e.text.versions) > 0 {
 			s.complete(e, now)
 			return true
--- a/internal/limpetbatch/software.go
+++ b/internal/limpetbatch/software.go
@@ -33,10 +33,11 @@
 	e.Job.draftsDirty = true
 }
 
-// A continuationKey identifies the engines that can go on with texts of a model.
+// A continuationKey identifies the engines of a service that can go on with texts
+// of a model.
 type continuationKey struct {
-	model    string
-	software limpetsite.Software
+	service, model string
+	software       limpetsite.Software
 }
 
 // shouldBeginAgain reports whether an item that no engine can continue now is
@@ -46,10 +47,10 @@
 	if e.text.lastEvent == 0 {
 		return false
 	}
-	key := continuationKey{model: e.Job.Model, software: e.text.software}
+	key := continuationKey{service: e.Job.Rules.Service, model: e.Job.Model, software: e.text.software}
 	continuable, known := d.continuable[key]
 	if !known {
-		continuable = s.continuable(key, d.view)
+		continuable = s.continuable(e.Job, key, d.view)
 		d.continuable[key] = continuable
 	}
 	if !continuable {
@@ -62,12 +63,12 @@
 	return d.now.Sub(e.heldSince) > time.Duration(e.text.lastEvent)*interval
 }
 
-// continuable reports whether an engine of a software takes work that serves a
-// model, with whatever weights.
-func (s *Scheduler) continuable(key continuationKey, view *limpetsite.Snapshot) bool {
+// continuable reports whether an engine that may run a job's items takes work and
+// can go on with a text, with whatever weights.
+func (s *Scheduler) continuable(j *Job, key continuationKey, view *limpetsite.Snapshot) bool {
 	for _, g := range s.enginesByID {
 		s.examined++
-		if _, serves := g.versions[key.model]; serves && g.server.Software == key.software && view.AcceptsWork(g.server.ID) {
+		if _, serves := g.versions[key.model]; serves && j.runsAt(g.server.Service) && g.server.Software == key.software && view.AcceptsWork(g.server.ID) {
 			return true
 		}
 	}
--- a/internal/limpetdirector/env_test.go
+++ b/internal/limpetdirector/env_test.go
@@ -1,6 +1,7 @@
 package limpetdirector_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -49,13 +50,26 @@
 	orders         []order
 	runs           int
 	events         int
+	// services holds the service of each engine that is not one of llm.
+	services map[string]string
+	// targets are the services that the route of batch jobs leads to; without any,
+	// the configuration has no such route. configRevision is the store's revision of
+	// the configuration.
+	targets        []limpetsite.Target
+	configRevision uint64
+	// priority is that of the route of batch jobs.
+	priority int
 	// retiring holds the VMs that the operator empties, and retired the reports
 	// that a VM may be removed, as reporter and VM.
 	retiring map[string]bool
 	retired  []string
 	// sent holds the items in the order in which their runs started.
 	sent []string
-	view *limpetsite.Snapshot
+	// broken holds the services whose streams break off.
+	broken map[string]bool
+	// sentTo counts the runs by service.
+	sentTo map[string]int
+	view   *limpetsite.Snapshot
 	// unfenced engines carry out orders whatever their fencing tokens.
 	unfenced bool
 	// deliver delays an order before it reaches its engine, as the network does; an
@@ -84,6 +98,7 @@
 	env := &testEnv{
 		store: limpetstub.NewStore(), version: map[string]int{}, loadingVersion: map[string]int{}, loadedAt: map[string]time.Time{},
 		highestFence: map[string]uint64{}, acceptedOrders: map[string]int{}, retiring: map[string]bool{}, reading: make(chan struct{}, 1),
+		services: map[string]string{}, sentTo: map[string]int{}, broken: map[string]bool{}, targets: []limpetsite.Target{{Service: "llm", Weight: 1}}, configRevision: 8,
 	}
 	for n := range engines {
 		env.version[fmt.Sprintf("e%d", n)] = 1
@@ -100,22 +115,20 @@
 	env.mu.Lock()
 	for id, v := range env.version {
 		revision++
+		service := cmp.Or(env.services[id], "llm")
 		state.Apply(limpetsite.Record{Key: limpetsite.ServerKey + id, Revision: revision, Server: &limpetsite.Server{
-			ID: id, Service: "llm", Address: id, Zone: "a", Slots: 4, Models: map[string]int{"m": v},
+			ID: id, Service: service, Address: id, Zone: "a", Slots: 4, Models: map[string]int{"m": v}, Software: limpetsite.SoftwareOf(service, "v1"),
 		}}, time.Now())
 	}
 	for vm := range env.retiring {
 		revision++
 		state.Apply(limpetsite.Record{Key: "retire/" + vm, Revision: revision, Retirement: &limpetsite.Retirement{VM: vm}}, time.Now())
 	}
+	routes := env.routes()
+	configRevision := env.configRevision
 	env.mu.Unlock()
 	state.Apply(limpetsite.Record{Key: "v", Revision: 9, PublishedVersion: &limpetsite.PublishedVersion{Model: "m", Version: newest}}, time.Now())
-	state.Apply(limpetsite.Record{Key: "config", Revision: 8, Config: &limpetsite.Config{Routes: []limpetsite.Route{{
-		Host: "h", Prefix: "/p/", Kind: limpetsite.Rollout, Attempts: 3, ItemTTL: 40 * time.Second, RunTarget: 7500 * time.Millisecond,
-		Targets: []limpetsite.Target{{Service: "llm", Weight: 1}},
-	}, {
-		Host: "h", Prefix: "/score/", Kind: limpetsite.Idempotent, Attempts: 6, Public: true, Targets: []limpetsite.Target{{Service: scorerService, Weight: 1}},
-	}}}}, time.Now())
+	state.Apply(limpetsite.Record{Key: "config", Revision: configRevision, Config: &limpetsite.Config{Routes: routes}}, time.Now())
 	for n := range 6 {
 		revision++
 		state.Apply(limpetsite.Record{Key: fmt.Sprintf("%sscorer%d", limpetsite.ServerKey, n), Revision: revision, Server: &limpetsite.Server{
@@ -128,6 +141,47 @@
 	env.mu.Unlock()
 }
 
+// routes returns the routes of the configuration.
+func (env *testEnv) routes() []limpetsite.Route {
+	routes := []limpetsite.Route{{
+		Host: "h", Prefix: "/score/", Kind: limpetsite.Idempotent, Attempts: 6, Public: true, Targets: []limpetsite.Target{{Service: scorerService, Weight: 1}},
+	}}
+	if len(env.targets) > 0 {
+		routes = append(routes, limpetsite.Route{
+			Host: "h", Prefix: "/p/", Kind: limpetsite.Rollout, Attempts: 3, ItemTTL: 40 * time.Second, RunTarget: 7500 * time.Millisecond,
+			Priority: env.priority, Targets: env.targets,
+		})
+	}
+	return routes
+}
+
+// route makes the route of batch jobs lead to other services, by a configuration
+// that is newer than all jobs accepted so far.
+func (env *testEnv) route(targets ...limpetsite.Target) {
+	env.mu.Lock()
+	env.targets = targets
+	env.configRevision += 1000
+	env.mu.Unlock()
+	env.publish(1)
+}
+
+// moveEngines makes engines those of a service.
+func (env *testEnv) moveEngines(service string, ids ...string) {
+	env.mu.Lock()
+	for _, id := range ids {
+		env.services[id] = service
+	}
+	env.mu.Unlock()
+	env.publish(1)
+}
+
+// breakStreams breaks off the streams of a service, now and later.
+func (env *testEnv) breakStreams(service string) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.broken[service] = true
+}
+
 // retire adds a VM to those that the operator empties.
 func (env *testEnv) retire(vm string) {
 	env.mu.Lock()
@@ -164,6 +218,7 @@
 	env.mu.Lock()
 	env.runs++
 	env.sent = append(env.sent, c.ID)
+	env.sentTo[c.Server.Service]++
 	env.finishLoad(c.Server.ID)
 	version := env.version[c.Server.ID]
 	env.mu.Unlock()
@@ -177,6 +232,10 @@
 		}
 		n++
 		env.mu.Lock()
+		if env.broken[c.Server.Service] {
+			env.mu.Unlock()
+			return limpetupstream.Event{}, limpeterror.Disconnected.New("reset")
+		}
 		env.events++
 		env.mu.Unlock()
 		return limpetupstream.Event{ID: n, Data: fmt.Sprintf("%s.%d", c.ID, n)}, nil
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -10,7 +10,6 @@
 	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlease"
 	"limpetmount.org/internal/limpetlog"
-	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetstore"
 	"limpetmount.org/internal/limpettask"
 	"limpetmount.org/internal/limpetwatch"
@@ -109,18 +108,6 @@
 	d.queueLoad(s)
 }
 
-// jobRules returns the rules of the route that a job belongs to.
-func jobRules(view *limpetsite.Snapshot, j *limpetjob.Job) (limpetbatch.Rules, bool) {
-	route := view.Route(j.Host, j.Path)
-	if route == nil || len(route.Targets) == 0 {
-		return limpetbatch.Rules{}, false
-	}
-	return limpetbatch.Rules{
-		Service: route.Targets[0].Service, RunTarget: route.RunTarget, ItemTTL: route.ItemTTL,
-		MaxAttempts: route.Attempts, OnPolicy: route.OnPolicy, Priority: view.Priority(j.Account, route),
-	}, true
-}
-
 // resync reads the committed results of a job that the scheduler holds.
 func (d *Director) resync(id string) {
 	l, j := d.leadership, d.scheduler.Jobs()[id]
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -110,6 +110,8 @@
 	// rewardCancels ends the reward calls in progress.
 	rewardCancels map[*limpetbatch.Entry]context.CancelFunc
 	view          *limpetsite.Snapshot
+	// rulesRevision is that of the configuration by which renewRules went last.
+	rulesRevision uint64
 	record        dutyRecord
 	// lastHeldAt is when the VM last entered a term, or held the duty after
 	// actAfter.
@@ -307,6 +309,7 @@
 		d.cancelRuns(d.scheduler.UpdateEngines(view, now), "the engine was started again with other software")
 		d.checkRetirement()
 	}
+	d.renewRules(now)
 	d.stepRuns(now)
 	d.stepDuties(now)
 }
@@ -355,6 +358,9 @@
 	for _, e := range expired {
 		d.logErrored(e, "item lifetime exceeded")
 	}
+	for _, e := range d.scheduler.WithdrawItems(now) {
+		d.logErrored(e, "the job's route was removed")
+	}
 	d.cancelRuns(runs, "item given up")
 	d.scheduler.ExpireTexts(now)
 }
--- a/internal/limpetdirector/loading.go
+++ b/internal/limpetdirector/loading.go
@@ -147,11 +147,11 @@
 		d.fullyCommitted[m.id] = true
 		return
 	}
-	rules, ok := jobRules(d.View(), m.job)
+	s := d.acceptedJobs[m.id]
+	rules, ok := loadedRules(d.View(), m.job, s.Revision)
 	if !ok {
 		// The configuration with the route may not have reached this VM yet.
 		d.Log.Emit(limpetlog.JobWithoutRoute, limpetlog.Job(m.id), limpetlog.Value("revision", d.View().Revision))
-		s := d.acceptedJobs[m.id]
 		l := d.leadership
 		l.group.Go(func(ctx context.Context) error {
 			limpettask.Sleep(ctx, storeRetryDelay)
--- a/internal/limpetjob/limpetjob.go
+++ b/internal/limpetjob/limpetjob.go
@@ -73,6 +73,9 @@
 	Total   int       `json:"total"`
 	Parts   int       `json:"parts"`
 	Arrived time.Time `json:"arrived"`
+	// Revision is the store's revision of the acceptance. It is known of decoded
+	// summaries.
+	Revision uint64 `json:"-"`
 }
 
 // A State is the final state of an item.
@@ -196,6 +199,7 @@
 	if err := json.Unmarshal(v.Data, &s); err != nil {
 		return s, limpeterror.Invalid.Wrap(err, "value of %s", v.Key)
 	}
+	s.Revision = v.Revision
 	return s, nil
 }
 
