--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -161,7 +161,7 @@
 		}
 	}
 	slices.SortFunc(runs, func(a, b *Run) int { return compareEntries(a.Entry, b.Entry) })
-	runs = s.movable(runs, s.spareFor(runs, s.requiredWaiting(model), view, now), view, now)
+	runs = s.movable(runs, s.spareFor(runs, s.requiredWaiting(model, g.server.Service), view, now), view, now)
 	for _, r := range runs {
 		s.detach(r)
 	}
--- a/internal/limpetbatch/fleet.go
+++ b/internal/limpetbatch/fleet.go
@@ -17,55 +17,24 @@
 		if !view.AcceptsWork(id) {
 			continue
 		}
-		e := limpetweights.Engine{ID: id, Versions: g.versions, Running: len(g.runs), Spot: g.server.Spot}
+		e := limpetweights.Engine{ID: id, Service: g.server.Service, Versions: g.versions, Running: len(g.runs), Spot: g.server.Spot}
 		state(&e)
 		all = append(all, e)
 	}
 	return all
 }
 
-// OnPolicy reports whether an open job of a model requires that each text has a
-// single weight version.
-func (s *Scheduler) OnPolicy(model string) bool {
+// OnPolicy reports whether an open job of a model that runs at a service requires
+// that each text has a single weight version.
+func (s *Scheduler) OnPolicy(model, service string) bool {
 	for _, j := range s.jobsByArrival {
-		if j.Model == model && j.Rules.OnPolicy {
+		if j.Model == model && j.Rules.OnPolicy && j.runsAt(service) {
 			return true
 		}
 	}
 	return false
 }
 
-// A Workload describes the typical job of a model.
-type Workload struct {
-	// Items is the number of its items and Tokens their total output.
-	Items, Tokens int
-}
-
-// recordWorkload updates the typical job of a model with a new job, which has a
-// quarter of the weight. A larger number of items counts at once.
-func (s *Scheduler) recordWorkload(j *Job) {
-	w := Workload{Items: len(j.entries)}
-	for _, e := range j.entries {
-		w.Tokens += e.size()
-	}
-	if typical, known := s.workloads[j.Model]; known {
-		w.Items, w.Tokens = max(w.Items, (3*typical.Items+w.Items)/4), (3*typical.Tokens+w.Tokens)/4
-	}
-	s.workloads[j.Model] = w
-}
-
-// Workload returns the typical job of a model, or the zero value if it had none.
-func (s *Scheduler) Workload(model string) Workload { return s.workloads[model] }
-
-// MeanSlots returns the mean number of slots per engine, and at least 1.
-func (s *Scheduler) MeanSlots() int {
-	sum := 0
-	for _, g := range s.enginesByID {
-		sum += max(g.server.Slots, 1)
-	}
-	return max(1, sum/max(len(s.enginesByID), 1))
-}
-
 // UsableEngines returns the number of engines that may run a job's items and have
 // weights that it accepts.
 func (s *Scheduler) UsableEngines(j *Job) int {
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -168,8 +168,7 @@
 	retained   map[string]*retainedText
 	queueStale bool
 	queue      []*Entry
-	// workloads holds the typical job of each model.
-	workloads map[string]Workload
+	workloads  map[workloadKey]recordedWorkload
 	// runTimes holds the mean duration of complete runs by service.
 	runTimes map[string]time.Duration
 	// software counts the engines of each software; nil while there is only one.
@@ -192,7 +191,7 @@
 
 // New returns a scheduler without jobs and engines.
 func New() *Scheduler {
-	return &Scheduler{jobs: map[string]*Job{}, engines: map[string]*engine{}, retained: map[string]*retainedText{}, workloads: map[string]Workload{}, runTimes: map[string]time.Duration{}}
+	return &Scheduler{jobs: map[string]*Job{}, engines: map[string]*engine{}, retained: map[string]*retainedText{}, workloads: map[workloadKey]recordedWorkload{}, runTimes: map[string]time.Duration{}}
 }
 
 // Jobs returns the jobs that have not ended, by ID.
--- a/internal/limpetbatch/order.go
+++ b/internal/limpetbatch/order.go
@@ -86,46 +86,48 @@
 	return ready
 }
 
-// WaitingItems returns the number of items of a model that wait for an engine.
-func (s *Scheduler) WaitingItems(model string) int {
+// WaitingItems returns the number of items of a model that wait for an engine of a
+// service.
+func (s *Scheduler) WaitingItems(model, service string) int {
 	n := 0
 	for _, j := range s.jobsByArrival {
-		if j.Model != model || j.Rules.Withdrawn {
-			continue
-		}
-		for _, e := range j.entries {
-			if e.phase == waiting {
-				n++
-			}
+		if j.Model == model && j.runsAt(service) {
+			n += j.countWaiting(func(*Entry) bool { return true })
 		}
 	}
 	return n
 }
 
-// requiredWaiting returns the number of required items of a model that wait
-// for an engine.
-func (s *Scheduler) requiredWaiting(model string) int {
+// requiredWaiting returns the number of required items of a model that wait for an
+// engine of a service.
+func (s *Scheduler) requiredWaiting(model, service string) int {
 	n := 0
 	for _, j := range s.jobsByArrival {
-		if j.Model != model || j.Rules.Withdrawn {
-			continue
+		if j.Model == model && j.runsAt(service) {
+			n += j.countWaiting((*Entry).Required)
 		}
-		for _, e := range j.entries {
-			if e.phase == waiting && e.group.required {
-				n++
-			}
+	}
+	return n
+}
+
+// countWaiting returns the number of waiting items for which a condition holds.
+func (j *Job) countWaiting(condition func(*Entry) bool) int {
+	n := 0
+	for _, e := range j.entries {
+		if e.phase == waiting && condition(e) {
+			n++
 		}
 	}
 	return n
 }
 
-// RequiredVersions returns, for each model, the oldest weight version that all
-// its open jobs accept.
-func (s *Scheduler) RequiredVersions() map[string]int {
-	need := map[string]int{}
+// RequiredVersion returns the oldest weight version of a model that all its open jobs
+// at a service accept; 0 if there are none.
+func (s *Scheduler) RequiredVersion(model, service string) int {
+	need := 0
 	for _, j := range s.jobsByArrival {
-		if !j.Complete() && !j.Rules.Withdrawn {
-			need[j.Model] = max(need[j.Model], j.MinVersion)
+		if j.Model == model && j.runsAt(service) && !j.Complete() {
+			need = max(need, j.MinVersion)
 		}
 	}
 	return need
--- a/internal/limpetbatch/rules.go
+++ b/internal/limpetbatch/rules.go
@@ -5,6 +5,8 @@
 // Rules holds the settings of a job that come from its route. They change with the
 // configuration while the job is open; see SetRules.
 type Rules struct {
+	// Route is the name of the route.
+	Route string
 	// Service is the service whose engines run the items.
 	Service string
 	// RunTarget is when all results are due, and ItemTTL when an item may be
--- a/internal/limpetbatch/rules_test.go
+++ b/internal/limpetbatch/rules_test.go
@@ -61,8 +61,8 @@
 		withdrawn.Withdrawn = true
 		s.SetRules(j, withdrawn, at(time.Second))
 		So(s.Demand(), ShouldResemble, map[string]int{"llm": 1})
-		So(s.WaitingItems("m"), ShouldEqual, 0)
-		So(s.RequiredVersions(), ShouldBeEmpty)
+		So(s.WaitingItems("m", "llm"), ShouldEqual, 0)
+		So(s.RequiredVersion("m", "llm"), ShouldEqual, 0)
 		So(s.WithdrawItems(at(2*time.Second)), ShouldBeEmpty)
 		So(len(s.WithdrawItems(at(3*time.Second))), ShouldEqual, 1)
 		finish(s, r, 5, 1, at(4*time.Second))
--- a/internal/limpetdirector/env_test.go
+++ b/internal/limpetdirector/env_test.go
@@ -144,11 +144,11 @@
 // routes returns the routes of the configuration.
 func (env *testEnv) routes() []limpetsite.Route {
 	routes := []limpetsite.Route{{
-		Host: "h", Prefix: "/score/", Kind: limpetsite.Idempotent, Attempts: 6, Public: true, Targets: []limpetsite.Target{{Service: scorerService, Weight: 1}},
+		Name: "score", Host: "h", Prefix: "/score/", Kind: limpetsite.Idempotent, Attempts: 6, Public: true, Targets: []limpetsite.Target{{Service: scorerService, Weight: 1}},
 	}}
 	if len(env.targets) > 0 {
 		routes = append(routes, limpetsite.Route{
-			Host: "h", Prefix: "/p/", Kind: limpetsite.Rollout, Attempts: 3, ItemTTL: 40 * time.Second, RunTarget: 7500 * time.Millisecond,
+			Name: "rollouts", Host: "h", Prefix: "/p/", Kind: limpetsite.Rollout, Attempts: 3, ItemTTL: 40 * time.Second, RunTarget: 7500 * time.Millisecond,
 			Priority: env.priority, Targets: env.targets,
 		})
 	}
@@ -175,6 +175,16 @@
 	env.publish(1)
 }
 
+// addEngines adds engines of a service, which have the first version.
+func (env *testEnv) addEngines(service string, ids ...string) {
+	env.mu.Lock()
+	for _, id := range ids {
+		env.version[id] = 1
+	}
+	env.mu.Unlock()
+	env.moveEngines(service, ids...)
+}
+
 // breakStreams breaks off the streams of a service, now and later.
 func (env *testEnv) breakStreams(service string) {
 	env.mu.Lock()
--- a/internal/limpetdirector/limpetdirector.go
+++ b/internal/limpetdirector/limpetdirector.go
@@ -152,9 +152,12 @@
 	updateStarted  map[string]time.Time
 	suspendedUntil map[string]time.Time
 	orderCounts    map[modelVersion]int
-	plannedAt      time.Time
-	measuredAt     time.Time
-	weightTiming   weightTiming
+	// keptEngines holds how many engines of each pool were to be kept up to date in the
+	// last plan.
+	keptEngines  map[poolKey]int
+	plannedAt    time.Time
+	measuredAt   time.Time
+	weightTiming weightTiming
 }
 
 // A modelVersion is one version of a model's weights.
@@ -229,7 +232,7 @@
 		holder:  limpetlease.New(deps.Store, deps.VM, deps.Incarnation, ttl, deps.Now),
 		cancels: map[*limpetbatch.Run]context.CancelFunc{}, rewardCancels: map[*limpetbatch.Entry]context.CancelFunc{}, view: limpetsite.EmptySnapshot(),
 		acceptedJobs: map[string]limpetjob.Summary{}, endedJobs: map[string]bool{}, loads: loadQueue{started: map[string]time.Time{}}, fullyCommitted: map[string]bool{},
-		startedAt: deps.Now(), updateStarted: map[string]time.Time{}, suspendedUntil: map[string]time.Time{}, orderCounts: map[modelVersion]int{},
+		startedAt: deps.Now(), updateStarted: map[string]time.Time{}, suspendedUntil: map[string]time.Time{}, orderCounts: map[modelVersion]int{}, keptEngines: map[poolKey]int{},
 	}
 }
 
--- a/internal/limpetdirector/orders.go
+++ b/internal/limpetdirector/orders.go
@@ -52,33 +52,11 @@
 		began, updating := d.updateStarted[e.ID]
 		e.Updating, e.Finishing, e.Suspended = updating, updating && now.Sub(began) > loadTime, now.Before(d.suspendedUntil[e.ID])
 	})
-	for _, c := range limpetweights.Plan(engines, d.models(engines)) {
+	for _, c := range limpetweights.Plan(engines, d.pools(engines, now)) {
 		d.startUpdate(c, now)
 	}
 }
 
-// models returns what the planner needs to know about the trained models.
-func (d *Director) models(engines []limpetweights.Engine) []limpetweights.Model {
-	required := d.scheduler.RequiredVersions()
-	interval := d.weightTiming.interval(d.view.PublishedVersions, d.Now())
-	work := map[string]int{}
-	for name := range d.view.PublishedVersions {
-		work[name] = d.scheduler.Workload(name).Tokens
-	}
-	shares := limpetweights.UpdateShares(work)
-	parallel := limpetweights.MaxParallel(limpetweights.NonSpot(engines))
-	var models []limpetweights.Model
-	for name, version := range d.view.PublishedVersions {
-		models = append(models, limpetweights.Model{
-			Name: name, NewestVersion: version, MinVersion: required[name], Waiting: d.scheduler.WaitingItems(name),
-			Loads: d.orderCounts[modelVersion{name, version}], FreeLoads: len(engines) / max(len(d.view.PublishedVersions), 1),
-			MaxEngines: min(limpetweights.SufficientEngines(d.scheduler.Workload(name).Items, d.scheduler.MeanSlots()),
-				limpetweights.EnginesPerModel(len(engines), parallel, shares[name], interval, d.weightTiming.updateTime())),
-		})
-	}
-	return models
-}
-
 func (d *Director) startUpdate(o limpetweights.UpdateOrder, now time.Time) {
 	server := d.view.Server(o.Engine)
 	if server == nil {
@@ -89,7 +67,7 @@
 	d.scheduler.SetLoading(o.Engine, o.Model, now)
 	d.cancelRuns(d.scheduler.Evacuate(o.Engine, o.Model, d.view, now), "weight update")
 	l := d.leadership
-	pause := !d.scheduler.OnPolicy(o.Model)
+	pause := !d.scheduler.OnPolicy(o.Model, server.Service)
 	l.group.Go(func(ctx context.Context) error {
 		d.post(d.group.Context(), d.executeUpdate(ctx, l, server, o, pause))
 		return nil
--- a/internal/limpetdirector/rules.go
+++ b/internal/limpetdirector/rules.go
@@ -17,7 +17,7 @@
 		return limpetbatch.Rules{}, false
 	}
 	return limpetbatch.Rules{
-		Service: route.Targets[0].Service, RunTarget: route.RunTarget, ItemTTL: route.ItemTTL,
+		Route: route.Name, Service: route.Targets[0].Service, RunTarget: route.RunTarget, ItemTTL: route.ItemTTL,
 		MaxAttempts: route.Attempts, OnPolicy: route.OnPolicy, Priority: view.Priority(j.Account, route),
 	}, true
 }
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -77,6 +77,7 @@
 	SampleDiscarded    = newEvent(1403, logrus.WarnLevel, "sample discarded", "A sample was late, stale or wrongly labelled and is generated again.")
 	WeightsPublished   = newEvent(1404, logrus.InfoLevel, "weights published", "A trainer published a newer version of the weights.")
 	WeightsActive      = newEvent(1405, logrus.InfoLevel, "weights active", "All engines of the service report the newest version.")
+	WeightsPlanned     = newEvent(1409, logrus.InfoLevel, "weights planned", "The director keeps another number of a service's engines (kept, of engines) up to date with a trained model. items is what a typical job runs there. 0 means that no job of the model runs there; such engines update while nothing else needs it.")
 	WeightUpdateFailed = newEvent(1406, logrus.WarnLevel, "weight update failed", "An engine did not activate the newest version and gets no rollout work.")
 	SessionFenced      = newEvent(1407, logrus.WarnLevel, "trainer session fenced", "A request of an older trainer process was refused.")
 )
--- a/internal/limpetsite/limpetsite.go
+++ b/internal/limpetsite/limpetsite.go
@@ -70,6 +70,44 @@
 	return r.Kind == Idempotent || r.Kind == Rollout || (r.Kind == Stream && r.Resumable)
 }
 
+// Shares returns what part of the route's requests each of its services gets. The parts
+// are positive and add up to 1.
+func (r *Route) Shares() map[string]float64 {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += max(t.Weight, 0)
+	}
+	shares := map[string]float64{}
+	for _, t := range r.Targets {
+		if t.Weight > 0 {
+			shares[t.Service] += t.Weight / total
+		}
+	}
+	if len(shares) == 0 && len(r.Targets) > 0 {
+		shares[r.Targets[len(r.Targets)-1].Service] = 1
+	}
+	return shares
+}
+
+// Pick selects one of the route's services by weight, from a random number
+// between 0 and 1.
+func (r *Route) Pick(random float64) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	point := random * total
+	for _, t := range r.Targets {
+		if point -= t.Weight; point < 0 {
+			return t.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
 // LeadsTo reports whether the route has a service among its targets.
 func (r *Route) LeadsTo(service string) bool {
 	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
--- a/internal/limpetsite/snapshot.go
+++ b/internal/limpetsite/snapshot.go
@@ -18,6 +18,7 @@
 	Retiring          map[string]Retirement
 
 	hosts    map[string][]*Route
+	named    map[string]*Route
 	keys     map[[sha256.Size]byte]*Account
 	services map[string]*Service
 	servers  map[string][]*Server
@@ -39,6 +40,7 @@
 // index builds the lookup tables of s.
 func index(s *Snapshot) *Snapshot {
 	s.hosts = map[string][]*Route{}
+	s.named = map[string]*Route{}
 	s.keys = map[[sha256.Size]byte]*Account{}
 	s.services = map[string]*Service{}
 	if s.Config == nil {
@@ -47,6 +49,7 @@
 	for i := range s.Config.Routes {
 		r := &s.Config.Routes[i]
 		s.hosts[r.Host] = append(s.hosts[r.Host], r)
+		s.named[r.Name] = r
 	}
 	for _, routes := range s.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -80,6 +83,9 @@
 	return nil
 }
 
+// RouteNamed returns the route of a name, or nil.
+func (s *Snapshot) RouteNamed(name string) *Route { return s.named[name] }
+
 // NeedsKeys reports whether requests need an API key, which they do if the
 // configuration has client accounts.
 func (s *Snapshot) NeedsKeys() bool { return s.Config != nil && len(s.Config.Accounts) > 0 }
@@ -193,22 +199,3 @@
 	v := s.byID[id]
 	return v != nil && !v.Draining
 }
-
-// Pick selects one of the route's services by weight, from a random number
-// between 0 and 1.
-func (r *Route) Pick(random float64) string {
-	total := 0.0
-	for _, t := range r.Targets {
-		total += t.Weight
-	}
-	point := random * total
-	for _, t := range r.Targets {
-		if point -= t.Weight; point < 0 {
-			return t.Service
-		}
-	}
-	if len(r.Targets) == 0 {
-		return ""
-	}
-	return r.Targets[len(r.Targets)-1].Service
-}
--- a/internal/limpetweights/limpetweights.go
+++ b/internal/limpetweights/limpetweights.go
@@ -11,7 +11,9 @@
 
 // An Engine describes one engine.
 type Engine struct {
-	ID       string
+	ID string
+	// Service is the service that the engine belongs to.
+	Service  string
 	Versions map[string]int
 	// Running is the number of runs on the engine.
 	Running int
@@ -29,9 +31,11 @@
 	Suspended bool
 }
 
-// A Model describes one trained model.
-type Model struct {
-	Name string
+// A Pool describes the engines of one service that serve one trained model. Engines
+// of one service cannot stand in for those of another one, so each pool is planned for
+// the jobs that run there.
+type Pool struct {
+	Model, Service string
 	// NewestVersion is the newest version that the model's trainer published.
 	NewestVersion int
 	// MinVersion is the oldest version that open jobs accept; 0 if there are
@@ -42,12 +46,24 @@
 	// MaxEngines is the number of engines that are kept up to date with the
 	// model; the others keep old weights of it. 0 means all.
 	MaxEngines int
-	// Loads counts the orders for the newest version that were given and have
-	// not failed. FreeLoads is how many of them cost nothing; beyond it, no
-	// engine gets an order just because it is idle.
+	// Unused pools run no items of the model now. They are updated while nothing else
+	// needs it.
+	Unused bool
+	// Loads counts the orders for the newest version of the model, at all services,
+	// that were given and have not failed. FreeLoads is how many of them cost
+	// nothing; beyond it, no engine gets an order just because it is idle.
 	Loads, FreeLoads int
 }
 
+// A poolKey identifies a pool.
+type poolKey struct{ model, service string }
+
+func (p Pool) key() poolKey { return poolKey{model: p.Model, service: p.Service} }
+
+func comparePools(a, b Pool) int {
+	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Service, b.Service))
+}
+
 // An UpdateOrder is an order to an engine to load a version of a model's weights.
 type UpdateOrder struct {
 	Engine  string
@@ -138,17 +154,16 @@
 	return shares
 }
 
-// assignEngines selects the engines to keep up to date with each model: those
-// with the newest version first, and among equals those assigned to fewer other
-// models.
-func assignEngines(engines []Engine, models []Model) map[string][]Engine {
-	assigned := map[string][]Engine{}
+// assignEngines selects the engines of each pool to keep up to date: those with the
+// newest version first, and among equals those assigned to fewer other models.
+func assignEngines(engines []Engine, pools []Pool) map[poolKey][]Engine {
+	assigned := map[poolKey][]Engine{}
 	assignments := make([]int, len(engines))
 	candidates := make([]candidate, 0, len(engines))
-	for _, m := range models {
+	for _, m := range pools {
 		candidates = candidates[:0]
 		for n, e := range engines {
-			if version, serves := e.Versions[m.Name]; serves {
+			if version, serves := e.Versions[m.Model]; serves && e.Service == m.Service {
 				candidates = append(candidates, candidate{index: n, version: version, assignments: assignments[n], id: e.ID})
 			}
 		}
@@ -161,7 +176,7 @@
 			assignments[c.index]++
 			chosen = append(chosen, engines[c.index])
 		}
-		assigned[m.Name] = chosen
+		assigned[m.key()] = chosen
 	}
 	return assigned
 }
@@ -185,41 +200,44 @@
 // open jobs, or for the jobs that the newest version will bring, update first.
 // Of the engines that are one version behind, half update early: if none did,
 // all would become unusable at once two versions later. The others update while
-// they are idle and no item waits.
-func Plan(engines []Engine, models []Model) []UpdateOrder {
-	p := &plan{capacity: MaxParallel(NonSpot(engines)), taken: map[string]bool{}}
+// they are idle and no item waits, and those of unused pools after all others.
+func Plan(engines []Engine, pools []Pool) []UpdateOrder {
+	p := &plan{capacity: MaxParallel(NonSpot(engines)), taken: map[string]bool{}, picked: map[string]int{}}
 	for _, e := range engines {
 		if e.Updating && !e.Finishing {
 			p.capacity--
 		}
 	}
-	models = slices.Clone(models)
-	slices.SortFunc(models, func(a, b Model) int { return cmp.Compare(a.Name, b.Name) })
-	assigned := assignEngines(engines, models)
-	slices.SortFunc(models, func(a, b Model) int {
-		return cmp.Or(cmp.Compare(b.Waiting, a.Waiting), cmp.Compare(a.Name, b.Name))
-	})
-	for _, m := range models {
-		urgent, _ := outdated(assigned[m.Name], m)
+	pools = slices.Clone(pools)
+	slices.SortFunc(pools, comparePools)
+	assigned := assignEngines(engines, pools)
+	slices.SortFunc(pools, func(a, b Pool) int { return cmp.Or(cmp.Compare(b.Waiting, a.Waiting), comparePools(a, b)) })
+	used, unused := partition(pools)
+	for _, m := range used {
+		urgent, _ := outdated(assigned[m.key()], m)
 		p.pick(m, urgent, len(urgent))
 	}
-	for _, m := range models {
-		_, early := outdated(assigned[m.Name], m)
-		limit := earlyTarget(len(assigned[m.Name])) - countCurrent(assigned[m.Name], m)
-		if m.Waiting > 0 {
-			// Waiting items need the engines more, but updates must still make
-			// progress.
-			limit = min(limit, 1)
-		}
-		p.pick(m, early, limit)
-		if m.Waiting == 0 {
-			idle := slices.DeleteFunc(early, func(e Engine) bool { return e.Running > 0 })
-			p.pick(m, idle, m.FreeLoads-m.Loads-p.picked[m.Name])
-		}
+	for _, m := range used {
+		p.pickEarly(m, assigned[m.key()])
+	}
+	for _, m := range unused {
+		p.pickUnused(m, assigned[m.key()])
 	}
 	return p.orders
 }
 
+// partition separates the pools that run items from the unused ones.
+func partition(pools []Pool) (used, unused []Pool) {
+	for _, m := range pools {
+		if m.Unused {
+			unused = append(unused, m)
+		} else {
+			used = append(used, m)
+		}
+	}
+	return used, unused
+}
+
 // A plan collects orders. taken holds the engines that have one, by ID, and
 // picked counts them by model.
 type plan struct {
@@ -229,12 +247,44 @@
 	orders   []UpdateOrder
 }
 
+// pickEarly orders updates of engines that are still usable.
+func (p *plan) pickEarly(m Pool, engines []Engine) {
+	_, early := outdated(engines, m)
+	limit := earlyTarget(len(engines)) - countCurrent(engines, m)
+	if m.Waiting > 0 {
+		// Waiting items need the engines more, but updates must still make
+		// progress.
+		limit = min(limit, 1)
+	}
+	p.pick(m, early, limit)
+	if m.Waiting == 0 {
+		p.pickIdle(m, early)
+	}
+}
+
+// pickUnused orders updates of engines that no item needs. It leaves room for one that
+// may become urgent.
+func (p *plan) pickUnused(m Pool, engines []Engine) {
+	if p.capacity < 2 {
+		return
+	}
+	urgent, early := outdated(engines, m)
+	p.pickIdle(m, append(urgent, early...))
+}
+
+// pickIdle orders updates of idle engines that cost nothing.
+func (p *plan) pickIdle(m Pool, engines []Engine) {
+	idle := slices.DeleteFunc(engines, func(e Engine) bool { return e.Running > 0 })
+	limit := m.FreeLoads - m.Loads - p.picked[m.Model]
+	if m.Unused {
+		limit = min(limit, p.capacity-1)
+	}
+	p.pick(m, idle, limit)
+}
+
 // pick orders updates for up to limit of the candidates, as far as the capacity
 // allows.
-func (p *plan) pick(m Model, candidates []Engine, limit int) {
-	if p.picked == nil {
-		p.picked = map[string]int{}
-	}
+func (p *plan) pick(m Pool, candidates []Engine, limit int) {
 	for _, e := range candidates {
 		if p.capacity <= 0 || limit <= 0 {
 			return
@@ -243,18 +293,18 @@
 			continue
 		}
 		p.taken[e.ID] = true
-		p.picked[m.Name]++
-		p.orders = append(p.orders, UpdateOrder{Engine: e.ID, Model: m.Name, Version: m.NewestVersion})
+		p.picked[m.Model]++
+		p.orders = append(p.orders, UpdateOrder{Engine: e.ID, Model: m.Model, Version: m.NewestVersion})
 		p.capacity--
 		limit--
 	}
 }
 
 // countCurrent counts the engines that have the newest version or are updating.
-func countCurrent(engines []Engine, m Model) int {
+func countCurrent(engines []Engine, m Pool) int {
 	n := 0
 	for _, e := range engines {
-		if e.Versions[m.Name] >= m.NewestVersion || e.Updating {
+		if e.Versions[m.Model] >= m.NewestVersion || e.Updating {
 			n++
 		}
 	}
@@ -264,10 +314,10 @@
 // outdated returns the engines that are no longer usable for a model, and those
 // that are one version behind, each sorted by version and then by the number of
 // runs.
-func outdated(engines []Engine, m Model) (urgent, early []Engine) {
+func outdated(engines []Engine, m Pool) (urgent, early []Engine) {
 	minVersion := max(m.MinVersion, m.NewestVersion-1)
 	for _, e := range engines {
-		version, serves := e.Versions[m.Name]
+		version, serves := e.Versions[m.Model]
 		if !serves || e.Updating || e.Suspended || version >= m.NewestVersion {
 			continue
 		}
@@ -278,7 +328,7 @@
 		}
 	}
 	byVersionAndRuns := func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(a.Versions[m.Name], b.Versions[m.Name]), cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Versions[m.Model], b.Versions[m.Model]), cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
 	}
 	slices.SortFunc(urgent, byVersionAndRuns)
 	slices.SortFunc(early, byVersionAndRuns)
--- a/internal/limpetweights/limpetweights_test.go
+++ b/internal/limpetweights/limpetweights_test.go
@@ -29,13 +29,13 @@
 }
 
 func TestPlan(t *testing.T) {
-	model := func(newest, need int) limpetweights.Model {
-		return limpetweights.Model{Name: "m", NewestVersion: newest, MinVersion: need, FreeLoads: 9}
+	model := func(newest, need int) limpetweights.Pool {
+		return limpetweights.Pool{Model: "m", NewestVersion: newest, MinVersion: need, FreeLoads: 9}
 	}
 	for _, c := range []struct {
 		name    string
 		engines []limpetweights.Engine
-		model   limpetweights.Model
+		model   limpetweights.Pool
 		want    []string
 	}{
 		{"no newer version is published", fleet(3, 3), model(3, 2), []string{}},
@@ -46,7 +46,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			Convey(c.name, t, func() {
-				So(engineIDs(limpetweights.Plan(c.engines, []limpetweights.Model{c.model})), ShouldResemble, c.want)
+				So(engineIDs(limpetweights.Plan(c.engines, []limpetweights.Pool{c.model})), ShouldResemble, c.want)
 			})
 		})
 	}
@@ -56,7 +56,7 @@
 	Convey("an update in progress uses capacity", t, func() {
 		engines := fleet(1, 1, 1)
 		engines[0].Updating = true
-		orders := limpetweights.Plan(engines, []limpetweights.Model{{Name: "m", NewestVersion: 3}})
+		orders := limpetweights.Plan(engines, []limpetweights.Pool{{Model: "m", NewestVersion: 3}})
 		So(engineIDs(orders), ShouldResemble, []string{"e1"})
 	})
 	Convey("engines that may be reclaimed do not raise the number of parallel updates", t, func() {
@@ -64,21 +64,21 @@
 		for n := range engines {
 			engines[n].Spot = n >= 8
 		}
-		So(len(limpetweights.Plan(engines, []limpetweights.Model{{Name: "m", NewestVersion: 3}})), ShouldEqual, 2)
+		So(len(limpetweights.Plan(engines, []limpetweights.Pool{{Model: "m", NewestVersion: 3}})), ShouldEqual, 2)
 	})
 	Convey("an engine that recently failed to carry out an order gets none", t, func() {
 		engines := fleet(1)
 		engines[0].Suspended = true
-		So(limpetweights.Plan(engines, []limpetweights.Model{{Name: "m", NewestVersion: 3}}), ShouldBeEmpty)
+		So(limpetweights.Plan(engines, []limpetweights.Pool{{Model: "m", NewestVersion: 3}}), ShouldBeEmpty)
 	})
 	Convey("while items wait, engines that are still usable update one at a time", t, func() {
-		orders := limpetweights.Plan(fleet(2, 2, 2, 2), []limpetweights.Model{{Name: "m", NewestVersion: 3, Waiting: 40, FreeLoads: 4}})
+		orders := limpetweights.Plan(fleet(2, 2, 2, 2), []limpetweights.Pool{{Model: "m", NewestVersion: 3, Waiting: 40, FreeLoads: 4}})
 		So(len(orders), ShouldEqual, 1)
 	})
 	Convey("once half have the newest version, only idle engines update", t, func() {
 		engines := fleet(3, 3, 2, 2)
 		engines[2].Running = 4
-		orders := limpetweights.Plan(engines, []limpetweights.Model{{Name: "m", NewestVersion: 3, Loads: 2, FreeLoads: 4}})
+		orders := limpetweights.Plan(engines, []limpetweights.Pool{{Model: "m", NewestVersion: 3, Loads: 2, FreeLoads: 4}})
 		So(engineIDs(orders), ShouldResemble, []string{"e3"})
 	})
 }
@@ -124,9 +124,9 @@
 
 // step advances the simulation by one tick.
 func (s *simulation) step(now time.Duration, enginesPerModel int) {
-	var models []limpetweights.Model
+	var models []limpetweights.Pool
 	for m, v := range s.newest {
-		models = append(models, limpetweights.Model{Name: m, NewestVersion: v, MinVersion: v - 1, Waiting: 20, MaxEngines: enginesPerModel, Loads: s.loads[m], FreeLoads: len(s.engines) / len(s.newest)})
+		models = append(models, limpetweights.Pool{Model: m, NewestVersion: v, MinVersion: v - 1, Waiting: 20, MaxEngines: enginesPerModel, Loads: s.loads[m], FreeLoads: len(s.engines) / len(s.newest)})
 	}
 	for n := range s.engines {
 		s.engines[n].Finishing = s.engines[n].Updating && now >= s.updateEnds[n]
@@ -212,7 +212,7 @@
 		for n := range engines {
 			engines[n].Running = 3
 		}
-		orders := limpetweights.Plan(engines, []limpetweights.Model{{Name: "m", NewestVersion: newest, MinVersion: newest - 1, Loads: loads, FreeLoads: len(versions)}})
+		orders := limpetweights.Plan(engines, []limpetweights.Pool{{Model: "m", NewestVersion: newest, MinVersion: newest - 1, Loads: loads, FreeLoads: len(versions)}})
 		if len(orders) == 0 {
 			return
 		}
@@ -257,8 +257,8 @@
 			for n := range count {
 				engines = append(engines, limpetweights.Engine{ID: fmt.Sprintf("e%04d", n), Versions: map[string]int{"m0": 1 + n%2, "m1": 1 + n%3, "m2": 1 + n%5/4}})
 			}
-			models := []limpetweights.Model{
-				{Name: "m0", NewestVersion: 3, MinVersion: 2, MaxEngines: 70}, {Name: "m1", NewestVersion: 4, MinVersion: 3, MaxEngines: 70}, {Name: "m2", NewestVersion: 3, MinVersion: 2, MaxEngines: 70},
+			models := []limpetweights.Pool{
+				{Model: "m0", NewestVersion: 3, MinVersion: 2, MaxEngines: 70}, {Model: "m1", NewestVersion: 4, MinVersion: 3, MaxEngines: 70}, {Model: "m2", NewestVersion: 3, MinVersion: 2, MaxEngines: 70},
 			}
 			for b.Loop() {
 				limpetweights.Plan(engines, models)
