--- a/internal/limpetbatch/burst_test.go
+++ b/internal/limpetbatch/burst_test.go
@@ -59,7 +59,7 @@
 		groups = append(groups, []int{20 * 64, 25 * 64, 30 * 64, 60 * 64})
 	}
 	j := job("j", len(groups), groups...)
-	b.scheduler.AddJob(j, limpetbatch.Rules{Service: "llm", RunTarget: time.Minute, ItemTTL: 5 * time.Minute, MaxAttempts: 3}, nil, epoch)
+	b.scheduler.AddJob(j, limpetbatch.Rules{Shares: map[string]float64{"llm": 1}, RunTarget: time.Minute, ItemTTL: 5 * time.Minute, MaxAttempts: 3}, nil, epoch)
 	for n := range j.Items {
 		b.lastPlaced[j.Items[n].ID] = epoch
 	}
--- a/internal/limpetbatch/dispatch.go
+++ b/internal/limpetbatch/dispatch.go
@@ -15,8 +15,6 @@
 	// lasting holds the cost of beginning a text at each software.
 	lasting map[limpetsite.Software]float64
 	pools   map[poolKey]*pool
-	// full holds the items for which no engine was available.
-	full map[probingKey]bool
 	// continuable says of which software an engine takes work that serves a model.
 	continuable map[continuationKey]bool
 }
@@ -24,16 +22,10 @@
 func (s *Scheduler) newDispatch(ready []*Entry, view *limpetsite.Snapshot, now time.Time) *dispatch {
 	return &dispatch{
 		view: view, now: now, typical: s.typicalInterval(now), lasting: s.lastingSoftware(ready),
-		pools: map[poolKey]*pool{}, full: map[probingKey]bool{}, continuable: map[continuationKey]bool{},
+		pools: map[poolKey]*pool{}, continuable: map[continuationKey]bool{},
 	}
 }
 
-// A probingKey identifies items that have the same candidate engines.
-type probingKey struct {
-	poolKey
-	mayProbe bool
-}
-
 // Dispatch assigns engines to the waiting items, in order of priority, until
 // no engine has a free slot. The caller must start the runs returned.
 func (s *Scheduler) Dispatch(view *limpetsite.Snapshot, now time.Time) []*Run {
@@ -73,35 +65,45 @@
 	return r
 }
 
-// choose returns the engine with the lowest cost for an item, or nil if none
-// is available now. A suspect engine is probed only when no healthy engine has
-// a free slot, and first with an item that can afford the time until the
-// engine is found to be silent.
+// choose returns the engine with the lowest cost for an item at the first service of
+// its route that has one, or nil if none is available now. A suspect engine is probed
+// only when no healthy engine of any of the services has a free slot, and first with an
+// item that can afford the time until the engine is found to be silent.
 func (s *Scheduler) choose(e *Entry, d *dispatch) *engine {
-	key := probingKey{poolKey: poolKeyOf(e), mayProbe: e.mayProbe()}
-	if d.full[key] {
-		return nil
+	services := e.Job.split.order(e)
+	healthy := false
+	for _, service := range services {
+		p := s.pool(poolKeyOf(service, e), e, d)
+		if g := s.chooseAt(service, p, e, d); g != nil {
+			return g
+		}
+		healthy = healthy || p.healthy
 	}
-	p := d.pools[key.poolKey]
-	if p == nil {
-		p = s.newPool(e, d)
-		d.pools[key.poolKey] = p
+	for _, service := range services {
+		if g := s.probe(s.pool(poolKeyOf(service, e), e, d), e.mayProbe() || !healthy, e, d); g != nil {
+			return g
+		}
+	}
+	return nil
+}
+
+// chooseAt returns the engine of a service with the lowest cost for an item that is not
+// suspect, or nil if none has a free slot.
+func (s *Scheduler) chooseAt(service string, p *pool, e *Entry, d *dispatch) *engine {
+	if p.full {
+		return nil
 	}
 	best := s.cheapest(p, e, d)
 	for _, g := range s.preferred(e) {
-		if g.suspect(d.typical) || !s.canStart(g, e, d.view, d.now) {
+		if g.server.Service != service || g.suspect(d.typical) || !s.canStart(g, e, d.view, d.now) {
 			continue
 		}
 		if c := (candidate{engine: g, cost: d.cost(g, e)}); best.engine == nil || best.engine == g || c.less(best) {
 			best = c
 		}
 	}
-	if best.engine != nil {
-		return best.engine
-	}
-	probe := s.probe(p, e, d)
-	d.full[key] = probe == nil
-	return probe
+	p.full = best.engine == nil
+	return best.engine
 }
 
 // preferred returns the engines whose cost for an item is not that for other items:
@@ -124,9 +126,12 @@
 	return engines
 }
 
-// probe returns the suspect engine to probe with an item, or nil.
-func (s *Scheduler) probe(p *pool, e *Entry, d *dispatch) *engine {
-	allowed := e.mayProbe() || !p.healthy
+// probe returns the suspect engine of a pool to probe with an item, or nil. allowed
+// tells that the item may probe at any time.
+func (s *Scheduler) probe(p *pool, allowed bool, e *Entry, d *dispatch) *engine {
+	if p.unprobed[allowed] {
+		return nil
+	}
 	var best candidate
 	for _, g := range p.suspects {
 		if len(g.runs) > 0 || !(allowed || d.now.Sub(g.ejectedUntil) > probeByAnyAfter) || !s.canStart(g, e, d.view, d.now) {
@@ -136,6 +141,7 @@
 			best = c
 		}
 	}
+	p.unprobed[allowed] = best.engine == nil
 	return best.engine
 }
 
@@ -224,6 +230,10 @@
 	if e.Job.Rules.OnPolicy && len(e.text.versions) > 0 {
 		r.Version = e.text.version
 	}
+	if r.After == 0 {
+		e.Job.split.began(g.server.Service)
+		e.group.service = g.server.Service
+	}
 	e.run, e.phase = r, running
 	s.addRun(g, r)
 	e.startTiming(now)
--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -175,7 +175,7 @@
 	counted := map[*engine]bool{}
 	spare := -needed
 	for _, r := range runs {
-		for _, other := range s.serving(r.Entry.Job, view) {
+		for other := range s.servingJob(r.Entry.Job, view) {
 			if spare >= len(runs) {
 				return len(runs)
 			}
--- a/internal/limpetbatch/fleet.go
+++ b/internal/limpetbatch/fleet.go
@@ -1,6 +1,7 @@
 package limpetbatch
 
 import (
+	"math"
 	"time"
 
 	"limpetmount.org/internal/limpetsite"
@@ -48,25 +49,34 @@
 	return n
 }
 
-// Demand returns the number of running and waiting items by service.
+// Demand returns the number of running and waiting items by service. Waiting items are
+// divided among the services of their route.
 func (s *Scheduler) Demand() map[string]int {
 	demand := map[string]int{}
 	for _, g := range s.busy {
 		demand[g.server.Service] += len(g.runs)
 	}
+	parts := map[string]float64{}
 	for _, j := range s.jobsByArrival {
 		if j.Rules.Withdrawn {
 			continue
 		}
-		for _, e := range j.entries {
-			if e.phase == waiting {
-				demand[j.Rules.Service]++
-			}
+		n := j.countWaiting(func(*Entry) bool { return true })
+		for service, share := range j.Rules.Shares {
+			parts[service] += share * float64(n)
+		}
+	}
+	for service, n := range parts {
+		if n > 0 {
+			demand[service] += int(math.Ceil(n - roundingSlack))
 		}
 	}
 	return demand
 }
 
+// roundingSlack keeps sums of shares that are a whole number from being rounded up.
+const roundingSlack = 1e-6
+
 const (
 	// defaultRunTime is assumed for runs of a service of which none is complete.
 	defaultRunTime = 2 * time.Second
--- a/internal/limpetbatch/helpers_test.go
+++ b/internal/limpetbatch/helpers_test.go
@@ -16,7 +16,7 @@
 func at(offset time.Duration) time.Time { return epoch.Add(offset) }
 
 var rules = limpetbatch.Rules{
-	Service: "llm", RunTarget: 7500 * time.Millisecond, ItemTTL: 40 * time.Second, MaxAttempts: 3,
+	Shares: map[string]float64{"llm": 1}, RunTarget: 7500 * time.Millisecond, ItemTTL: 40 * time.Second, MaxAttempts: 3,
 }
 
 // view returns a snapshot of engines that serve the model m, given the weight
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -66,7 +66,9 @@
 // A group holds the items that share a prompt. A trainer can use them only
 // together.
 type group struct {
-	entries   []*Entry
+	entries []*Entry
+	// service is where the last item of the group began; empty if none has.
+	service   string
 	unsettled int
 	// resubmitted groups were part of an earlier job.
 	resubmitted bool
@@ -82,6 +84,8 @@
 	// Rules change only by SetRules.
 	Rules Rules
 
+	// split divides the items among the services of Rules.Shares.
+	split *split
 	// withdrawnAt is since when Rules.Withdrawn is set.
 	withdrawnAt time.Time
 	entries     []*Entry
@@ -169,6 +173,8 @@
 	queueStale bool
 	queue      []*Entry
 	workloads  map[workloadKey]recordedWorkload
+	// splits holds the split of each route, by its name.
+	splits map[string]*split
 	// runTimes holds the mean duration of complete runs by service.
 	runTimes map[string]time.Duration
 	// software counts the engines of each software; nil while there is only one.
@@ -191,7 +197,7 @@
 
 // New returns a scheduler without jobs and engines.
 func New() *Scheduler {
-	return &Scheduler{jobs: map[string]*Job{}, engines: map[string]*engine{}, retained: map[string]*retainedText{}, workloads: map[workloadKey]recordedWorkload{}, runTimes: map[string]time.Duration{}}
+	return &Scheduler{jobs: map[string]*Job{}, engines: map[string]*engine{}, retained: map[string]*retainedText{}, workloads: map[workloadKey]recordedWorkload{}, splits: map[string]*split{}, runTimes: map[string]time.Duration{}}
 }
 
 // Jobs returns the jobs that have not ended, by ID.
@@ -215,6 +221,8 @@
 		return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
 	})
 	s.recordWorkload(j)
+	j.split = s.splitOf(rules)
+	s.forgetSplits()
 	s.reuseRetained(j, now)
 	s.Reconcile(j, done)
 	j.rankGroups()
--- a/internal/limpetbatch/order.go
+++ b/internal/limpetbatch/order.go
@@ -98,6 +98,18 @@
 	return n
 }
 
+// WaitingBeside returns the number of items that wait for engines which may run a job's
+// items, too, those of the job included.
+func (s *Scheduler) WaitingBeside(j *Job) int {
+	n := 0
+	for _, other := range s.jobsByArrival {
+		if other.Model == j.Model && slices.ContainsFunc(j.split.services, other.runsAt) {
+			n += other.countWaiting(func(*Entry) bool { return true })
+		}
+	}
+	return n
+}
+
 // requiredWaiting returns the number of required items of a model that wait for an
 // engine of a service.
 func (s *Scheduler) requiredWaiting(model, service string) int {
--- a/internal/limpetbatch/pool.go
+++ b/internal/limpetbatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"iter"
 	"time"
 
 	"limpetmount.org/internal/limpetsite"
@@ -13,17 +14,17 @@
 	minVersion     int
 }
 
-// serving returns the engines that take work and have weights that a job accepts,
-// in the order of their IDs. The slice is valid until the engines change.
-func (s *Scheduler) serving(j *Job, view *limpetsite.Snapshot) []*engine {
-	if j.Rules.Withdrawn {
+// serving returns the engines of a service that take work and have weights that a job
+// accepts, in the order of their IDs. The slice is valid until the engines change.
+func (s *Scheduler) serving(service string, j *Job, view *limpetsite.Snapshot) []*engine {
+	if !j.runsAt(service) {
 		return nil
 	}
 	if view != s.servingView {
 		s.forgetServing()
 		s.servingView = view
 	}
-	key := engineKey{service: j.Rules.Service, model: j.Model, minVersion: j.MinVersion}
+	key := engineKey{service: service, model: j.Model, minVersion: j.MinVersion}
 	engines, known := s.servingCache[key]
 	if known {
 		return engines
@@ -31,7 +32,7 @@
 	s.examined += uint64(len(s.enginesByID))
 	for _, g := range s.enginesByID {
 		version, serves := g.versions[j.Model]
-		if serves && version >= j.MinVersion && j.runsAt(g.server.Service) && view.AcceptsWork(g.server.ID) {
+		if serves && version >= j.MinVersion && g.server.Service == service && view.AcceptsWork(g.server.ID) {
 			engines = append(engines, g)
 		}
 	}
@@ -39,6 +40,20 @@
 	return engines
 }
 
+// servingJob yields the engines of all services that take work and have weights that a
+// job accepts.
+func (s *Scheduler) servingJob(j *Job, view *limpetsite.Snapshot) iter.Seq[*engine] {
+	return func(yield func(*engine) bool) {
+		for _, service := range j.split.services {
+			for _, g := range s.serving(service, j, view) {
+				if !yield(g) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // forgetServing is called when the weights of engines, or the engines, have changed.
 func (s *Scheduler) forgetServing() { s.servingCache = map[engineKey][]*engine{} }
 
@@ -51,7 +66,7 @@
 	s.forgetServing()
 }
 
-// A poolKey identifies items that can run on the same engines.
+// A poolKey identifies items that can run on the same engines of a service.
 type poolKey struct {
 	engineKey
 	// begun is set if the item has some text, and software is what began it.
@@ -61,8 +76,8 @@
 	version int
 }
 
-func poolKeyOf(e *Entry) poolKey {
-	key := poolKey{engineKey: engineKey{service: e.Job.Rules.Service, model: e.Job.Model, minVersion: e.Job.MinVersion}}
+func poolKeyOf(service string, e *Entry) poolKey {
+	key := poolKey{engineKey: engineKey{service: service, model: e.Job.Model, minVersion: e.Job.MinVersion}}
 	if e.text.lastEvent > 0 {
 		key.begun, key.software = true, e.text.software
 	}
@@ -81,12 +96,25 @@
 	// healthy is set if an engine that is not suspect can run the items, now or
 	// once it has a free slot.
 	healthy bool
+	// full is set once no engine that is not suspect has a free slot, and unprobed
+	// once none that is suspect may be probed, by whether any item may probe.
+	full     bool
+	unprobed map[bool]bool
+}
+
+// pool returns the engines of a service that an item can run on.
+func (s *Scheduler) pool(key poolKey, e *Entry, d *dispatch) *pool {
+	p := d.pools[key]
+	if p == nil {
+		p = s.newPool(key.service, e, d)
+		d.pools[key] = p
+	}
+	return p
 }
 
-// newPool returns the engines that an item can run on.
-func (s *Scheduler) newPool(e *Entry, d *dispatch) *pool {
-	p := &pool{}
-	serving := s.serving(e.Job, d.view)
+func (s *Scheduler) newPool(service string, e *Entry, d *dispatch) *pool {
+	p := &pool{unprobed: map[bool]bool{}}
+	serving := s.serving(service, e.Job, d.view)
 	s.examined += uint64(len(serving))
 	for _, g := range serving {
 		switch {
--- a/internal/limpetbatch/pool_test.go
+++ b/internal/limpetbatch/pool_test.go
@@ -17,27 +17,36 @@
 	for _, g := range s.enginesByID {
 		healthy = healthy || !g.suspect(d.typical) && g.canServe(e, d.view, d.now)
 	}
-	var best, probe candidate
-	for _, g := range s.enginesByID {
-		if !s.canStart(g, e, d.view, d.now) {
-			continue
-		}
-		c := candidate{engine: g, cost: d.cost(g, e)}
-		switch {
-		case !g.suspect(d.typical):
-			if best.engine == nil || c.less(best) {
-				best = c
+	var probes []*engine
+	for _, service := range e.Job.split.order(e) {
+		var best, probe candidate
+		for _, g := range s.enginesByID {
+			if g.server.Service != service || !s.canStart(g, e, d.view, d.now) {
+				continue
 			}
-		case len(g.runs) == 0 && (e.mayProbe() || !healthy || d.now.Sub(g.ejectedUntil) > probeByAnyAfter):
-			if probe.engine == nil || c.less(probe) {
-				probe = c
+			c := candidate{engine: g, cost: d.cost(g, e)}
+			switch {
+			case !g.suspect(d.typical):
+				if best.engine == nil || c.less(best) {
+					best = c
+				}
+			case len(g.runs) == 0 && (e.mayProbe() || !healthy || d.now.Sub(g.ejectedUntil) > probeByAnyAfter):
+				if probe.engine == nil || c.less(probe) {
+					probe = c
+				}
 			}
 		}
+		if best.engine != nil {
+			return best.engine
+		}
+		if probe.engine != nil {
+			probes = append(probes, probe.engine)
+		}
 	}
-	if best.engine != nil {
-		return best.engine
+	if len(probes) > 0 {
+		return probes[0]
 	}
-	return probe.engine
+	return nil
 }
 
 // A randomFleet changes a scheduler at random.
@@ -52,11 +61,13 @@
 func newRandomFleet(seed uint64) *randomFleet {
 	f := &randomFleet{Rand: rand.New(rand.NewPCG(seed, 1)), s: New(), now: time.Unix(1_700_000_000, 0)}
 	state := limpetsite.NewState()
+	services := []string{"llm", "other", "third"}[:1+seed%3]
 	for n := range 5 + f.IntN(25) {
 		id := fmt.Sprintf("e%02d", n)
-		software := limpetsite.SoftwareOf("llm", fmt.Sprint("v", f.IntN(2)))
+		service := services[f.IntN(len(services))]
+		software := limpetsite.SoftwareOf(service, fmt.Sprint("v", f.IntN(2)))
 		state.Apply(limpetsite.Record{Key: limpetsite.ServerKey + id, Revision: uint64(n + 1), Server: &limpetsite.Server{
-			ID: id, Service: "llm", Address: id, Zone: "a", Slots: 1 + f.IntN(4), Models: map[string]int{"m": 1 + f.IntN(3), "n": 1 + f.IntN(3)},
+			ID: id, Service: service, Address: id, Zone: "a", Slots: 1 + f.IntN(4), Models: map[string]int{"m": 1 + f.IntN(3), "n": 1 + f.IntN(3)},
 			Software: software, Spot: f.IntN(5) == 0, Draining: f.IntN(8) == 0,
 		}}, f.now)
 	}
@@ -67,7 +78,11 @@
 		for i := range 4 + f.IntN(20) {
 			j.Items = append(j.Items, limpetjob.Item{ID: fmt.Sprintf("j%d-%02d", n, i), Group: fmt.Sprint("g", i/4), ExpectedTokens: 64 * (1 + f.IntN(150))})
 		}
-		f.s.AddJob(j, Rules{Service: "llm", RunTarget: 7500 * time.Millisecond, MaxAttempts: 3, OnPolicy: f.IntN(5) == 0}, nil, f.now)
+		route := limpetsite.Route{Name: fmt.Sprint("r", n)}
+		for _, service := range services {
+			route.Targets = append(route.Targets, limpetsite.Target{Service: service, Weight: float64(f.IntN(4))})
+		}
+		f.s.AddJob(j, Rules{Route: route.Name, Shares: route.Shares(), RunTarget: 7500 * time.Millisecond, MaxAttempts: 3, OnPolicy: f.IntN(5) == 0}, nil, f.now)
 	}
 	return f
 }
--- a/internal/limpetbatch/rules.go
+++ b/internal/limpetbatch/rules.go
@@ -1,14 +1,18 @@
 package limpetbatch
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Rules holds the settings of a job that come from its route. They change with the
 // configuration while the job is open; see SetRules.
 type Rules struct {
 	// Route is the name of the route.
 	Route string
-	// Service is the service whose engines run the items.
-	Service string
+	// Shares holds the services whose engines run the items, with the part of the
+	// items that each of them is to get. The parts are positive and add up to 1.
+	Shares map[string]float64
 	// RunTarget is when all results are due, and ItemTTL when an item may be
 	// given up. Both count from the arrival of the job.
 	RunTarget, ItemTTL time.Duration
@@ -27,10 +31,16 @@
 // given up: operators who replace a route may remove it first.
 const withdrawalGrace = 2 * time.Second
 
+// Equal reports whether two sets of rules are the same.
+func (r Rules) Equal(other Rules) bool {
+	return maps.Equal(r.Shares, other.Shares) && r.Route == other.Route && r.RunTarget == other.RunTarget && r.ItemTTL == other.ItemTTL &&
+		r.MaxAttempts == other.MaxAttempts && r.OnPolicy == other.OnPolicy && r.Priority == other.Priority && r.Withdrawn == other.Withdrawn
+}
+
 // runsAt reports whether engines of a service may run the job's items now. All that
 // concerns which engines are there for a job goes by it.
 func (j *Job) runsAt(service string) bool {
-	return !j.Rules.Withdrawn && service == j.Rules.Service
+	return !j.Rules.Withdrawn && j.Rules.Shares[service] > 0
 }
 
 // SetRules gives an open job other rules. Runs under the former ones go on, wherever
@@ -40,10 +50,13 @@
 	if rules.Withdrawn && !j.Rules.Withdrawn {
 		j.withdrawnAt = now
 	}
-	mixedAllowed := !j.Rules.OnPolicy
-	j.Rules = rules
+	former := j.Rules
+	j.Rules, j.split = rules, s.splitOf(rules)
 	s.queueStale = true
-	if !rules.OnPolicy || !mixedAllowed {
+	if rules.Route != former.Route {
+		s.recordWorkload(j)
+	}
+	if former.OnPolicy || !rules.OnPolicy {
 		return nil
 	}
 	var detached []*Run
--- a/internal/limpetbatch/rules_test.go
+++ b/internal/limpetbatch/rules_test.go
@@ -7,6 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpetsite"
 )
 
 // Guards against open jobs that keep the priority, the deadline and the allowed failures
@@ -49,6 +50,21 @@
 	})
 }
 
+// Guards against engines that get no new weights although jobs come to them by a route
+// that was added in front of the former one.
+func TestWorkOfOpenJobsMovesToTheirRoute(t *testing.T) {
+	Convey("the work of an open job is at the services of its new route", t, func() {
+		s := limpetbatch.New()
+		of := rules
+		of.Route = "a"
+		j := s.AddJob(job("j", 1, []int{100, 100}), of, nil, epoch)
+		of.Route, of.Shares = "b", map[string]float64{"y": 1}
+		s.SetRules(j, of, epoch)
+		work := s.Workloads("m", routed(map[string][]limpetsite.Target{"a": {{Service: "x", Weight: 1}}, "b": {{Service: "y", Weight: 1}}}), epoch)
+		So(work["y"], ShouldResemble, limpetbatch.Workload{Items: 2, Tokens: 200})
+	})
+}
+
 // Guards against items of a job without a route that engines begin, that keep engines or
 // weights from other jobs, or that are never settled.
 func TestWithdrawnJobs(t *testing.T) {
--- a/internal/limpetbatch/software.go
+++ b/internal/limpetbatch/software.go
@@ -33,11 +33,12 @@
 	e.Job.draftsDirty = true
 }
 
-// A continuationKey identifies the engines of a service that can go on with texts
-// of a model.
+// A continuationKey identifies the engines of a split's services that can go on with
+// texts of a model.
 type continuationKey struct {
-	service, model string
-	software       limpetsite.Software
+	split    *split
+	model    string
+	software limpetsite.Software
 }
 
 // shouldBeginAgain reports whether an item that no engine can continue now is
@@ -47,7 +48,7 @@
 	if e.text.lastEvent == 0 {
 		return false
 	}
-	key := continuationKey{service: e.Job.Rules.Service, model: e.Job.Model, software: e.text.software}
+	key := continuationKey{split: e.Job.split, model: e.Job.Model, software: e.text.software}
 	continuable, known := d.continuable[key]
 	if !known {
 		continuable = s.continuable(e.Job, key, d.view)
@@ -120,7 +121,7 @@
 		if len(moving) == limit {
 			break
 		}
-		for _, g := range s.serving(r.Entry.Job, view) {
+		for g := range s.servingJob(r.Entry.Job, view) {
 			if g.server.ID != r.Server.ID && len(g.runs)+taken[g] < g.slots() && s.canStart(g, r.Entry, view, now) && !g.slow(typical, now) {
 				taken[g]++
 				moving = append(moving, r)
--- a/internal/limpetbatch/workload.go
+++ b/internal/limpetbatch/workload.go
@@ -54,8 +54,8 @@
 		}
 		for service, share := range route.Shares() {
 			at := work[service]
-			at.Items += int(math.Ceil(share * float64(w.Items)))
-			at.Tokens += int(math.Ceil(share * float64(w.Tokens)))
+			at.Items += int(math.Ceil(share*float64(w.Items) - roundingSlack))
+			at.Tokens += int(math.Ceil(share*float64(w.Tokens) - roundingSlack))
 			work[service] = at
 		}
 	}
--- a/internal/limpetdirector/loading.go
+++ b/internal/limpetdirector/loading.go
@@ -167,7 +167,7 @@
 	d.Log.Emit(limpetlog.JobTaken, limpetlog.Job(m.id), limpetlog.Account(j.Account), limpetlog.Value("items", len(j.Items)),
 		limpetlog.Value("listed", len(m.done)), limpetlog.Value("drafts", len(m.drafts)), limpetlog.Value("step", j.Step), limpetlog.Value("min_version", j.MinVersion),
 		limpetlog.Value("engines", d.scheduler.UsableEngines(j)), limpetlog.Value("named", d.view.PublishedVersions[j.Model]),
-		limpetlog.Value("waiting", d.scheduler.WaitingItems(j.Model, j.Rules.Service)), limpetlog.Value("age_ms", now.Sub(j.Arrived).Milliseconds()))
+		limpetlog.Value("waiting", d.scheduler.WaitingBeside(j)), limpetlog.Value("age_ms", now.Sub(j.Arrived).Milliseconds()))
 }
 
 // jobReload loads a job again after a delay.
--- a/internal/limpetdirector/rules.go
+++ b/internal/limpetdirector/rules.go
@@ -17,7 +17,7 @@
 		return limpetbatch.Rules{}, false
 	}
 	return limpetbatch.Rules{
-		Route: route.Name, Service: route.Targets[0].Service, RunTarget: route.RunTarget, ItemTTL: route.ItemTTL,
+		Route: route.Name, Shares: route.Shares(), RunTarget: route.RunTarget, ItemTTL: route.ItemTTL,
 		MaxAttempts: route.Attempts, OnPolicy: route.OnPolicy, Priority: view.Priority(j.Account, route),
 	}, true
 }
@@ -46,13 +46,13 @@
 			rules = j.Rules
 			rules.Withdrawn = true
 		}
-		if rules == j.Rules {
+		if rules.Equal(j.Rules) {
 			continue
 		}
 		former := j.Rules
 		d.cancelRuns(d.scheduler.SetRules(j, rules, now), "rules of the route changed")
 		d.Log.Emit(limpetlog.JobRulesChanged, limpetlog.Job(id), limpetlog.Value("revision", d.view.Revision),
-			limpetlog.Value("from", former.Service), limpetlog.Value("to", rules.Service), limpetlog.Value("withdrawn", rules.Withdrawn),
+			limpetlog.Value("from", former.Shares), limpetlog.Value("to", rules.Shares), limpetlog.Value("withdrawn", rules.Withdrawn),
 			limpetlog.Value("engines", d.scheduler.UsableEngines(j)), limpetlog.Value("age_ms", now.Sub(j.Arrived).Milliseconds()))
 	}
 }
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -93,7 +93,7 @@
 	JobRemovalFailed    = newEvent(1709, logrus.InfoLevel, "job removal failed", "An ended job could not be removed from the store; the removal is retried.")
 	JobReadFailed       = newEvent(1707, logrus.InfoLevel, "job read failed", "The store did not return a job or its results; the read is retried until it succeeds.")
 	JobWithoutRoute     = newEvent(1706, logrus.WarnLevel, "job without route", "No route of the current configuration leads to the job's service; the lookup is retried.")
-	JobRulesChanged     = newEvent(1710, logrus.InfoLevel, "job rules changed", "The configuration changed the route of an open job: from and to are the services for its items. Runs that had begun go on. withdrawn means that no route leads on: no item begins any more, and after 2 s those without a run are errored.")
+	JobRulesChanged     = newEvent(1710, logrus.InfoLevel, "job rules changed", "The configuration changed the route of an open job: from and to are the services for its items, with their shares. Runs that had begun go on. withdrawn means that no route leads on: no item begins any more, and after 2 s those without a run are errored.")
 	RunStarted          = newEvent(1711, logrus.DebugLevel, "run started", "An item was sent to an engine, starting at the given event.")
 	RunFailed           = newEvent(1712, logrus.InfoLevel, "run failed", "An engine refused an item or broke its stream; the item is retried on another engine unless it is settled.")
 	RunCanceled         = newEvent(1713, logrus.InfoLevel, "run canceled", "The director canceled a run. The cause says whether the item is retried on another engine.")
