A server that goes on with a stream must send the next event (report on errors in streams)

Other operators' clients found the next server's error in the middle of their streams. Here answers that are no event stream never reached callers, but events were passed on unread: an error as an event without an ID, the stream from its beginning, after a gap, or an event twice, with an end that looked complete.

Ruled out: statuses 400, 500, 502, a success of another type, a refusal, a reset, no connection (7 of 12 cases held before); items (the scheduler checks each position).

Before: TestErrorsOfTheNextServerDoNotReachTheStream fails in 5 of 12 cases, TestStreamsGoOnAfterAnErrorOfTheNextServer gets events 1 to 3 twice. After: both pass.

--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetmetric"
 	"limpetmount.org/internal/limpetorigin"
@@ -17,17 +18,20 @@
 // breaks. The caller sees one response, with the header of the first server.
 func (d *dispatch) followStream(ctx context.Context, first *limpetupstream.Reply) {
 	current := &limpetupstream.Reply{Events: first.Events, Close: first.Close}
-	last, events := d.request.LastEventID, 0
+	last, events, began := d.request.LastEventID, 0, false
 	first.Events = func() (limpetupstream.Event, error) {
 		for {
 			event, err := current.Events()
+			if err == nil {
+				err = d.checkPosition(event, last, events)
+			}
 			if err == nil {
 				if last == 0 {
 					d.software = d.server.Software
 					d.sender = limpetorigin.Sender{Server: d.server.ID, Incarnation: d.server.Incarnation, Began: d.respondedAt}
 				}
 				d.recordOrigin()
-				last = event.ID
+				last, began = max(last, event.ID), true
 				events++
 				return event, nil
 			}
@@ -37,7 +41,7 @@
 			}
 			current.Close()
 			d.recordBroken(ctx, d.server, err, events)
-			if !d.route.Repeatable() || !d.mayGoOn(last, events) {
+			if !d.route.Repeatable() || (began && last == 0) || !d.mayGoOn(last, events) {
 				return event, err
 			}
 			next := d.resume(ctx, last)
@@ -50,6 +54,21 @@
 	first.Close = func() { current.Close() }
 }
 
+// checkPosition returns an error for an event that does not follow the last one that
+// the caller has: the first one of a server that goes on with a stream must be the
+// next, and each later one must come after the one before. What a server sends that
+// has the stream from its beginning is the caller's, whatever it is. Events tells how
+// many events the server has sent.
+func (d *dispatch) checkPosition(event limpetupstream.Event, last, events int) error {
+	if !d.route.Repeatable() || d.request.LastEventID == 0 {
+		return nil
+	}
+	if (events == 0 && event.ID != last+1) || event.ID <= last {
+		return limpeterror.Unknown.New("event %d does not follow event %d", event.ID, last)
+	}
+	return nil
+}
+
 // findOrigin finds the software that began the stream that the caller comes back
 // for. The reason is Served if the request may be sent.
 func (d *dispatch) findOrigin(ctx context.Context) Reason {
