--- a/internal/limpetforward/limpetforward.go
+++ b/internal/limpetforward/limpetforward.go
@@ -163,7 +163,8 @@
 // Forward sends a request to a backend server and returns the answer for the
 // caller.
 func (f *Forwarder) Forward(ctx context.Context, r *Request) Answer {
-	route, account, reason := Authorize(f.View(), r)
+	view := f.View()
+	route, account, reason := Authorize(view, r)
 	if reason != Served {
 		return f.finish(r, nil, nil, Answer{Reason: reason, RetryAfter: noServerRetryAfter})
 	}
@@ -176,7 +177,7 @@
 	}
 	d := &dispatch{
 		forwarder: f, request: r, route: route, account: account, crashes: f.Crashes,
-		service: route.Pick(rand.Float64()), deadline: r.Arrived.Add(timeout), tried: map[string]bool{},
+		service: view.Pick(route, rand.Float64()), deadline: r.Arrived.Add(timeout), tried: map[string]bool{},
 	}
 	if route.Kind == limpetsite.Stream && route.Resumable {
 		if reason := d.findOrigin(ctx); reason != Served {
@@ -202,7 +203,7 @@
 	repeatable.Kind = limpetsite.Idempotent
 	d := &dispatch{
 		forwarder: f, request: r, route: &repeatable, yields: true,
-		service: route.Pick(rand.Float64()), deadline: r.Arrived.Add(r.Timeout), tried: map[string]bool{},
+		service: view.Pick(route, rand.Float64()), deadline: r.Arrived.Add(r.Timeout), tried: map[string]bool{},
 	}
 	return f.finish(r, route, nil, d.run(ctx)), d.attemptLimit()
 }
--- a/internal/limpetforward/limpetforward_test.go
+++ b/internal/limpetforward/limpetforward_test.go
@@ -90,6 +90,7 @@
 	state.Apply(limpetsite.Record{Key: "config", Revision: 1, Config: &limpetsite.Config{
 		Routes: []limpetsite.Route{
 			{Name: "keyed", Host: "h", Prefix: "/k/", Targets: []limpetsite.Target{{Service: "desk", Weight: 1}}, Kind: kind, Attempts: 2, Timeout: time.Second, LatencyGoal: 150 * time.Millisecond, Resumable: kind == limpetsite.Stream},
+			{Name: "split", Host: "h", Prefix: "/s/", Targets: []limpetsite.Target{{Service: "none", Weight: 9}, {Service: "desk", Weight: 1}, {Service: "none", Weight: 0}}, Kind: kind, Attempts: 2, Public: true},
 			{Name: "lost", Host: "h", Prefix: "/l/", Targets: []limpetsite.Target{{Service: "none", Weight: 1}}, Kind: kind, Attempts: 2, Public: true},
 		},
 		Accounts: []limpetsite.Account{{Name: "acme", Keys: [][32]byte{limpetsite.HashKey("key")}}},
--- a/internal/limpetsite/snapshot.go
+++ b/internal/limpetsite/snapshot.go
@@ -190,6 +190,24 @@
 	return nil
 }
 
+// Pick selects one of a route's services by weight, from a random number between 0 and
+// 1. While some of them have servers that may get new work, it selects one of those.
+func (s *Snapshot) Pick(r *Route, random float64) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	var staffed Route
+	for _, t := range r.Targets {
+		if t.Weight > 0 && len(s.servers[t.Service]) > 0 {
+			staffed.Targets = append(staffed.Targets, t)
+		}
+	}
+	if len(staffed.Targets) == 0 {
+		return r.Pick(random)
+	}
+	return staffed.Pick(random)
+}
+
 // AllServers returns all servers by ID, including draining ones. The map is
 // shared and must not be modified.
 func (s *Snapshot) AllServers() map[string]*Server { return s.byID }
