--- a/internal/limpetbatch/dispatch.go
+++ b/internal/limpetbatch/dispatch.go
@@ -8,10 +8,9 @@
 
 // A dispatch is what one call of Dispatch looks up or computes once.
 type dispatch struct {
-	view *limpetsite.Snapshot
-	now  time.Time
-	// typical is the typical interval between events; 0 if unknown.
-	typical time.Duration
+	view    *limpetsite.Snapshot
+	now     time.Time
+	typical typicalIntervals
 	// lasting holds the cost of beginning a text at each software.
 	lasting map[limpetsite.Software]float64
 	pools   map[poolKey]*pool
@@ -21,7 +20,7 @@
 
 func (s *Scheduler) newDispatch(ready []*Entry, view *limpetsite.Snapshot, now time.Time) *dispatch {
 	return &dispatch{
-		view: view, now: now, typical: s.typicalInterval(now), lasting: s.lastingSoftware(ready),
+		view: view, now: now, typical: s.typicalIntervals(now), lasting: s.lastingSoftware(ready),
 		pools: map[poolKey]*pool{}, continuable: map[continuationKey]bool{},
 	}
 }
@@ -179,8 +178,8 @@
 // the same poolKey.
 func (d *dispatch) sharedCost(g *engine, e *Entry) float64 {
 	cost := g.load() / float64(g.slots())
-	if d.typical > 0 && g.interval > 0 && d.now.Sub(g.intervalAt) < intervalMaxAge {
-		cost += slownessCost * (float64(g.interval)/float64(d.typical) - 1)
+	if typical := d.typical.of(g); typical > 0 && g.interval > 0 && d.now.Sub(g.intervalAt) < intervalMaxAge {
+		cost += slownessCost * (float64(g.interval)/float64(typical) - 1)
 	}
 	if g.server.Spot {
 		cost += spotCost
--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -36,14 +36,6 @@
 	// time doubles with each consecutive failure, up to maxEjection.
 	minEjection = 300 * time.Millisecond
 	maxEjection = 5 * time.Second
-	// intervalSmoothing is the weight of a new sample in the mean interval.
-	intervalSmoothing = 0.15
-	// intervalMaxAge is how long a measured interval counts, and so how long
-	// a slow engine is kept from new work.
-	intervalMaxAge = 2500 * time.Millisecond
-	// slowRatio is the ratio of an engine's interval to the typical one above
-	// which the engine gets no new work.
-	slowRatio = 2.0
 )
 
 // UpdateEngines updates the engines that may get new work. Runs on engines that
@@ -171,7 +163,7 @@
 // spareFor returns how many of the runs of one engine find a free slot at other
 // engines that the given number of waiting items does not need.
 func (s *Scheduler) spareFor(runs []*Run, needed int, view *limpetsite.Snapshot, now time.Time) int {
-	typical := s.typicalInterval(now)
+	typical := s.typicalIntervals(now)
 	counted := map[*engine]bool{}
 	spare := -needed
 	for _, r := range runs {
@@ -208,42 +200,6 @@
 	return !j.Rules.OnPolicy || len(e.text.versions) == 0 || version == e.text.version
 }
 
-// typicalInterval returns the lower tercile of the recently measured intervals,
-// or 0 if there are none. Unlike a mean or a median, it remains typical of
-// healthy engines while many engines are slow.
-func (s *Scheduler) typicalInterval(now time.Time) time.Duration {
-	s.measured = slices.DeleteFunc(s.measured, func(g *engine) bool {
-		g.measured = now.Sub(g.intervalAt) < intervalMaxAge && s.engines[g.server.ID] == g
-		return !g.measured
-	})
-	s.examined += uint64(len(s.measured))
-	intervals := make([]time.Duration, 0, len(s.measured))
-	for _, g := range s.measured {
-		if g.interval > 0 {
-			intervals = append(intervals, g.interval)
-		}
-	}
-	if len(intervals) == 0 {
-		return 0
-	}
-	slices.Sort(intervals)
-	return intervals[len(intervals)/3]
-}
-
-// slow reports whether an engine was recently measured to be much slower than
-// the others.
-func (g *engine) slow(typical time.Duration, now time.Time) bool {
-	return typical > 0 && g.interval > 0 && now.Sub(g.intervalAt) < intervalMaxAge &&
-		float64(g.interval) > slowRatio*float64(typical)
-}
-
-// suspect reports whether an engine failed or was much slower than the others
-// when it was last used. However long ago that was, it gets a single run as a
-// probe first.
-func (g *engine) suspect(typical time.Duration) bool {
-	return g.failures > 0 || (typical > 0 && float64(g.interval) > slowRatio*float64(typical))
-}
-
 // detach removes a run from its engine and its entry, which waits again.
 func (s *Scheduler) detach(r *Run) {
 	r.detached = true
--- a/internal/limpetbatch/overdue.go
+++ b/internal/limpetbatch/overdue.go
@@ -1,6 +1,7 @@
 package limpetbatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,29 +32,31 @@
 // engines as far as other engines have spare slots. The caller must cancel the
 // runs returned; their items wait again and continue where their text ends.
 func (s *Scheduler) DetachOverdue(view *limpetsite.Snapshot, now time.Time) []*Run {
-	typical := s.typicalInterval(now)
-	var detached, slowRuns []*Run
+	typical := s.typicalIntervals(now)
+	var detached []*Run
+	slowRuns := map[string][]*Run{}
 	s.examined += uint64(len(s.busy))
 	for _, g := range s.busy {
 		timedOut, slow := false, g.slow(typical, now)
 		for _, r := range g.runs {
 			switch {
-			case r.silence(now) > g.eventTimeout(r, typical):
+			case r.silence(now) > g.eventTimeout(r, typical.of(g)):
 				r.timedOut = true
 				detached = append(detached, r)
 				timedOut = timedOut || g.loading == ""
 			case slow && r.Entry.moves < maxMoves && now.Sub(r.started) > minRunBeforeMove:
-				slowRuns = append(slowRuns, r)
+				slowRuns[g.server.Service] = append(slowRuns[g.server.Service], r)
 			}
 		}
 		if timedOut {
 			g.eject(now)
 		}
 	}
-	if len(slowRuns) > 0 {
+	for _, service := range slices.Sorted(maps.Keys(slowRuns)) {
 		// Required and longer items get the spare slots first.
-		slices.SortFunc(slowRuns, func(a, b *Run) int { return compareEntries(a.Entry, b.Entry) })
-		detached = append(detached, s.movable(slowRuns, s.spareSlots(len(slowRuns), view, typical, now), view, now)...)
+		runs := slowRuns[service]
+		slices.SortFunc(runs, func(a, b *Run) int { return compareEntries(a.Entry, b.Entry) })
+		detached = append(detached, s.movable(runs, s.spareSlots(service, len(runs), view, typical, now), view, now)...)
 	}
 	for _, r := range detached {
 		r.Entry.avoidEngine = r.Server.ID
@@ -93,18 +96,14 @@
 	return limit
 }
 
-// spareSlots returns the number of free slots on engines that are not slow,
-// less the number of required items that wait for a slot, and at most limit.
-func (s *Scheduler) spareSlots(limit int, view *limpetsite.Snapshot, typical time.Duration, now time.Time) int {
+// spareSlots returns the number of free slots on engines of a service that are not
+// slow, less the number of required items that wait for a slot there, and at most
+// limit.
+func (s *Scheduler) spareSlots(service string, limit int, view *limpetsite.Snapshot, typical typicalIntervals, now time.Time) int {
 	n := 0
 	for _, j := range s.jobsByArrival {
-		if j.Rules.Withdrawn {
-			continue
-		}
-		for _, e := range j.entries {
-			if e.phase == waiting && e.group.required {
-				n--
-			}
+		if j.runsAt(service) {
+			n -= j.countWaiting((*Entry).Required)
 		}
 	}
 	for _, g := range s.enginesByID {
@@ -112,7 +111,7 @@
 			return limit
 		}
 		s.examined++
-		if view.AcceptsWork(g.server.ID) && !now.Before(g.ejectedUntil) && g.loading == "" && !g.slow(typical, now) {
+		if g.server.Service == service && view.AcceptsWork(g.server.ID) && !now.Before(g.ejectedUntil) && g.loading == "" && !g.slow(typical, now) {
 			n += max(0, g.server.Slots-len(g.runs))
 		}
 	}
--- a/internal/limpetbatch/run.go
+++ b/internal/limpetbatch/run.go
@@ -79,24 +79,6 @@
 	return true
 }
 
-// recordInterval adds the time since the run's last event to the engine's average.
-func (s *Scheduler) recordInterval(g *engine, r *Run, now time.Time) {
-	if r.events == 0 || g.loading != "" {
-		return
-	}
-	sample := now.Sub(r.lastActivity)
-	if g.interval == 0 || now.Sub(g.intervalAt) > intervalMaxAge {
-		g.interval = sample
-	} else {
-		g.interval += time.Duration(intervalSmoothing * float64(sample-g.interval))
-	}
-	g.intervalAt = now
-	if !g.measured {
-		g.measured = true
-		s.measured = append(s.measured, g)
-	}
-}
-
 // An Ending classifies the end of a run.
 type Ending int
 
--- a/internal/limpetbatch/software.go
+++ b/internal/limpetbatch/software.go
@@ -57,7 +57,7 @@
 	if !continuable {
 		return true
 	}
-	interval := d.typical
+	interval := d.typical[e.text.software.Service()]
 	if interval <= 0 {
 		interval = defaultInterval
 	}
@@ -114,7 +114,7 @@
 // movable returns the first of the runs, at most limit, that can each go on at once
 // on an engine other than its own that is not slow.
 func (s *Scheduler) movable(runs []*Run, limit int, view *limpetsite.Snapshot, now time.Time) []*Run {
-	typical := s.typicalInterval(now)
+	typical := s.typicalIntervals(now)
 	taken := map[*engine]int{}
 	var moving []*Run
 	for _, r := range runs {
