--- a/internal/limpetbatch/draft.go
+++ b/internal/limpetbatch/draft.go
@@ -12,7 +12,7 @@
 	// minDraftEvents is the length, in events, from which the loss of a text
 	// matters. Shorter texts are only saved of items that failed.
 	minDraftEvents = 14
-	// maxDraftBytes bounds the drafts in one write to the store.
+	// maxDraftBytes bounds the texts in one write of drafts, in their stored form.
 	maxDraftBytes = 500 << 10
 )
 
@@ -33,7 +33,7 @@
 			continue
 		}
 		for _, e := range j.entries {
-			if e.phase < settled && (e.text.lastEvent >= minDraftEvents || e.failures+e.rewardFailures > 0) {
+			if e.phase < apart && (e.text.lastEvent >= minDraftEvents || e.failures+e.rewardFailures > 0) {
 				found = append(found, e)
 			}
 		}
@@ -45,9 +45,10 @@
 	at := map[*Job]int{}
 	bytes := 0
 	for _, e := range found {
-		if bytes += e.text.bytes; bytes > maxDraftBytes {
-			break
+		if bytes+e.text.encoded > maxDraftBytes {
+			continue
 		}
+		bytes += e.text.encoded
 		n, ok := at[e.Job]
 		if !ok {
 			if len(sets) == limit {
@@ -103,6 +104,7 @@
 	t := text{pieces: d.Pieces, lastEvent: d.LastEvent, versions: d.Versions, version: d.Version, software: d.Software}
 	for _, p := range d.Pieces {
 		t.bytes += len(p)
+		t.encoded += limpetjob.EncodedLen(p)
 	}
 	return t
 }
--- a/internal/limpetbatch/limpetbatch.go
+++ b/internal/limpetbatch/limpetbatch.go
@@ -23,6 +23,8 @@
 	// unscored items have their complete text and need a reward call.
 	unscored
 	scoring
+	// apart items have a result that the store refuses, until they may be given up.
+	apart
 	// settled items have a result that is not committed yet.
 	settled
 	committed
@@ -97,6 +99,8 @@
 	// committing is the number of results in the write under way; 0 if there is
 	// none.
 	committing int
+	// refusals counts how often the store has refused the job's next chunk.
+	refusals int
 	// storeUnknown is set while it is unknown which results the store holds.
 	// Nothing is committed during that time.
 	storeUnknown bool
@@ -169,10 +173,13 @@
 	jobsByArrival []*Job
 	enginesByID   []*engine
 	// retained holds the texts of ended jobs by item ID.
-	retained   map[string]*retainedText
-	queueStale bool
-	queue      []*Entry
-	workloads  map[workloadKey]recordedWorkload
+	retained map[string]*retainedText
+	// doubtfulNext is set if PendingChunks returns a chunk next that the store may
+	// refuse.
+	doubtfulNext bool
+	queueStale   bool
+	queue        []*Entry
+	workloads    map[workloadKey]recordedWorkload
 	// splits holds the split of each route, by its name.
 	splits map[string]*split
 	// runTimes holds the mean duration of complete runs by service.
--- a/internal/limpetdirector/env_test.go
+++ b/internal/limpetdirector/env_test.go
@@ -65,6 +65,8 @@
 	retired  []string
 	// sent holds the items in the order in which their runs started.
 	sent []string
+	// pieces holds the data of each event of an item that has another text.
+	pieces map[string]string
 	// broken holds the services whose streams break off.
 	broken map[string]bool
 	// sentTo counts the runs by service.
@@ -98,7 +100,7 @@
 	env := &testEnv{
 		store: limpetstub.NewStore(), version: map[string]int{}, loadingVersion: map[string]int{}, loadedAt: map[string]time.Time{},
 		highestFence: map[string]uint64{}, acceptedOrders: map[string]int{}, retiring: map[string]bool{}, reading: make(chan struct{}, 1),
-		services: map[string]string{}, sentTo: map[string]int{}, broken: map[string]bool{}, targets: []limpetsite.Target{{Service: "llm", Weight: 1}}, configRevision: 8,
+		services: map[string]string{}, sentTo: map[string]int{}, broken: map[string]bool{}, pieces: map[string]string{}, targets: []limpetsite.Target{{Service: "llm", Weight: 1}}, configRevision: 8,
 	}
 	for n := range engines {
 		env.version[fmt.Sprintf("e%d", n)] = 1
@@ -247,7 +249,11 @@
 			return limpetupstream.Event{}, limpeterror.Disconnected.New("reset")
 		}
 		env.events++
+		piece, other := env.pieces[c.ID]
 		env.mu.Unlock()
+		if other {
+			return limpetupstream.Event{ID: n, Data: piece}, nil
+		}
 		return limpetupstream.Event{ID: n, Data: fmt.Sprintf("%s.%d", c.ID, n)}, nil
 	}}, nil
 }
--- a/internal/limpetdirector/jobs.go
+++ b/internal/limpetdirector/jobs.go
@@ -278,6 +278,10 @@
 			}
 			continue
 		}
+		if limpeterror.Is(m.err, limpeterror.Invalid) {
+			d.handleRefused(c, m.err)
+			continue
+		}
 		if m.err != nil {
 			d.Log.Emit(limpetlog.ResultsNotCommitted, limpetlog.Job(c.Job.ID), limpetlog.Value("first", c.Chunk.First), limpetlog.Error(m.err))
 			d.cachedResults.removeJob(c.Job.ID)
@@ -289,3 +293,14 @@
 			limpetlog.Value("count", len(c.Chunk.Results)), limpetlog.Value("age_ms", d.Now().Sub(c.Job.Arrived).Milliseconds()))
 	}
 }
+
+// handleRefused handles a chunk that the store has refused for good, by itself or for
+// another one in its transaction.
+func (d *Director) handleRefused(c limpetbatch.PendingChunk, err error) {
+	// The store holds no more than before.
+	d.cachedResults.set(c.Job.ID, c.Job.Account, len(c.Job.Items), c.Chunk.First, nil)
+	d.Log.Emit(limpetlog.ResultsNotCommitted, limpetlog.Job(c.Job.ID), limpetlog.Value("first", c.Chunk.First), limpetlog.Value("count", len(c.Chunk.Results)), limpetlog.Error(err))
+	if e := d.scheduler.MarkRefused(c.Job); e != nil {
+		d.Log.Emit(limpetlog.ResultRefused, limpetlog.Job(c.Job.ID), limpetlog.Value("item", e.Item.ID), limpetlog.Value("events", e.Events()), limpetlog.Error(err))
+	}
+}
--- a/internal/limpetdirector/results.go
+++ b/internal/limpetdirector/results.go
@@ -11,7 +11,7 @@
 // maxCacheBytes bounds the texts that are cached for readers.
 const maxCacheBytes = 40 << 20
 
-// maxPageBytes bounds the texts of one page of results, but each page has at
+// maxPageBytes bounds the texts of one page of results, as JSON, but each page has at
 // least one result if there is any.
 const maxPageBytes = 900 << 10
 
@@ -131,7 +131,7 @@
 	p := limpetjob.Page{Total: j.total, Next: after}
 	size := 0
 	for n := after; n < len(j.results); n++ {
-		if size += len(j.results[n].Text); size > maxPageBytes && len(p.Results) > 0 {
+		if size += limpetjob.EncodedLen(j.results[n].Text); size > maxPageBytes && len(p.Results) > 0 {
 			break
 		}
 		p.Results = append(p.Results, j.results[n])
--- a/internal/limpetjob/draft.go
+++ b/internal/limpetjob/draft.go
@@ -38,11 +38,7 @@
 }
 
 // EncodeDrafts returns the stored form of a job's drafts.
-func EncodeDrafts(drafts []Draft) []byte {
-	// Strings, integers and booleans always encode.
-	data, _ := json.Marshal(drafts)
-	return data
-}
+func EncodeDrafts(drafts []Draft) []byte { return encodeValue(drafts) }
 
 // LoadDrafts returns the stored drafts of a job. It is not an error if there
 // are none. The error has type Invalid if the drafts cannot be decoded.
--- a/internal/limpetjob/limpetjob.go
+++ b/internal/limpetjob/limpetjob.go
@@ -207,15 +207,16 @@
 // has type Invalid.
 func DecodeChunk(v limpetstore.Value) (Chunk, error) {
 	var c Chunk
-	if err := json.Unmarshal(v.Data, &c); err != nil {
+	data, err := unpack(v.Data)
+	if err == nil {
+		err = json.Unmarshal(data, &c)
+	}
+	if err != nil {
 		return c, limpeterror.Invalid.Wrap(err, "value of %s", v.Key)
 	}
 	return c, nil
 }
 
-// Encode returns the stored form of a chunk.
-func (c Chunk) Encode() []byte {
-	// Strings and integers always encode.
-	data, _ := json.Marshal(c)
-	return data
-}
+// Encode returns the stored form of a chunk, which is packed if the store would not
+// take it otherwise.
+func (c Chunk) Encode() []byte { return pack(encodeValue(c)) }
--- a/internal/limpetjob/reader.go
+++ b/internal/limpetjob/reader.go
@@ -134,7 +134,7 @@
 	p := Page{Total: j.summary.Total, Next: after}
 	size := 0
 	for n := after; n < len(j.results); n++ {
-		size += len(j.results[n].Text)
+		size += EncodedLen(j.results[n].Text)
 		if size > maxPageBytes && len(p.Results) > 0 {
 			break
 		}
--- a/internal/limpetlog/events.go
+++ b/internal/limpetlog/events.go
@@ -104,6 +104,7 @@
 	RewardFailed        = newEvent(1714, logrus.InfoLevel, "reward call failed", "A reward call returned no signed answer; it is retried while retries are allowed.")
 	ItemErrored         = newEvent(1715, logrus.WarnLevel, "item errored", "An item is listed as errored and is not retried.")
 	ResultsCommitted    = newEvent(1721, logrus.InfoLevel, "results committed", "Results were written to the store at the given position.")
+	ResultRefused       = newEvent(1724, logrus.ErrorLevel, "result refused", "The store refuses the result of an item for good, for example because it is too large. Other results are listed; this item is errored when it may be given up.")
 	ResultsNotCommitted = newEvent(1722, logrus.WarnLevel, "results not committed", "A write of results had no effect; the stored results are read again.")
 	DraftsNotSaved      = newEvent(1723, logrus.InfoLevel, "unfinished texts not saved", "A write of unfinished texts failed; the next periodic write follows.")
 	DutyNotAcquired     = newEvent(1731, logrus.DebugLevel, "duty not acquired", "This VM tried to become the director and failed.")
