--- a/internal/limpetdetour/pass.go
+++ b/internal/limpetdetour/pass.go
@@ -23,6 +23,9 @@
 	// maxCarried bounds the calls that a VM carries for others at once, so that many
 	// cut VMs do not swamp the few that are not.
 	maxCarried = 128
+	// maxPassedBytes bounds the body of a call that is passed on. A message stands in
+	// the memory of both VMs several times.
+	maxPassedBytes = 1 << 20
 )
 
 // A carrier is what is known of another VM.
@@ -65,6 +68,9 @@
 // pass sends a call through another VM. The error has type Unavailable if none took
 // it, and the call was certainly not sent.
 func (t *Detour) pass(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
+	if len(c.Body) > maxPassedBytes {
+		return nil, limpeterror.Unavailable.New("a body of %d bytes is not passed on", len(c.Body))
+	}
 	began := t.Now()
 	for _, vm := range t.carriers() {
 		call := c
--- a/internal/limpethost/detour.go
+++ b/internal/limpethost/detour.go
@@ -67,6 +67,11 @@
 
 // carryCall sends a call of another VM. Taken is called before it may be sent.
 func (h *Host) carryCall(ctx context.Context, c limpetupstream.Call, taken func() error) (*limpetupstream.Reply, error) {
+	hold, err := h.Bodies.Take(len(c.Body))
+	if err != nil {
+		return nil, err
+	}
+	defer hold.Release()
 	if h.Draining() {
 		return nil, limpeterror.Overloaded.New("this VM is shutting down")
 	}
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -21,6 +21,7 @@
 	"limpetmount.org/internal/limpetdirector"
 	"limpetmount.org/internal/limpetexecutor"
 	"limpetmount.org/internal/limpetforward"
+	"limpetmount.org/internal/limpethttp"
 	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlimit"
 	"limpetmount.org/internal/limpetlog"
@@ -74,6 +75,8 @@
 
 // A Host is the running process of one VM.
 type Host struct {
+	// Bodies accounts for the memory of request bodies.
+	Bodies    *limpethttp.Bodies
 	Settings  Settings
 	Forwarder *limpetforward.Forwarder
 	Log       *limpetlog.Logger
@@ -185,6 +188,7 @@
 	h.crashes = limpetcrash.New(limpetcrash.Deps{
 		VM: settings.VM, Store: meter.Wrap(deps.Store, "crash"), View: h.View, Check: deps.Upstream.Check, Log: log, Metrics: metrics.Registry, Now: deps.Now,
 	})
+	h.Bodies = newBodies(metrics.Registry)
 	h.group.Go(h.crashes.Run)
 	h.origins = h.newOrigins(meter.Wrap(deps.Store, "origin"))
 	if deps.Upstream.OnConnect != nil {
--- a/internal/limpethttp/budget.go
+++ b/internal/limpethttp/budget.go
@@ -14,7 +14,9 @@
 	freeBytes = 16 << 10
 	// maxAnswerShare bounds one answer: budget / maxAnswerShare.
 	maxAnswerShare = 2
-	initialBytes   = 4 << 10
+	// maxBodyShare bounds one request body, of which one may take the whole budget.
+	maxBodyShare = 1
+	initialBytes = 4 << 10
 )
 
 // A Budget bounds the memory that the answers of peers take together. It is safe
@@ -22,11 +24,13 @@
 type Budget struct {
 	limit func() int64
 	used  atomic.Int64
+	// share bounds what one holder takes: limit / share.
+	share int64
 }
 
-// NewBudget returns a budget of limit bytes. Limit is asked each time, so that it
-// may change.
-func NewBudget(limit func() int64) *Budget { return &Budget{limit: limit} }
+// NewBudget returns a budget of limit bytes for answers. Limit is asked each time, so
+// that it may change.
+func NewBudget(limit func() int64) *Budget { return &Budget{limit: limit, share: maxAnswerShare} }
 
 // Used returns the number of bytes that are taken.
 func (b *Budget) Used() int64 { return b.used.Load() }
@@ -49,19 +53,25 @@
 		return err
 	}
 	limit, want := b.limit(), max(0, size-freeBytes)
-	if total := b.used.Add(want - h.taken); want > h.taken && total > limit {
-		b.used.Add(h.taken - want)
-		return limpeterror.Unknown.New("the answers in memory take more than %d bytes", limit)
+	for {
+		// One that does not get more never keeps it from another one.
+		used := b.used.Load()
+		total := used + want - h.taken
+		if want > h.taken && total > limit {
+			return limpeterror.Unknown.New("what is held in memory takes more than %d bytes", limit)
+		}
+		if b.used.CompareAndSwap(used, total) {
+			h.taken = want
+			return nil
+		}
 	}
-	h.taken = want
-	return nil
 }
 
 // checkAnswer returns an error of type Unknown for the size of an answer that is
 // too large.
 func (b *Budget) checkAnswer(size int64) error {
-	if bound := b.limit() / maxAnswerShare; size > bound {
-		return limpeterror.Unknown.New("an answer of more than %d bytes", bound)
+	if bound := b.limit() / b.share; size > bound {
+		return limpeterror.Unknown.New("more than %d bytes", bound)
 	}
 	return nil
 }
