Items of a job that names no model run at any engine of its route (seen by the review)

A batch job consists of requests with an ID, a path, headers and a body; only trainers name a model. Such a job was accepted, and its items were never sent, since no engine serves the model of no name.

--- a/internal/limpetbatch/engine.go
+++ b/internal/limpetbatch/engine.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -128,7 +129,7 @@
 	if model == "" {
 		for _, r := range g.runs {
 			r.lastActivity = now
-			if r.Entry.Job.Model == g.loading {
+			if g.changes(r.Entry.Job.Model) {
 				r.endLoadingTiming(now)
 			}
 		}
@@ -187,14 +188,27 @@
 	return len(g.runs) < g.slots() && g.canServe(e, view, now) && s.withinLimit(g, now)
 }
 
+// versionOf returns the weight version of a model that an engine has, and whether it
+// serves the model. Each engine serves jobs that name no model; they accept any weights.
+func (g *engine) versionOf(model string) (version int, serves bool) {
+	if model == "" {
+		return math.MaxInt, true
+	}
+	version, serves = g.versions[model]
+	return version, serves
+}
+
+// changes reports whether an engine is changing the weights of a model.
+func (g *engine) changes(model string) bool { return model != "" && g.loading == model }
+
 // canServe reports whether an engine can start an item once it has a free slot.
 func (g *engine) canServe(e *Entry, view *limpetsite.Snapshot, now time.Time) bool {
 	j := e.Job
 	if !j.runsAt(g.server.Service) || !view.AcceptsWork(g.server.ID) || now.Before(g.ejectedUntil) || !e.continuesAt(g.server.Software) {
 		return false
 	}
-	version, serves := g.versions[j.Model]
-	if !serves || version < j.MinVersion || g.loading == j.Model {
+	version, serves := g.versionOf(j.Model)
+	if !serves || version < j.MinVersion || g.changes(j.Model) {
 		return false
 	}
 	return !j.Rules.OnPolicy || len(e.text.versions) == 0 || version == e.text.version
--- a/internal/limpetbatch/fleet.go
+++ b/internal/limpetbatch/fleet.go
@@ -41,8 +41,8 @@
 func (s *Scheduler) UsableEngines(j *Job) int {
 	n := 0
 	for _, g := range s.enginesByID {
-		version, serves := g.versions[j.Model]
-		if serves && j.runsAt(g.server.Service) && version >= j.MinVersion && g.loading != j.Model {
+		version, serves := g.versionOf(j.Model)
+		if serves && j.runsAt(g.server.Service) && version >= j.MinVersion && !g.changes(j.Model) {
 			n++
 		}
 	}
--- a/internal/limpetbatch/overdue.go
+++ b/internal/limpetbatch/overdue.go
@@ -90,7 +90,7 @@
 	if r.events == 0 {
 		limit = max(firstEventTimeout, limit)
 	}
-	if g.loading == r.Entry.Job.Model {
+	if g.changes(r.Entry.Job.Model) {
 		limit += loadingAllowance
 	}
 	return limit
--- a/internal/limpetbatch/pool.go
+++ b/internal/limpetbatch/pool.go
@@ -31,7 +31,7 @@
 	}
 	s.examined += uint64(len(s.enginesByID))
 	for _, g := range s.enginesByID {
-		version, serves := g.versions[j.Model]
+		version, serves := g.versionOf(j.Model)
 		if serves && version >= j.MinVersion && g.server.Service == service && view.AcceptsWork(g.server.ID) {
 			engines = append(engines, g)
 		}
@@ -59,7 +59,7 @@
 
 // setVersion records the weight version of a model that an engine has.
 func (s *Scheduler) setVersion(g *engine, model string, version int) {
-	if known, serves := g.versions[model]; serves && known == version {
+	if known, serves := g.versions[model]; model == "" || serves && known == version {
 		return
 	}
 	g.versions[model] = version
--- a/internal/limpetbatch/software.go
+++ b/internal/limpetbatch/software.go
@@ -69,7 +69,7 @@
 func (s *Scheduler) continuable(j *Job, key continuationKey, view *limpetsite.Snapshot) bool {
 	for _, g := range s.enginesByID {
 		s.examined++
-		if _, serves := g.versions[key.model]; serves && j.runsAt(g.server.Service) && g.server.Software == key.software && view.AcceptsWork(g.server.ID) {
+		if _, serves := g.versionOf(key.model); serves && j.runsAt(g.server.Service) && g.server.Software == key.software && view.AcceptsWork(g.server.ID) {
 			return true
 		}
 	}
--- a/internal/limpetbatch/timing.go
+++ b/internal/limpetbatch/timing.go
@@ -60,7 +60,7 @@
 	case r.events == 0:
 		e.timing.Prompt += took
 		return
-	case g.loading == e.Job.Model:
+	case g.changes(e.Job.Model):
 		e.timing.WeightChange += took
 		return
 	case len(g.runs) == 1:
--- a/internal/limpetjob/limpetjob.go
+++ b/internal/limpetjob/limpetjob.go
@@ -56,6 +56,8 @@
 	// Path is the URL path of the submission. It selects the route.
 	Path  string `json:"path"`
 	Step  int    `json:"step"`
+	// Model is empty if the caller named none. Any engine of the route's services serves
+	// such a job.
 	Model string `json:"model"`
 	// MinVersion is the oldest weight version that may generate its texts.
 	MinVersion int `json:"min"`
