--- a/internal/limpetdirector/env_test.go
+++ b/internal/limpetdirector/env_test.go
@@ -33,6 +33,7 @@
 	eventInterval  = 35 * time.Millisecond
 	events         = 40
 	weightLoadTime = 900 * time.Millisecond
+	engineSlots    = 4
 )
 
 // A testEnv holds a store and stub engines, which the candidates under test
@@ -65,6 +66,11 @@
 	retired  []string
 	// sent holds the items in the order in which their runs started.
 	sent []string
+	// intervals holds the time between two events of services where that is not
+	// eventInterval.
+	intervals map[string]time.Duration
+	// newest is the published version that route and moveEngines keep.
+	newest int
 	// pieces holds the data of each event of an item that has another text.
 	pieces map[string]string
 	// broken holds the services whose streams break off.
@@ -100,7 +106,7 @@
 	env := &testEnv{
 		store: limpetstub.NewStore(), version: map[string]int{}, loadingVersion: map[string]int{}, loadedAt: map[string]time.Time{},
 		highestFence: map[string]uint64{}, acceptedOrders: map[string]int{}, retiring: map[string]bool{}, reading: make(chan struct{}, 1),
-		services: map[string]string{}, sentTo: map[string]int{}, broken: map[string]bool{}, pieces: map[string]string{}, targets: []limpetsite.Target{{Service: "llm", Weight: 1}}, configRevision: 8,
+		services: map[string]string{}, sentTo: map[string]int{}, broken: map[string]bool{}, pieces: map[string]string{}, intervals: map[string]time.Duration{}, newest: 1, targets: []limpetsite.Target{{Service: "llm", Weight: 1}}, configRevision: 8,
 	}
 	for n := range engines {
 		env.version[fmt.Sprintf("e%d", n)] = 1
@@ -119,7 +125,7 @@
 		revision++
 		service := cmp.Or(env.services[id], "llm")
 		state.Apply(limpetsite.Record{Key: limpetsite.ServerKey + id, Revision: revision, Server: &limpetsite.Server{
-			ID: id, Service: service, Address: id, Zone: "a", Slots: 4, Models: map[string]int{"m": v}, Software: limpetsite.SoftwareOf(service, "v1"),
+			ID: id, Service: service, Address: id, Zone: "a", Slots: engineSlots, Models: map[string]int{"m": v}, Software: limpetsite.SoftwareOf(service, "v1"),
 		}}, time.Now())
 	}
 	for vm := range env.retiring {
@@ -163,8 +169,9 @@
 	env.mu.Lock()
 	env.targets = targets
 	env.configRevision += 1000
+	newest := env.newest
 	env.mu.Unlock()
-	env.publish(1)
+	env.publish(newest)
 }
 
 // moveEngines makes engines those of a service.
@@ -173,8 +180,9 @@
 	for _, id := range ids {
 		env.services[id] = service
 	}
+	newest := env.newest
 	env.mu.Unlock()
-	env.publish(1)
+	env.publish(newest)
 }
 
 // addEngines adds engines of a service, which have the first version.
@@ -233,13 +241,14 @@
 	env.sentTo[c.Server.Service]++
 	env.finishLoad(c.Server.ID)
 	version := env.version[c.Server.ID]
+	interval := cmp.Or(env.intervals[c.Server.Service], eventInterval)
 	env.mu.Unlock()
 	n := c.LastEventID
 	return &limpetupstream.Reply{Status: http.StatusOK, Signature: "s", Version: version, Close: func() {}, Events: func() (limpetupstream.Event, error) {
 		if n == events {
 			return limpetupstream.Event{}, io.EOF
 		}
-		if !limpettask.Sleep(ctx, eventInterval) {
+		if !limpettask.Sleep(ctx, interval) {
 			return limpetupstream.Event{}, ctx.Err()
 		}
 		n++
--- a/internal/limpetjob/limpetjob.go
+++ b/internal/limpetjob/limpetjob.go
@@ -54,8 +54,8 @@
 	Account string `json:"account"`
 	Host    string `json:"host"`
 	// Path is the URL path of the submission. It selects the route.
-	Path  string `json:"path"`
-	Step  int    `json:"step"`
+	Path string `json:"path"`
+	Step int    `json:"step"`
 	// Model is empty if the caller named none. Any engine of the route's services serves
 	// such a job.
 	Model string `json:"model"`
