--- a/internal/limpetforward/resume_test.go
+++ b/internal/limpetforward/resume_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"limpetmount.org/internal/limpetforward"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpetupstream"
 )
@@ -28,6 +29,17 @@
 	}
 }
 
+// readIDs reads an answer to its end. It returns the IDs of the events.
+func readIDs(a limpetforward.Answer) (ids []int, err error) {
+	for {
+		e, err := a.Reply.Events()
+		if err != nil {
+			return ids, err
+		}
+		ids = append(ids, e.ID)
+	}
+}
+
 // Guards against streams in whose middle callers find the error of the server that was
 // to go on, or that end as if they were complete.
 func TestErrorsOfTheNextServerDoNotReachTheStream(t *testing.T) {
@@ -53,14 +65,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(limpetsite.Stream, streamOf(1, 3, errors.New("reset")), c.next, c.next, c.next)
 				a := f.Forward(context.Background(), request("/k/x", "key"))
-				var ids []int
-				var err error
-				for err == nil {
-					var e limpetupstream.Event
-					if e, err = a.Reply.Events(); err == nil {
-						ids = append(ids, e.ID)
-					}
-				}
+				ids, err := readIDs(a)
 				Convey("the caller gets the events so far, and a stream that is visibly broken", t, func() {
 					So(errors.Is(err, io.EOF), ShouldBeFalse)
 					for n, id := range ids {
@@ -79,14 +84,7 @@
 		f := newFixture(limpetsite.Stream, streamOf(1, 3, errors.New("reset")), streamOf(1, 6, io.EOF), streamOf(4, 6, io.EOF))
 		f.setAttempts(3)
 		a := f.Forward(context.Background(), request("/k/x", "key"))
-		var ids []int
-		var err error
-		for err == nil {
-			var e limpetupstream.Event
-			if e, err = a.Reply.Events(); err == nil {
-				ids = append(ids, e.ID)
-			}
-		}
+		ids, err := readIDs(a)
 		Convey("the caller gets each event once, up to the end of the stream", t, func() {
 			So(errors.Is(err, io.EOF), ShouldBeTrue)
 			So(ids, ShouldResemble, []int{1, 2, 3, 4, 5, 6})
