--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-GOWORK=off GOFLAGS=-mod=mod GOTOOLCHAIN=local go -C review/standin-2/platform build -buildvcs=false -o ../../../target/standin2 .
+GOWORK=off GOFLAGS=-mod=mod GOTOOLCHAIN=local go -C review/6/platform build -buildvcs=false -o ../../../target/standin2 .
