A text is complete only if all its events are shown to be there

Cause: a VM without a director left out each event that did not directly follow its text, and all later ones, and marked the text as complete at the end of the stream; the next director took that mark. HeldRun.Apply had the same gap.

Change: Execute ends a run at the first event that does not follow. The end of a run names the stream's last event, and an offered text counts as complete only if it reaches that one; a VM of an earlier release names none, and its text goes on in a new run. A draft whose pieces are not as many as its events is not used.

--- a/internal/limpetbatch/attach_test.go
+++ b/internal/limpetbatch/attach_test.go
@@ -72,6 +72,16 @@
 		So(run, ShouldBeNil)
 		So(s.Dispatch(view(4, map[string]int{"e1": 5}), epoch)[0].After, ShouldEqual, 6)
 	})
+	// Guards against texts of which a VM lost an event.
+	Convey("a text without the piece of one of its events is not used", t, func() {
+		s, j := start()
+		d := draft("j-g0-0", 6, 5)
+		d.Pieces, d.Complete = d.Pieces[:5], true
+		s.Attach(j, d, "e1", false, epoch)
+		s.Resume(j, []limpetjob.Draft{d}, epoch)
+		So(len(commitAll(s)), ShouldEqual, 0)
+		So(s.Dispatch(view(4, map[string]int{"e1": 5}), epoch)[0].After, ShouldEqual, 0)
+	})
 	Convey("an item whose run ended for a reason unrelated to its engine may return there at once", t, func() {
 		v := view(4, map[string]int{"e1": 5})
 		s := scheduler(v)
--- a/internal/limpetbatch/draft.go
+++ b/internal/limpetbatch/draft.go
@@ -93,10 +93,10 @@
 	}
 }
 
-// canUse reports whether a draft is not empty and the job accepts its weight
-// versions.
+// canUse reports whether a draft is not empty, has the text of each event up to its last
+// one, and the job accepts its weight versions.
 func (j *Job) canUse(d limpetjob.Draft) bool {
-	return len(d.Versions) > 0 && len(d.Pieces) > 0 &&
+	return len(d.Versions) > 0 && len(d.Pieces) > 0 && len(d.Pieces) == d.LastEvent &&
 		slices.Min(d.Versions) >= j.MinVersion && (!j.Rules.OnPolicy || len(d.Versions) == 1)
 }
 
--- a/internal/limpetdirector/executors.go
+++ b/internal/limpetdirector/executors.go
@@ -208,7 +208,9 @@
 		s.out.cancel(h.Run)
 		return true
 	}
-	run, replaced := d.scheduler.Attach(j, h.Text, h.Server, h.Running, now)
+	text := h.Text
+	text.Complete = h.Complete()
+	run, replaced := d.scheduler.Attach(j, text, h.Server, h.Running && !h.Broken, now)
 	if replaced != nil {
 		d.cancelRuns([]*limpetbatch.Run{replaced}, "an executor has more of the text")
 	}
@@ -218,7 +220,7 @@
 		s.out.cancel(h.Run)
 	}
 	d.Log.Emit(limpetlog.RunTakenOver, limpetlog.Job(h.Job), limpetlog.Value("item", h.Text.Item), limpetlog.Server(h.Server),
-		limpetlog.Value("carrier", s.vm), limpetlog.Value("after", h.Text.LastEvent), limpetlog.Value("whole", h.Text.Complete), limpetlog.Value("used", run != nil))
+		limpetlog.Value("carrier", s.vm), limpetlog.Value("after", h.Text.LastEvent), limpetlog.Value("whole", text.Complete), limpetlog.Value("offered_whole", h.Text.Complete), limpetlog.Value("used", run != nil))
 	return true
 }
 
--- a/internal/limpetdirector/executors_test.go
+++ b/internal/limpetdirector/executors_test.go
@@ -12,6 +12,7 @@
 	"limpetmount.org/internal/limpetdirector"
 	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpetexecutor"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetlog"
 	"limpetmount.org/internal/limpetsite"
 	"limpetmount.org/internal/limpettask"
@@ -27,6 +28,8 @@
 	unresponsive, enginesUnreachable atomic.Bool
 	// reportDelay delays each delivery to the director.
 	reportDelay atomic.Int64
+	// spoils is the number of runs in which the next event loses its ID.
+	spoils atomic.Int64
 }
 
 // send forwards calls to the engines, and blocks while they are unreachable.
@@ -40,9 +43,13 @@
 		if err != nil {
 			return nil, err
 		}
-		inner := reply.Events
+		inner, spoiled := reply.Events, false
 		reply.Events = func() (limpetupstream.Event, error) {
 			e, err := inner()
+			if err == nil && !spoiled && x.spoils.Load() > 0 {
+				x.spoils.Add(-1)
+				spoiled, e.ID = true, 0
+			}
 			if x.enginesUnreachable.Load() {
 				<-ctx.Done()
 				return limpetupstream.Event{}, ctx.Err()
@@ -163,6 +170,72 @@
 	}
 }
 
+// Guards against results without some of their events: a VM whose director died left out
+// an event that had lost its ID and all later ones, and the next director took its word
+// that the text was complete.
+func TestEventsSpoiledWithoutADirector(t *testing.T) {
+	const items, spoiled = 8, 2
+	for _, c := range []struct {
+		name string
+		dies bool
+	}{{"the director dies", true}, {"the director lives", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(4)
+				a, b := env.candidate("a", 0), env.candidate("b", 100*time.Millisecond)
+				candidates := map[string]*candidate{"a": a, "b": b}
+				time.Sleep(time.Second)
+				x, y := env.executor("x", candidates), env.executor("y", candidates)
+				time.Sleep(time.Second)
+				env.submit(t, "j", items, 1)
+				time.Sleep(600 * time.Millisecond)
+				if c.dies {
+					a.setDisconnected(true)
+					a.stop(t)
+				}
+				x.spoils.Store(spoiled)
+				time.Sleep(6 * time.Second)
+				Convey("all events were spoiled that were to be: "+c.name, t, func() { So(x.spoils.Load(), ShouldEqual, 0) })
+				checkComplete(t, env.results(t, "j"), items)
+				for _, g := range []*limpettask.Group{x.group, y.group} {
+					if err := g.Stop(); err != nil {
+						t.Error(err)
+					}
+				}
+				if !c.dies {
+					a.stop(t)
+				}
+				b.stop(t)
+			})
+		})
+	}
+}
+
+// Guards against a text that a VM of an earlier release offers as complete although it
+// left out events.
+func TestOfferedTextsNeedEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(4)
+		a := env.candidate("a", 0)
+		time.Sleep(time.Second)
+		env.submit(t, "j", 1, 1)
+		item := "j-0"
+		time.Sleep(100 * time.Millisecond)
+		held := limpetexecutor.HeldRun{Run: "r", Job: "j", Server: "e1", Text: limpetjob.Draft{
+			Item: item, Pieces: []string{item + ".1", item + ".2"}, LastEvent: 2, Versions: []int{1}, Version: 1, Complete: true,
+		}}
+		group := limpettask.New(context.Background())
+		group.Go(func(ctx context.Context) error {
+			return a.AcceptOffer(ctx, limpetexecutor.Offer{VM: "x", Zone: "a", Session: "x", Held: []limpetexecutor.HeldRun{held}}, func(limpetexecutor.Batch) error { return nil })
+		})
+		time.Sleep(6 * time.Second)
+		checkComplete(t, env.results(t, "j"), 1)
+		// Ending the session returns an error, which is expected.
+		_ = group.Stop()
+		a.stop(t)
+	})
+}
+
 // Guards against work that is started again, and engines that are blamed, because the
 // VM that reads their events is slow to report.
 func TestSlowReportsAreNotSilenceOfEngines(t *testing.T) {
--- a/internal/limpetexecutor/execute.go
+++ b/internal/limpetexecutor/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -18,6 +19,9 @@
 	Status int
 	// Cause is empty if Ending and Status say everything.
 	Cause string
+	// LastEvent is the ID of the last event of a complete stream; 0 if the VM that
+	// read it is of a release that does not say.
+	LastEvent int
 }
 
 // A Sink receives what a run produces, in order.
@@ -36,7 +40,8 @@
 const responseTimeout = 2 * time.Second
 
 // Execute sends a call to an engine and passes the response to the sink until
-// the run ends.
+// the run ends. Each event that the sink receives directly follows the one before;
+// the first one follows the call's last event.
 func Execute(ctx context.Context, send func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error), call limpetupstream.Call, sink Sink) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -56,18 +61,25 @@
 		sink.End(End{Ending: limpetbatch.Interrupted, Status: reply.Status})
 		return
 	}
-	version := reply.Version
+	version, last := reply.Version, call.LastEventID
 	sink.Header(version)
 	for {
 		event, err := reply.Events()
 		if errors.Is(err, io.EOF) {
-			sink.End(End{Ending: limpetbatch.Complete})
+			sink.End(End{Ending: limpetbatch.Complete, LastEvent: last})
 			return
 		}
 		if err != nil {
 			sink.End(End{Ending: limpetbatch.Interrupted, Cause: err.Error()})
 			return
 		}
+		if event.ID != last+1 {
+			// An event is missing or was spoiled; the rest of the stream is no
+			// part of the text either.
+			sink.End(End{Ending: limpetbatch.Interrupted, Cause: fmt.Sprintf("event %d does not follow event %d", event.ID, last)})
+			return
+		}
+		last = event.ID
 		if event.Version > 0 {
 			version = event.Version
 		}
--- a/internal/limpetexecutor/limpetexecutor.go
+++ b/internal/limpetexecutor/limpetexecutor.go
@@ -46,6 +46,11 @@
 	// Running is set while more text may follow.
 	Running bool
 	Text    limpetjob.Draft
+	// LastStreamed is the ID of the last event of the run's stream, if that ended as
+	// complete and the VM is of a release that says so; otherwise 0.
+	LastStreamed int
+	// Broken is set by Apply when an event did not follow the text.
+	Broken bool
 }
 
 // An Offer offers a VM to a director.
--- a/internal/limpetexecutor/limpetexecutor_test.go
+++ b/internal/limpetexecutor/limpetexecutor_test.go
@@ -197,6 +197,98 @@
 	}
 }
 
+// spoilEvent returns a function that responds like send, but the event with the given
+// ID has lost it.
+func spoilEvent(id int, send func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error)) func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error) {
+	return func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
+		reply, err := send(ctx, c)
+		if err != nil {
+			return nil, err
+		}
+		events := reply.Events
+		reply.Events = func() (limpetupstream.Event, error) {
+			e, err := events()
+			if e.ID == id {
+				e.ID = 0
+			}
+			return e, err
+		}
+		return reply, nil
+	}
+}
+
+// Guards against texts without some of their events: a VM without a director left out an
+// event that did not follow the one before, and all later ones, and offered the rest as
+// complete.
+func TestStreamsWithGaps(t *testing.T) {
+	const last, spoiled = 30, 20
+	for _, c := range []struct {
+		name string
+		// lost is set if the director is lost before the event.
+		lost bool
+	}{{"with a director", false}, {"without a director", true}} {
+		withDirector(t, c.name, last, func(t *testing.T, d *director, s *limpetexecutor.Connector) {
+			s.Executor.Send = spoilEvent(spoiled, s.Executor.Send)
+			d.batches <- limpetexecutor.Batch{Orders: []limpetexecutor.Order{order("r", limpetjob.Draft{})}}
+			time.Sleep(500 * time.Millisecond)
+			if c.lost {
+				d.set(func() { d.down = true })
+			}
+			time.Sleep((last + 4) * eventInterval)
+			d.set(func() { d.down = false })
+			s.DirectorSeen("d")
+			time.Sleep(300 * time.Millisecond)
+			offers, events, ends := d.received()
+			if !c.lost {
+				check(t, events[len(events)-1], ShouldEqual, spoiled-1)
+				check(t, len(ends), ShouldEqual, 1)
+				check(t, ends[0].Ending, ShouldEqual, limpetbatch.Interrupted)
+				return
+			}
+			held := offers[len(offers)-1].Held
+			check(t, len(held), ShouldEqual, 1)
+			check(t, held[0].Running, ShouldBeFalse)
+			check(t, held[0].Complete(), ShouldBeFalse)
+			check(t, held[0].Text.LastEvent, ShouldEqual, spoiled-1)
+		})
+	}
+}
+
+// Guards against a text that is taken for complete on another VM's word.
+func TestHeldRunIsCompleteByItsEvents(t *testing.T) {
+	event := func(id int) limpetexecutor.Event {
+		return limpetexecutor.Event{Event: limpetupstream.Event{ID: id, Data: "x"}, WeightVersion: 3}
+	}
+	end := limpetexecutor.End{Ending: limpetbatch.Complete, LastEvent: 4}
+	for _, c := range []struct {
+		name     string
+		progress limpetexecutor.Progress
+		// last is the last event of the text.
+		last     int
+		complete bool
+	}{
+		{"all events", limpetexecutor.Progress{Events: []limpetexecutor.Event{event(3), event(4)}, Ended: true, End: end}, 4, true},
+		{"an event without an ID", limpetexecutor.Progress{Events: []limpetexecutor.Event{event(0), event(4)}, Ended: true, End: end}, 2, false},
+		{"an event twice", limpetexecutor.Progress{Events: []limpetexecutor.Event{event(3), event(3), event(4)}, Ended: true, End: end}, 3, false},
+		{"the last event is missing", limpetexecutor.Progress{Events: []limpetexecutor.Event{event(3)}, Ended: true, End: end}, 3, false},
+		{"a VM that does not say which event was the last", limpetexecutor.Progress{Events: []limpetexecutor.Event{event(3)}, Ended: true, End: limpetexecutor.End{Ending: limpetbatch.Complete}}, 3, false},
+		{"an interrupted stream", limpetexecutor.Progress{Events: []limpetexecutor.Event{event(3), event(4)}, Ended: true, End: limpetexecutor.End{Ending: limpetbatch.Interrupted}}, 4, false},
+	} {
+		Convey(c.name, t, func() {
+			h := limpetexecutor.HeldRun{Running: true, Text: limpetjob.Draft{Pieces: []string{"a", "b"}, LastEvent: 2, Versions: []int{3}, Version: 3}}
+			h.Apply(c.progress)
+			So(h.Text.LastEvent, ShouldEqual, c.last)
+			So(h.Complete(), ShouldEqual, c.complete)
+		})
+	}
+	Convey("a VM that offers a text as complete without naming its last event", t, func() {
+		h := limpetexecutor.HeldRun{Text: limpetjob.Draft{Pieces: []string{"a", "b"}, LastEvent: 2, Versions: []int{3}, Version: 3, Complete: true}}
+		So(h.Complete(), ShouldBeFalse)
+		h.LastStreamed = 2
+		So(h.Complete(), ShouldBeTrue)
+	})
+}
+
 func TestExecutor(t *testing.T) {
 	draft := limpetjob.Draft{Pieces: []string{"a", "b"}, LastEvent: 2, Versions: []int{2}, Version: 2}
 	withDirector(t, "progress is delivered once and in order, the end of a run immediately", 6, func(t *testing.T, d *director, _ *limpetexecutor.Connector) {
@@ -204,7 +296,7 @@
 		time.Sleep(4*eventInterval + 600*time.Millisecond)
 		_, events, ends := d.received()
 		check(t, events, ShouldResemble, []int{3, 4, 5, 6})
-		check(t, ends, ShouldResemble, []limpetexecutor.End{{Ending: limpetbatch.Complete}})
+		check(t, ends, ShouldResemble, []limpetexecutor.End{{Ending: limpetbatch.Complete, LastEvent: 6}})
 	})
 	withDirector(t, "a run continues without a director and is offered with its complete text", 60, func(t *testing.T, d *director, s *limpetexecutor.Connector) {
 		d.batches <- limpetexecutor.Batch{Orders: []limpetexecutor.Order{order("r", draft)}}
--- a/internal/limpetexecutor/run.go
+++ b/internal/limpetexecutor/run.go
@@ -19,6 +19,8 @@
 	responded bool
 	ended     bool
 	endedAt   time.Time
+	// lastStreamed is the last event of the stream once that ended as complete.
+	lastStreamed int
 	// pending is the progress that has not been delivered to the director yet,
 	// and arrivedAt holds the times at which its events arrived.
 	pending   Progress
@@ -82,37 +84,49 @@
 	e.Raw = nil
 	r.pending.Events = append(r.pending.Events, Event{Event: e, WeightVersion: version})
 	r.arrivedAt = append(r.arrivedAt, now)
+	// Execute passes only events that follow the ones before.
 	appendEvent(&r.text, e, version)
 }
 
-// appendEvent adds an event to a text if it directly follows it. After a gap
-// nothing more is added; the director decides what to do about the stream.
-func appendEvent(text *limpetjob.Draft, e limpetupstream.Event, version int) {
+// appendEvent adds an event to a text if it directly follows it, and reports whether it
+// does.
+func appendEvent(text *limpetjob.Draft, e limpetupstream.Event, version int) bool {
 	if e.ID != text.LastEvent+1 {
-		return
+		return false
 	}
 	text.Pieces = append(text.Pieces, e.Data)
 	text.LastEvent, text.Version = e.ID, version
 	if !slices.Contains(text.Versions, version) {
 		text.Versions = append(text.Versions, version)
 	}
+	return true
 }
 
 // Apply applies progress to a held run that the director has not matched to a
-// job yet.
+// job yet. After an event that does not follow the text, the run is of no further use.
 func (h *HeldRun) Apply(p Progress) {
 	for _, e := range p.Events {
-		appendEvent(&h.Text, e.Event, e.WeightVersion)
+		if h.Broken || !appendEvent(&h.Text, e.Event, e.WeightVersion) {
+			h.Broken = true
+			break
+		}
 	}
 	if p.Ended {
 		h.Running = false
-		h.Text.Complete = p.End.Ending == limpetbatch.Complete
+		h.Text.Complete, h.LastStreamed = p.End.Ending == limpetbatch.Complete, p.End.LastEvent
 	}
 }
 
+// Complete reports whether the text is shown to be complete: the run's stream ended as
+// complete, and the text has all events up to the last one of the stream. What the VM
+// says of the text alone does not show it: releases without LastStreamed left out events.
+func (h *HeldRun) Complete() bool {
+	return h.Text.Complete && !h.Broken && len(h.Text.Pieces) == h.Text.LastEvent && h.LastStreamed == h.Text.LastEvent
+}
+
 func (r *run) onEnd(e End, now time.Time) {
 	r.ended, r.endedAt = true, now
-	r.text.Complete = e.Ending == limpetbatch.Complete
+	r.text.Complete, r.lastStreamed = e.Ending == limpetbatch.Complete, e.LastEvent
 	r.pending.Ended, r.pending.End = true, e
 }
 
@@ -123,7 +137,7 @@
 	text := r.text
 	text.Pieces = slices.Clone(text.Pieces)
 	text.Versions = slices.Clone(text.Versions)
-	return HeldRun{Run: id, Job: r.job, Server: r.server, Running: !r.ended, Text: text}
+	return HeldRun{Run: id, Job: r.job, Server: r.server, Running: !r.ended, Text: text, LastStreamed: r.lastStreamed}
 }
 
 // takePending returns and clears the pending progress of a run, with the ages
--- a/internal/limpetrelay/limpetrelay_test.go
+++ b/internal/limpetrelay/limpetrelay_test.go
@@ -357,9 +357,9 @@
 			Header: http.Header{"X-Model": {"m"}}, Body: []byte{0, 255}, Account: "acme", Remaining: 9 * time.Second, LastEventID: 2, Version: 4, Priority: -1,
 		},
 	}}}
-	offer := limpetexecutor.Offer{VM: "v", Zone: "z", Session: "s", Held: []limpetexecutor.HeldRun{{Run: "q", Job: "j", Server: "e", Running: true, Text: text}}}
+	offer := limpetexecutor.Offer{VM: "v", Zone: "z", Session: "s", Held: []limpetexecutor.HeldRun{{Run: "q", Job: "j", Server: "e", Running: true, Text: text, LastStreamed: 2}}}
 	delivery := limpetexecutor.Delivery{Session: "s", Leaving: true, Superseded: true, Progress: []limpetexecutor.Progress{{
-		Run: "r", Responded: true, Version: 3, Ended: true, End: limpetexecutor.End{Ending: limpetbatch.Failed, Status: 500, Cause: "c"},
+		Run: "r", Responded: true, Version: 3, Ended: true, End: limpetexecutor.End{Ending: limpetbatch.Failed, Status: 500, Cause: "c", LastEvent: 3},
 		Events: []limpetexecutor.Event{{Event: limpetupstream.Event{ID: 3, Data: "d", Version: 5}, WeightVersion: 5, Age: 1500 * time.Microsecond}},
 	}}}
 	var offered limpetexecutor.Offer
--- a/internal/limpetrelay/runs.go
+++ b/internal/limpetrelay/runs.go
@@ -25,7 +25,7 @@
 	request := &limpetwire.CarryRequest{Vm: o.VM, Zone: o.Zone, Session: o.Session}
 	for _, h := range o.Held {
 		request.Held = append(request.Held, &limpetwire.HeldRun{
-			Run: h.Run, Job: h.Job, Server: h.Server, Running: h.Running, Text: textMessage(h.Text),
+			Run: h.Run, Job: h.Job, Server: h.Server, Running: h.Running, Text: textMessage(h.Text), Final: int64(h.LastStreamed),
 		})
 	}
 	stream, err := c.relay.Carry(ctx, connect.NewRequest(request))
@@ -57,7 +57,7 @@
 func (s server) Carry(ctx context.Context, r *connect.Request[limpetwire.CarryRequest], stream *connect.ServerStream[limpetwire.CarryReply]) error {
 	o := limpetexecutor.Offer{VM: r.Msg.Vm, Zone: r.Msg.Zone, Session: r.Msg.Session}
 	for _, h := range r.Msg.Held {
-		o.Held = append(o.Held, limpetexecutor.HeldRun{Run: h.Run, Job: h.Job, Server: h.Server, Running: h.Running, Text: textOf(h.Text)})
+		o.Held = append(o.Held, limpetexecutor.HeldRun{Run: h.Run, Job: h.Job, Server: h.Server, Running: h.Running, Text: textOf(h.Text), LastStreamed: int(h.Final)})
 	}
 	return s.handlers.AcceptOffer(ctx, o, func(b limpetexecutor.Batch) error { return stream.Send(batchMessage(b)) })
 }
@@ -120,7 +120,7 @@
 func progressMessage(p limpetexecutor.Progress) *limpetwire.RunProgress {
 	m := &limpetwire.RunProgress{
 		Run: p.Run, Headed: p.Responded, Version: int64(p.Version), Ended: p.Ended,
-		Ending: int64(p.End.Ending), Status: int64(p.End.Status), Cause: p.End.Cause,
+		Ending: int64(p.End.Ending), Status: int64(p.End.Status), Cause: p.End.Cause, Final: int64(p.End.LastEvent),
 	}
 	for _, e := range p.Events {
 		m.Events = append(m.Events, &limpetwire.CarriedEvent{
@@ -133,7 +133,7 @@
 func progressOf(m *limpetwire.RunProgress) limpetexecutor.Progress {
 	p := limpetexecutor.Progress{
 		Run: m.Run, Responded: m.Headed, Version: int(m.Version), Ended: m.Ended,
-		End: limpetexecutor.End{Ending: limpetbatch.Ending(m.Ending), Status: int(m.Status), Cause: m.Cause},
+		End: limpetexecutor.End{Ending: limpetbatch.Ending(m.Ending), Status: int(m.Status), Cause: m.Cause, LastEvent: int(m.Final)},
 	}
 	for _, e := range m.Events {
 		p.Events = append(p.Events, limpetexecutor.Event{
