limpetforward: events of the server that began a stream must follow each other

Cause: only a server that went on with a stream was checked. Now each event is compared with the one before: without gaps where the stream may go on elsewhere, as a server goes on with the next number, and increasing where not. A stream of which the caller has events without IDs no longer exists, so its special case is gone.

--- a/internal/limpetforward/resume_test.go
+++ b/internal/limpetforward/resume_test.go
@@ -91,3 +91,46 @@
 		})
 	})
 }
+
+// Guards against streams that lack an event, or have one twice, and end as complete: the
+// IDs of the first server's events were not looked at.
+func TestEventsOfTheFirstServerFollowEachOther(t *testing.T) {
+	event := func(id int) limpetupstream.Event { return limpetupstream.Event{ID: id, Data: "x"} }
+	for _, kind := range []limpetsite.Kind{limpetsite.Stream, limpetsite.Once} {
+		for _, c := range []struct {
+			name string
+			// spoiled is sent after the events 1 and 2 and before the event 5.
+			spoiled limpetupstream.Event
+			// allowed is set if the IDs may be those of a stream that cannot go on elsewhere.
+			allowed bool
+		}{
+			{"without an ID", limpetupstream.Event{Data: "x"}, false},
+			{"twice", event(2), false},
+			{"with an earlier ID", event(1), false},
+			{"with a later ID", event(7), false},
+			{"missing", event(4), true},
+		} {
+			t.Run(c.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture(kind, eventsOf(io.EOF, event(1), event(2), c.spoiled, event(5)), streamOf(3, 5, io.EOF))
+					f.setAttempts(2)
+					ids, err := readIDs(f.Forward(context.Background(), request("/k/x", "key")))
+					Convey("the stream goes on elsewhere if it may, and is visibly broken if not", t, func() {
+						if kind == limpetsite.Stream {
+							So(errors.Is(err, io.EOF), ShouldBeTrue)
+							So(ids, ShouldResemble, []int{1, 2, 3, 4, 5})
+							return
+						}
+						if c.allowed {
+							So(ids, ShouldResemble, []int{1, 2, 4, 5})
+							return
+						}
+						So(errors.Is(err, io.EOF), ShouldBeFalse)
+						So(ids[:2], ShouldResemble, []int{1, 2})
+						So(ids, ShouldNotContain, 5)
+					})
+				})
+			})
+		}
+	}
+}
--- a/internal/limpetforward/stream.go
+++ b/internal/limpetforward/stream.go
@@ -18,12 +18,12 @@
 // breaks. The caller sees one response, with the header of the first server.
 func (d *dispatch) followStream(ctx context.Context, first *limpetupstream.Reply) {
 	current := &limpetupstream.Reply{Events: first.Events, Close: first.Close}
-	last, events, began := d.request.LastEventID, 0, false
+	last, events := d.request.LastEventID, 0
 	first.Events = func() (limpetupstream.Event, error) {
 		for {
 			event, err := current.Events()
 			if err == nil {
-				err = d.checkPosition(event, last, events)
+				err = d.checkPosition(event, last)
 			}
 			if err == nil {
 				if last == 0 {
@@ -31,7 +31,7 @@
 					d.sender = limpetorigin.Sender{Server: d.server.ID, Incarnation: d.server.Incarnation, Began: d.respondedAt}
 				}
 				d.recordOrigin()
-				last, began = max(last, event.ID), true
+				last = event.ID
 				events++
 				return event, nil
 			}
@@ -41,7 +41,7 @@
 			}
 			current.Close()
 			d.recordBroken(ctx, d.server, err, events)
-			if !d.route.Repeatable() || (began && last == 0) || !d.mayGoOn(last, events) {
+			if !d.route.Repeatable() || !d.mayGoOn(last, events) {
 				return event, err
 			}
 			next := d.resume(ctx, last)
@@ -55,15 +55,10 @@
 }
 
 // checkPosition returns an error for an event that does not follow the last one that
-// the caller has: the first one of a server that goes on with a stream must be the
-// next, and each later one must come after the one before. What a server sends that
-// has the stream from its beginning is the caller's, whatever it is. Events tells how
-// many events the server has sent.
-func (d *dispatch) checkPosition(event limpetupstream.Event, last, events int) error {
-	if !d.route.Repeatable() || d.request.LastEventID == 0 {
-		return nil
-	}
-	if (events == 0 && event.ID != last+1) || event.ID <= last {
+// the caller has. Events of a stream that may go on elsewhere are numbered without gaps,
+// since a server goes on with the next number; those of another stream increase.
+func (d *dispatch) checkPosition(event limpetupstream.Event, last int) error {
+	if event.ID <= last || (d.route.Repeatable() && event.ID != last+1) {
 		return limpeterror.Unknown.New("event %d does not follow event %d", event.ID, last)
 	}
 	return nil
