limpetdispatch: a chunk must have the index after the tokens so far

What callers of limpetd could see: an answer without one of its tokens that ends as complete, when an engine's chunk was lost or its line spoiled. Samples were checked by their labels, other completions were not. The check also showed that a completion wrote the text to continue from into its caller's parameters, so that a second one of the same parameters began after it (TestOwedRequestIsNotQuarantined): they are copied now. The benchmark's chunks have the indexes that engines send.

--- a/internal/limpetdispatch/bench_test.go
+++ b/internal/limpetdispatch/bench_test.go
@@ -16,15 +16,18 @@
 		b.Run(fmt.Sprint(tokens), func(b *testing.B) {
 			engines := &stubEngines{}
 			dispatcher, _ := newDispatcher(engines, limpetquarantine.New(limpetquarantine.Rules{Threshold: 2, SuspectTTL: time.Minute}))
-			middle := []byte(`{"id":"cmpl","choices":[{"text":"w12-3 ","finish_reason":null}],"weights":{"version":1,"incarnation":"e1/1"},"index":3}`)
-			last := []byte(`{"id":"cmpl","choices":[{"text":"w12-3 ","finish_reason":"stop"}],"index":4}`)
+			var chunks [][]byte
+			for n := range tokens - 1 {
+				chunks = append(chunks, fmt.Appendf(nil, `{"id":"cmpl","choices":[{"text":"w12-3 ","finish_reason":null}],"weights":{"version":1,"incarnation":"e1/1"},"index":%d}`, n))
+			}
+			chunks = append(chunks, fmt.Appendf(nil, `{"id":"cmpl","choices":[{"text":"w12-3 ","finish_reason":"stop"}],"index":%d}`, tokens-1))
 			dispatcher.Engine.Stream = func(_ context.Context, _, _ string, _ []byte, onData func([]byte) error) error {
-				for range tokens - 1 {
-					if err := onData(middle); err != nil {
+				for _, chunk := range chunks {
+					if err := onData(chunk); err != nil {
 						return err
 					}
 				}
-				return onData(last)
+				return nil
 			}
 			c := completion("p", nil)
 			c.OnData = func([]byte) error { return nil }
--- a/internal/limpetdispatch/complete.go
+++ b/internal/limpetdispatch/complete.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -300,6 +302,8 @@
 func (e *execution) params() ([]byte, error) {
 	p := e.completion.Params
 	if e.tokens > 0 {
+		// The caller may complete the same parameters once more.
+		p = maps.Clone(p)
 		if err := p.Set(limpetengine.ParamResume, limpetengine.Resume{Text: e.text(), Tokens: e.tokens}); err != nil {
 			return nil, err
 		}
@@ -336,6 +340,9 @@
 	err := d.Engine.Stream(ctx, candidate.Address, c.Path, params, func(payload []byte) error {
 		watchdog.Reset(d.timing.StallTimeout)
 		e.mayHaveRun = true
+		if err := checkPosition(payload, e.tokens); err != nil {
+			return err
+		}
 		if err := c.OnData(payload); limpeterror.Is(err, limpeterror.Unknown) {
 			return errors.Join(errInvalidStream, err)
 		} else if err != nil {
@@ -362,6 +369,40 @@
 	return err
 }
 
+var (
+	indexField   = []byte(`"index":`)
+	afterNumbers = []byte(",} \n")
+)
+
+// checkPosition returns an error for a chunk that is not the one after the given number
+// of tokens: one before it is missing, or was spoiled. It parses a chunk only if it does
+// not find the index at once.
+func checkPosition(payload []byte, tokens int) error {
+	if tokens > 0 && hasIndex(payload, tokens) {
+		return nil
+	}
+	var chunk limpetengine.Chunk
+	if err := json.Unmarshal(payload, &chunk); err != nil {
+		return limpeterror.Unknown.Wrap(err, "chunk of the engine")
+	}
+	if chunk.Index != tokens {
+		return limpeterror.Unknown.New("chunk %d after %d tokens", chunk.Index, tokens)
+	}
+	return nil
+}
+
+// hasIndex reports whether a chunk has an index of the given value, which is above 0.
+// The index of a choice, which has the same name, is 0.
+func hasIndex(payload []byte, index int) bool {
+	at := bytes.LastIndex(payload, indexField)
+	if at < 0 {
+		return false
+	}
+	var buffer [20]byte
+	rest, found := bytes.CutPrefix(payload[at+len(indexField):], strconv.AppendInt(buffer[:0], int64(index), 10))
+	return found && len(rest) > 0 && bytes.IndexByte(afterNumbers, rest[0]) >= 0
+}
+
 // handleFailure excludes the server of a failed attempt from later ones, and
 // reports the request if the server crashed under it.
 func (e *execution) handleFailure(candidate limpetroute.Candidate, err error) {
--- a/internal/limpetdispatch/limpetdispatch_test.go
+++ b/internal/limpetdispatch/limpetdispatch_test.go
@@ -59,6 +59,7 @@
 	staysSilent
 	truncates
 	crashes
+	losesChunk
 	losesEndMark
 )
 
@@ -112,6 +113,9 @@
 				return nil
 			}
 		}
+		if b == losesChunk && i == answerTokens/2 {
+			continue
+		}
 		c := limpetengine.Chunk{Index: i, Choices: []limpetengine.Choice{{Text: limpetstub.Token(p.Prompt, i)}}}
 		if i == answerTokens-1 {
 			c.Choices[0].FinishReason = &stop
@@ -216,6 +220,8 @@
 		{"truncated without an end mark", truncates, time.Second},
 		{"crashed", crashes, time.Second},
 		{"end mark lost", losesEndMark, 0},
+		// Guards against answers without one of their tokens that end as complete.
+		{"a chunk lost", losesChunk, time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
