An answer needs a status from 200 to 599

What callers saw: 600 and above passed on as the engine's answer; for 000 an aborted connection, with no other engine tried. limpetd's calls to peers counted as done with 000, and its plain services' answers were passed on. A check took it for a sign of life.

Change: limpethttp.CheckStatus at each place that decodes an answer of another system, and where a VM takes a passed-on one.

--- a/internal/limpetdispatch/call.go
+++ b/internal/limpetdispatch/call.go
@@ -269,6 +269,9 @@
 		return Response{}, limpethttp.Classify(err, "service "+c.Service.Name)
 	}
 	defer response.Body.Close()
+	if err := limpethttp.CheckStatus(response.StatusCode); err != nil {
+		return Response{}, limpeterror.Unknown.Wrap(err, "answer of service %s", c.Service.Name)
+	}
 	body, hold, err := p.memory.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1), response.ContentLength)
 	if err != nil {
 		return Response{}, limpeterror.Unknown.Wrap(err, "answer of service %s", c.Service.Name)
--- a/internal/limpetdispatch/limpetdispatch_test.go
+++ b/internal/limpetdispatch/limpetdispatch_test.go
@@ -521,6 +521,31 @@
 	})
 }
 
+// Guards against an answer without a valid status that reaches a caller: a server in
+// trouble sent one.
+func TestPlainCallsNeedAStatus(t *testing.T) {
+	for _, status := range []string{"000", "101", "600"} {
+		Convey("a server's answer with status "+status+" is not passed on, and the call may have run", t, func() {
+			env := newPlainEnv(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				// The client may have gone.
+				_, _ = conn.Write([]byte("HTTP/1.1 " + status + " x\r\nContent-Length: 2\r\n\r\nok"))
+				_ = conn.Close()
+			}))
+			t.Cleanup(server.Close)
+			s := limpetroute.NewServer(limpetorder.Server{ID: "c", Service: "records", Zone: "a", Address: server.Listener.Addr().String()})
+			env.view.Servers["records"] = []limpetroute.Candidate{{Server: s, Capacity: 8}}
+			_, err := env.call(http.MethodPost, "", "fee", false)
+			So(limpeterror.Is(err, limpeterror.Unknown), ShouldBeTrue)
+		})
+	}
+}
+
 func TestIdempotencyKeyReuse(t *testing.T) {
 	Convey("a resent request gets the recorded response", t, func() {
 		env := newPlainEnv(t)
--- a/internal/limpetengine/limpetengine.go
+++ b/internal/limpetengine/limpetengine.go
@@ -205,6 +205,9 @@
 		return limpethttp.Classify(err, "engine "+address)
 	}
 	defer response.Body.Close()
+	if err := limpethttp.CheckStatus(response.StatusCode); err != nil {
+		return limpeterror.Unknown.Wrap(err, "engine %s", address)
+	}
 	if response.StatusCode != http.StatusOK {
 		return statusError(response, address)
 	}
--- a/internal/limpethttp/limpethttp.go
+++ b/internal/limpethttp/limpethttp.go
@@ -134,6 +134,9 @@
 		return 0, nil, classifyForMethod(method, err, url)
 	}
 	defer response.Body.Close()
+	if err := CheckStatus(response.StatusCode); err != nil {
+		return 0, nil, classifyForMethod(method, err, url)
+	}
 	if h, ok := ctx.Value(answerHeaderKey{}).(http.Header); ok {
 		maps.Copy(h, response.Header)
 	}
--- a/internal/limpetrelay/pass.go
+++ b/internal/limpetrelay/pass.go
@@ -121,6 +121,9 @@
 	if a == nil {
 		return nil, limpeterror.Unknown.New("the VM that has the call sent no answer")
 	}
+	if err := limpethttp.CheckStatus(int(a.Status)); err != nil {
+		return nil, limpeterror.Unknown.Wrap(err, "the VM that has the call")
+	}
 	reply := &limpetupstream.Reply{
 		Status: int(a.Status), Header: headerOf(a.Headers), Body: a.Body, Version: int(a.Version), NotRun: a.NotRun,
 		Misdirected: a.Misdirected, Signature: a.Signature, Limit: a.Limit, Leaving: a.Leaving, Close: p.close,
--- a/internal/limpetrelay/refused_test.go
+++ b/internal/limpetrelay/refused_test.go
@@ -1,6 +1,7 @@
 package limpetrelay_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -25,3 +26,22 @@
 		t.Errorf("a refused call ended with %v, not as one that was not taken", err)
 	}
 }
+
+// Guards against an answer without a valid status that a VM of an earlier release passes on.
+func TestPassedAnswersNeedAStatus(t *testing.T) {
+	for _, status := range []int{-1, 0, 99, 101, 600, 999} {
+		handlers := &limpetrelay.Handlers{
+			IsOwn: func([]byte) bool { return true },
+			CarryCall: func(_ context.Context, _ limpetupstream.Call, taken func() error) (*limpetupstream.Reply, error) {
+				return &limpetupstream.Reply{Status: status, Signature: "s", Close: func() {}}, taken()
+			},
+		}
+		vm := httptest.NewServer(handlers.Handler())
+		client := limpetrelay.NewClient(vm.Client(), vm.Listener.Addr().String(), limpetrelay.Follower{})
+		_, err := client.Pass(t.Context(), []byte("secret"), limpetupstream.Call{Server: &limpetsite.Server{}})
+		if !limpeterror.Is(err, limpeterror.Unknown) {
+			t.Errorf("an answer with status %d ended with %v", status, err)
+		}
+		vm.Close()
+	}
+}
