--- a/internal/limpetdispatch/call.go
+++ b/internal/limpetdispatch/call.go
@@ -55,9 +55,9 @@
 	Replayed bool
 }
 
-// maxResponseBytes limits the responses of plain services. They are read
-// completely before the caller gets them, so that a truncated response is never
-// passed on as a complete one.
+// maxResponseBytes limits the responses of backend servers. Those of plain services
+// are read completely before the caller gets them, so that a truncated response is
+// never passed on as a complete one; those of engines are kept to continue elsewhere.
 const maxResponseBytes = 16 << 20
 
 // maxUnreadBytes limits all responses together while they are being read.
--- a/internal/limpetdispatch/complete.go
+++ b/internal/limpetdispatch/complete.go
@@ -343,6 +343,9 @@
 		if err := checkPosition(payload, e.tokens); err != nil {
 			return err
 		}
+		if e.delivered.Len()+len(payload) > maxResponseBytes {
+			return errors.Join(errInvalidStream, limpeterror.Unknown.New("an answer of more than %d bytes", maxResponseBytes))
+		}
 		if err := c.OnData(payload); limpeterror.Is(err, limpeterror.Unknown) {
 			return errors.Join(errInvalidStream, err)
 		} else if err != nil {
--- a/internal/limpetdispatch/limpetdispatch_test.go
+++ b/internal/limpetdispatch/limpetdispatch_test.go
@@ -251,6 +251,31 @@
 	}
 }
 
+// Guards against an engine in trouble that sends chunks without end, which filled the
+// memory of the VM that keeps them to continue elsewhere.
+func TestEndlessCompletions(t *testing.T) {
+	Convey("an answer without end is given up", t, func() {
+		const endlessBytes, maxSent = 64 << 20, 24 << 20
+		dispatcher, _ := newDispatcher(&stubEngines{}, limpetquarantine.New(limpetquarantine.Rules{Threshold: 2, SuspectTTL: time.Minute}))
+		sent, text := 0, strings.Repeat("x", 4000)
+		dispatcher.Engine.Stream = func(_ context.Context, _, _ string, _ []byte, onData func([]byte) error) error {
+			for n := 0; sent < endlessBytes; n++ {
+				data := fmt.Appendf(nil, `{"id":"cmpl","choices":[{"text":%q,"finish_reason":null}],"index":%d}`, text, n)
+				sent += len(data)
+				if err := onData(data); err != nil {
+					return err
+				}
+			}
+			return limpeterror.Unknown.New("the engine stopped at last")
+		}
+		c := completion("p", nil)
+		c.OnData = func([]byte) error { return nil }
+		_, err := dispatcher.Complete(context.Background(), c)
+		So(limpeterror.Is(err, limpeterror.Unknown), ShouldBeTrue)
+		So(sent, ShouldBeLessThan, maxSent)
+	})
+}
+
 func TestCompletionErrorTypes(t *testing.T) {
 	for _, c := range []struct {
 		name string
