The text of an item is bounded: engines may send events without end

Events that follow each other without end were not: a VM that reads a run, and the director, kept them all.

Change: a text takes at most 8 MiB; a run that passes it is interrupted, and a text that passes it over several runs begins again elsewhere.

--- a/internal/limpetbatch/attach_test.go
+++ b/internal/limpetbatch/attach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"limpetmount.org/internal/limpetbatch"
 	"limpetmount.org/internal/limpetjob"
+	"limpetmount.org/internal/limpetupstream"
 )
 
 // draft returns an item's text up to an event, generated under one version.
@@ -92,6 +94,29 @@
 	})
 }
 
+// Guards against an engine in trouble that sends events without end, run after run, which
+// filled the director's memory.
+func TestEndlessTexts(t *testing.T) {
+	Convey("a text that grows beyond its bound begins again elsewhere", t, func() {
+		v := view(4, map[string]int{"e1": 5, "e2": 5})
+		s := scheduler(v)
+		s.AddJob(job("j", 1, []int{100}), rules, nil, epoch)
+		run := s.Dispatch(v, epoch)[0]
+		s.HandleHeader(run, 5, epoch)
+		const maxEvents, bytes = 4000, 4000
+		data, n := strings.Repeat("x", bytes), 1
+		for ; n <= maxEvents && s.HandleEvent(run, limpetupstream.Event{ID: n, Data: data}, 5, epoch); n++ {
+		}
+		So(n, ShouldBeLessThan, maxEvents)
+		next := s.Dispatch(v, at(time.Second))
+		So(len(next), ShouldEqual, 1)
+		So(next[0].After, ShouldEqual, 0)
+		So(next[0].Server.ID, ShouldNotEqual, run.Server.ID)
+		finish(s, next[0], 3, 5, at(time.Second))
+		So(commitAll(s)[0].Text, ShouldEqual, "piece 1\npiece 2\npiece 3")
+	})
+}
+
 func TestGroupReady(t *testing.T) {
 	Convey("a group is ready once its last item is settled, until it is committed", t, func() {
 		v := view(4, map[string]int{"e1": 1})
--- a/internal/limpetbatch/draft.go
+++ b/internal/limpetbatch/draft.go
@@ -103,7 +103,7 @@
 func textFromDraft(d limpetjob.Draft) text {
 	t := text{pieces: d.Pieces, lastEvent: d.LastEvent, versions: d.Versions, version: d.Version, software: d.Software}
 	for _, p := range d.Pieces {
-		t.bytes += len(p)
+		t.bytes += limpetjob.EventBytes(p)
 		t.encoded += limpetjob.EncodedLen(p)
 	}
 	return t
--- a/internal/limpetbatch/run.go
+++ b/internal/limpetbatch/run.go
@@ -60,6 +60,14 @@
 	if event.Version > 0 && !s.checkVersion(r, version, now) {
 		return false
 	}
+	if e.text.bytes+limpetjob.EventBytes(event.Data) > limpetjob.MaxTextBytes {
+		s.detach(r)
+		before := e.work()
+		e.dropText()
+		s.recordWork(e, before)
+		e.avoidEngine = r.Server.ID
+		return false
+	}
 	if g := s.engines[r.Server.ID]; g != nil {
 		s.recordInterval(g, r, now)
 		s.recordTiming(r, g, now)
--- a/internal/limpetbatch/text.go
+++ b/internal/limpetbatch/text.go
@@ -23,7 +23,8 @@
 	version  int
 	complete bool
 	score    string
-	// bytes is the size of the pieces, and encoded that of their stored form.
+	// bytes is the memory that the pieces take, and encoded the size of their stored
+	// form.
 	bytes, encoded int
 }
 
@@ -35,7 +36,7 @@
 	t.pieces = append(t.pieces, e.Data)
 	t.lastEvent = e.ID
 	t.version = version
-	t.bytes += len(e.Data)
+	t.bytes += limpetjob.EventBytes(e.Data)
 	t.encoded += limpetjob.EncodedLen(e.Data)
 	if !slices.Contains(t.versions, version) {
 		t.versions = append(t.versions, version)
--- a/internal/limpetexecutor/execute.go
+++ b/internal/limpetexecutor/execute.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"limpetmount.org/internal/limpetbatch"
+	"limpetmount.org/internal/limpetjob"
 	"limpetmount.org/internal/limpetupstream"
 )
 
@@ -61,7 +62,7 @@
 		sink.End(End{Ending: limpetbatch.Interrupted, Status: reply.Status})
 		return
 	}
-	version, last := reply.Version, call.LastEventID
+	version, last, size := reply.Version, call.LastEventID, 0
 	sink.Header(version)
 	for {
 		event, err := reply.Events()
@@ -79,6 +80,10 @@
 			sink.End(End{Ending: limpetbatch.Interrupted, Cause: fmt.Sprintf("event %d does not follow event %d", event.ID, last)})
 			return
 		}
+		if size += limpetjob.EventBytes(event.Data); size > limpetjob.MaxTextBytes {
+			sink.End(End{Ending: limpetbatch.Interrupted, Cause: fmt.Sprintf("more than %d bytes of events", limpetjob.MaxTextBytes)})
+			return
+		}
 		last = event.ID
 		if event.Version > 0 {
 			version = event.Version
--- a/internal/limpetexecutor/limpetexecutor_test.go
+++ b/internal/limpetexecutor/limpetexecutor_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -254,6 +255,66 @@
 	}
 }
 
+// endlessEvents returns a function that responds with events that follow each other until
+// the run is canceled or given up, or endlessBytes were sent. It counts the bytes.
+func endlessEvents(data string, sent *atomic.Int64) func(context.Context, limpetupstream.Call) (*limpetupstream.Reply, error) {
+	const endlessBytes = 64 << 20
+	return func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
+		n := c.LastEventID
+		return &limpetupstream.Reply{Status: http.StatusOK, Version: 3, Close: func() {}, Events: func() (limpetupstream.Event, error) {
+			// The event as it was sent, with its ID and the names of its fields.
+			if sent.Add(int64(len("id: 1\ndata: \n\n")+len(data))) > endlessBytes || ctx.Err() != nil {
+				return limpetupstream.Event{}, limpeterror.Disconnected.New("the engine stopped at last")
+			}
+			n++
+			return limpetupstream.Event{ID: n, Data: data}, nil
+		}}, nil
+	}
+}
+
+// Guards against an engine in trouble that sends events without end, which filled the
+// memory of the VM that read them.
+func TestEndlessTexts(t *testing.T) {
+	const maxSent = 16 << 20
+	for name, data := range map[string]string{"long events": strings.Repeat("x", 4000), "short events": "x", "empty events": ""} {
+		for _, lost := range []bool{false, true} {
+			var sent atomic.Int64
+			withDirector(t, name, 0, func(t *testing.T, d *director, s *limpetexecutor.Connector) {
+				s.Executor.Send = endlessEvents(data, &sent)
+				if lost {
+					send := s.Executor.Send
+					s.Executor.Send = func(ctx context.Context, c limpetupstream.Call) (*limpetupstream.Reply, error) {
+						reply, err := send(ctx, c)
+						events, first := reply.Events, true
+						reply.Events = func() (limpetupstream.Event, error) {
+							if first {
+								// The director is lost after the answer began.
+								first = false
+								time.Sleep(3 * time.Second)
+							}
+							return events()
+						}
+						return reply, err
+					}
+				}
+				d.batches <- limpetexecutor.Batch{Orders: []limpetexecutor.Order{order("r", limpetjob.Draft{})}}
+				time.Sleep(500 * time.Millisecond)
+				if lost {
+					d.set(func() { d.down = true })
+				}
+				time.Sleep(4 * time.Second)
+				check(t, sent.Load(), ShouldBeGreaterThan, int64(0))
+				check(t, sent.Load(), ShouldBeLessThan, int64(maxSent))
+				_, _, ends := d.received()
+				if !lost {
+					check(t, len(ends), ShouldEqual, 1)
+					check(t, ends[0].Ending, ShouldEqual, limpetbatch.Interrupted)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a text that is taken for complete on another VM's word.
 func TestHeldRunIsCompleteByItsEvents(t *testing.T) {
 	event := func(id int) limpetexecutor.Event {
--- a/internal/limpetjob/limpetjob.go
+++ b/internal/limpetjob/limpetjob.go
@@ -109,6 +109,18 @@
 	Results []Result `json:"results"`
 }
 
+const (
+	// MaxTextBytes bounds the memory that the text of an item takes, as EventBytes
+	// counts it: an engine in trouble may send events without end.
+	MaxTextBytes = 8 << 20
+	// eventOverhead is the memory of an event beside its data, in bytes: the
+	// string's header and the rest of its allocation.
+	eventOverhead = 48
+)
+
+// EventBytes returns the memory that an event with the given data takes in a text.
+func EventBytes(data string) int { return len(data) + eventOverhead }
+
 // maxPartBytes bounds each value of a stored job. It is below the store's limit
 // for a value.
 const maxPartBytes = 600 << 10
