A planned stop answers the requests that it cannot finish

Change: once a drain has begun, a request whose time would end after the VM does is refused as not run; shortly before the drain ends, the contexts of open requests end with limpeterror.ErrStopping, and they are answered (504 if they are at a server, 503 if not).

--- a/internal/limpeterror/limpeterror.go
+++ b/internal/limpeterror/limpeterror.go
@@ -42,6 +42,10 @@
 	Fenced = namespace.NewType("fenced")
 )
 
+// ErrStopping is the cause of the end of a request's context when the process that serves
+// it is about to end.
+var ErrStopping = errors.New("the process is being stopped")
+
 // Is reports whether err has type t. Only the outermost typed error counts: an
 // Unknown that wraps an Unavailable is not Unavailable.
 func Is(err error, t *errorx.Type) bool {
--- a/internal/limpetforward/dispatch.go
+++ b/internal/limpetforward/dispatch.go
@@ -152,6 +152,8 @@
 		return busyRetryAfter
 	case UnknownOrigin:
 		return unknownRetryAfter
+	case Stopping:
+		return StoppingRetryAfter
 	case Quarantined:
 		return max(0, d.quarantineEnd.Sub(d.forwarder.Now()))
 	case Limited:
@@ -216,10 +218,13 @@
 }
 
 // expired returns the reason for a request whose context ended: its deadline
-// passed, or its caller disconnected.
+// passed, the VM is being stopped, or its caller disconnected.
 func (d *dispatch) expired(ctx context.Context) Reason {
+	stopping := errors.Is(context.Cause(ctx), limpeterror.ErrStopping)
 	switch {
-	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case stopping && d.sent == 0:
+		return Stopping
+	case !stopping && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return CallerGone
 	case d.sent > 0:
 		return TimedOut
--- a/internal/limpetforward/limpetforward.go
+++ b/internal/limpetforward/limpetforward.go
@@ -85,11 +85,14 @@
 	// OriginGone means that a stream cannot go on because no server of the software
 	// that began it takes requests; this attempt did not run.
 	OriginGone
+	// Stopping means that this VM is being stopped and the request might not end
+	// before that; it did not run.
+	Stopping
 )
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"served", "not_configured", "no_route", "no_key", "no_server", "busy", "failed", "timed_out", "expired", "caller_gone", "quarantined", "limited", "unknown_origin", "origin_gone"}[r]
+	return [...]string{"served", "not_configured", "no_route", "no_key", "no_server", "busy", "failed", "timed_out", "expired", "caller_gone", "quarantined", "limited", "unknown_origin", "origin_gone", "stopping"}[r]
 }
 
 // An Answer is the outcome of a request for its caller. Reply is set if Reason
@@ -133,6 +136,9 @@
 	Queues *limpetqueue.Queues
 	// Share returns what the director publishes of a service; nil if nothing is known.
 	Share func(service string) Share
+	// MayFinish reports whether a request that may last that long will end before the VM
+	// does; nil if all will.
+	MayFinish func(d time.Duration) bool
 	// Started is when the process started. Requests wait for the first configuration in
 	// the first seconds after that; zero if they do not.
 	Started time.Time
@@ -157,6 +163,9 @@
 	// unknownRetryAfter is the retry delay returned to callers whose stream is
 	// unknown: the record of it may be on its way.
 	unknownRetryAfter = 250 * time.Millisecond
+	// StoppingRetryAfter is the retry delay returned to callers of a VM that is being
+	// stopped. Others serve.
+	StoppingRetryAfter = 10 * time.Millisecond
 )
 
 // Authorize returns the route of a request and the account that it runs for,
@@ -199,9 +208,13 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
+	deadline := r.Arrived.Add(timeout)
+	if f.MayFinish != nil && !f.MayFinish(deadline.Sub(f.Now())) {
+		return f.finish(r, route, account, Answer{Reason: Stopping, RetryAfter: StoppingRetryAfter})
+	}
 	d := &dispatch{
 		forwarder: f, request: r, route: route, account: account, crashes: f.Crashes,
-		service: view.Pick(route, limpetsite.HomesOf(route, account), rand.Float64()), deadline: r.Arrived.Add(timeout), tried: map[string]bool{},
+		service: view.Pick(route, limpetsite.HomesOf(route, account), rand.Float64()), deadline: deadline, tried: map[string]bool{},
 	}
 	if route.Kind == limpetsite.Stream && route.Resumable {
 		if reason := d.findOrigin(ctx); reason != Served {
--- a/internal/limpethost/jobs.go
+++ b/internal/limpethost/jobs.go
@@ -80,6 +80,9 @@
 // account returns the name of the account that an API key belongs to, or why
 // the call is refused; request is the ID for the log.
 func (h *Host) account(request, key string) (string, Refusal) {
+	if !h.MayFinish(storeTimeout) {
+		return "", Refusal{Cause: NotReady, RetryAfter: limpetforward.StoppingRetryAfter, Text: "not run: " + limpetforward.Stopping.String()}
+	}
 	view := h.View()
 	if !view.Ready() {
 		return "", Refusal{Cause: NotReady, RetryAfter: storeRetryAfter, Text: "not run: " + limpetforward.NotConfigured.String()}
@@ -143,7 +146,7 @@
 	if refusal.Cause != NoCause {
 		return limpetjob.Page{}, refusal
 	}
-	wait = min(max(wait, 0), maxReadWait)
+	wait = min(max(wait, 0), maxReadWait, h.timeForRequest()-storeReadMargin)
 	ctx, cancel := context.WithTimeout(ctx, wait+storeReadMargin)
 	defer cancel()
 	page, err := h.readPage(ctx, id, account, after, wait)
--- a/internal/limpethost/limpethost.go
+++ b/internal/limpethost/limpethost.go
@@ -99,8 +99,11 @@
 	// confirmedAt is up to when the view is known to hold what the store held.
 	confirmedAt atomic.Pointer[time.Time]
 	draining    atomic.Bool
-	counter     *limpetwindow.Counter
-	director    *limpetdirector.Director
+	// requestEnd is when the last requests must have ended; nil while there is no such
+	// time.
+	requestEnd atomic.Pointer[time.Time]
+	counter    *limpetwindow.Counter
+	director   *limpetdirector.Director
 	// directorGroup runs the director, which must stop before the other
 	// goroutines.
 	directorGroup *limpettask.Group
@@ -229,7 +232,7 @@
 	h.feeds = h.newFeeds()
 	h.Forwarder = &limpetforward.Forwarder{
 		Zone: settings.Zone, View: h.View, Upstream: deps.Upstream, Tracker: limpetbalancer.New(), Crashes: h.crashes, Limits: h.gate, Origins: h.origins, Silence: h.silence, Capacity: h.capacity.observer,
-		Queues: h.newQueues(), Share: h.capacity.observer.Share, Started: deps.Now(),
+		Queues: h.newQueues(), Share: h.capacity.observer.Share, Started: deps.Now(), MayFinish: h.MayFinish,
 		Log: log, Metrics: metrics, CountRequest: h.counter.CountRequest, Now: deps.Now,
 	}
 	h.capacity.observer.Waiting = h.queued
--- a/internal/limpethost/limpethost_test.go
+++ b/internal/limpethost/limpethost_test.go
@@ -167,6 +167,30 @@
 	})
 }
 
+// Guards against calls that a VM that is being stopped takes when there is no time left to
+// answer them: a call to the store may last longer than the VM does.
+func TestLateCallsOfAPlannedStopAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := limpetstub.NewStore()
+		h := startConfigured(t, store)
+		began := time.Now()
+		err := h.Shutdown(grace, removalDelay, func(ctx context.Context) error {
+			check(t, h.Submit(ctx, "good", newJob("early"), nil).Cause, convey.ShouldEqual, limpethost.NoCause)
+			time.Sleep(6*time.Second - time.Since(began))
+			for _, refusal := range []limpethost.Refusal{
+				h.Submit(ctx, "good", newJob("late"), nil), h.EndJob(ctx, "good", "early"),
+			} {
+				check(t, refusal.Cause, convey.ShouldEqual, limpethost.NotReady)
+				check(t, refusal.RetryAfter, convey.ShouldBeGreaterThan, time.Duration(0))
+			}
+			_, refusal := h.ReadJob(ctx, "good", "early", 0, time.Second)
+			check(t, refusal.Cause, convey.ShouldEqual, limpethost.NotReady)
+			return nil
+		})
+		check(t, err, convey.ShouldBeNil)
+	})
+}
+
 func TestShutdown(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/internal/limpethttp/drain.go
+++ b/internal/limpethttp/drain.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpettask"
 )
 
@@ -23,6 +24,10 @@
 	newConnWait = time.Second
 	// drainPollInterval is the time between looks at the open connections.
 	drainPollInterval = 5 * time.Millisecond
+	// AnswerReserve is the end of the time for a drain in which requests that are still
+	// open are answered. It is at most one part in answerReserveDivisor of that time.
+	AnswerReserve        = 300 * time.Millisecond
+	answerReserveDivisor = 4
 )
 
 // A Server is an HTTP server that can be drained. http.Server.Shutdown alone drops
@@ -36,12 +41,18 @@
 	mu sync.Mutex
 	// states holds the state of each open connection.
 	states map[net.Conn]http.ConnState
+
+	// stopping is canceled with limpeterror.ErrStopping when open requests must be
+	// answered.
+	stopping context.Context
+	stop     context.CancelCauseFunc
 }
 
 // NewServer returns a server for a listener. Connections use TLS if config is not
 // nil. The server's handler and ConnState must not change afterwards.
 func NewServer(server *http.Server, listener net.Listener, config *tls.Config) *Server {
 	s := &Server{Server: server, queue: &drainListener{Listener: listener}, states: map[net.Conn]http.ConnState{}}
+	s.stopping, s.stop = context.WithCancelCause(context.Background())
 	s.listener = s.queue
 	if config != nil {
 		s.listener = tls.NewListener(s.queue, config)
@@ -52,11 +63,23 @@
 		if s.queue.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		handler.ServeHTTP(w, r)
+		ctx, cancel := s.untilStopped(r.Context())
+		defer cancel()
+		handler.ServeHTTP(w, r.WithContext(ctx))
 	})
 	return s
 }
 
+// untilStopped returns a context that also ends when open requests must be answered.
+func (s *Server) untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(s.stopping, func() { cancel(limpeterror.ErrStopping) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 func (s *Server) recordState(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -103,9 +126,16 @@
 }
 
 // Drain accepts the connections that wait, closes the listener, answers all
-// requests, and closes the connections. The error is that of ctx if requests are
-// still open when it ends.
+// requests, and closes the connections. Shortly before ctx ends, the contexts of
+// requests that are still open end with limpeterror.ErrStopping, so that they are
+// answered and not cut off. The error is that of ctx if requests are still open when
+// it ends.
 func (s *Server) Drain(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline)
+		timer := time.AfterFunc(left-min(AnswerReserve, left/answerReserveDivisor), func() { s.stop(limpeterror.ErrStopping) })
+		defer timer.Stop()
+	}
 	if err := s.queue.drain(); err != nil {
 		return errors.Join(err, s.Shutdown(ctx))
 	}
--- a/internal/limpethttp/drain_test.go
+++ b/internal/limpethttp/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"limpetmount.org/internal/limpeterror"
 	"limpetmount.org/internal/limpethttp"
 	"limpetmount.org/internal/limpettask"
 )
@@ -93,6 +95,46 @@
 	return response.Body.Close()
 }
 
+// Guards against requests that a planned stop cuts off without an answer when its time is
+// over.
+func TestDrainAnswersOpenRequests(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := make(chan struct{}, 2)
+	server := limpethttp.NewServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-r.Context().Done()
+		if errors.Is(context.Cause(r.Context()), limpeterror.ErrStopping) {
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}
+	})}, listener, nil)
+	group := limpettask.New(context.Background())
+	group.Go(func(context.Context) error { return server.Serve() })
+	answers := make(chan int, 2)
+	for range 2 {
+		group.Go(func(context.Context) error {
+			response, err := http.Get("http://" + listener.Addr().String())
+			if err != nil {
+				answers <- 0
+				return err
+			}
+			answers <- response.StatusCode
+			return response.Body.Close()
+		})
+		<-began
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	Convey("requests that are open when the time is almost over are answered", t, func() {
+		So(server.Drain(ctx), ShouldBeNil)
+		So(<-answers, ShouldEqual, http.StatusGatewayTimeout)
+		So(<-answers, ShouldEqual, http.StatusGatewayTimeout)
+		So(group.Stop(), ShouldBeNil)
+	})
+}
+
 func TestDrainEnds(t *testing.T) {
 	for _, c := range []struct {
 		name string
