--- a/internal/limpetdispatch/limpetdispatch_test.go
+++ b/internal/limpetdispatch/limpetdispatch_test.go
@@ -546,25 +546,48 @@
 	})
 }
 
+// answerRaw lets all calls go to one server that answers each with the given bytes and
+// closes the connection.
+func (env *plainEnv) answerRaw(t *testing.T, answer string) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		// The client may have gone.
+		_, _ = conn.Write([]byte(answer))
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	s := limpetroute.NewServer(limpetorder.Server{ID: "c", Service: "records", Zone: "a", Address: server.Listener.Addr().String()})
+	env.view.Servers["records"] = []limpetroute.Candidate{{Server: s, Capacity: 8}}
+}
+
+// Guards against an answer that reaches a caller as whole although the server stopped in
+// the middle of its head or its body.
+func TestPlainCallsNeedTheWholeAnswer(t *testing.T) {
+	env := newPlainEnv(t)
+	const whole = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok"
+	for cut := range len(whole) {
+		env.answerRaw(t, whole[:cut])
+		if response, err := env.call(http.MethodPost, "", "fee", false); !limpeterror.Is(err, limpeterror.Unknown) {
+			t.Errorf("an answer that ends after %q: %v, %+v", whole[:cut], err, response)
+		}
+	}
+	env.answerRaw(t, whole)
+	if _, err := env.call(http.MethodPost, "", "fee", false); err != nil {
+		t.Errorf("the whole answer: %v", err)
+	}
+}
+
 // Guards against an answer without a valid status that reaches a caller: a server in
 // trouble sent one.
 func TestPlainCallsNeedAStatus(t *testing.T) {
 	for _, status := range []string{"000", "101", "600"} {
 		Convey("a server's answer with status "+status+" is not passed on, and the call may have run", t, func() {
 			env := newPlainEnv(t)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				// The client may have gone.
-				_, _ = conn.Write([]byte("HTTP/1.1 " + status + " x\r\nContent-Length: 2\r\n\r\nok"))
-				_ = conn.Close()
-			}))
-			t.Cleanup(server.Close)
-			s := limpetroute.NewServer(limpetorder.Server{ID: "c", Service: "records", Zone: "a", Address: server.Listener.Addr().String()})
-			env.view.Servers["records"] = []limpetroute.Candidate{{Server: s, Capacity: 8}}
+			env.answerRaw(t, "HTTP/1.1 "+status+" x\r\nContent-Length: 2\r\n\r\nok")
 			_, err := env.call(http.MethodPost, "", "fee", false)
 			So(limpeterror.Is(err, limpeterror.Unknown), ShouldBeTrue)
 		})
--- a/internal/limpetengine/limpetengine_test.go
+++ b/internal/limpetengine/limpetengine_test.go
@@ -12,23 +12,42 @@
 	"limpetmount.org/internal/limpeterror"
 )
 
+// serveRaw starts a server that answers each request with the given bytes and closes the
+// connection.
+func serveRaw(t *testing.T, answer string) (address string) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		// The client may have gone.
+		_, _ = conn.Write([]byte(answer))
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// Guards against an answer that counts as whole although the engine stopped in the middle
+// of its head or of its stream.
+func TestStreamsNeedTheirEnd(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: {\"index\":0}\n\ndata: [DONE]"
+	for cut := range len(whole) {
+		err := limpetengine.NewHTTP().Stream(context.Background(), serveRaw(t, whole[:cut]), "/p", []byte("{}"), func([]byte) error { return nil })
+		if !limpeterror.Is(err, limpeterror.Unknown) {
+			t.Errorf("an answer that ends after %q: %v", whole[:cut], err)
+		}
+	}
+}
+
 // Guards against a request that counts as refused for good because an engine in trouble
 // answered without a valid status.
 func TestStreamsNeedAStatus(t *testing.T) {
 	for _, status := range []string{"000", "101", "600"} {
 		Convey("a request that was answered with status "+status+" may have run", t, func() {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				// The client may have gone.
-				_, _ = conn.Write([]byte("HTTP/1.1 " + status + " x\r\nContent-Length: 2\r\n\r\nok"))
-				_ = conn.Close()
-			}))
-			t.Cleanup(server.Close)
-			err := limpetengine.NewHTTP().Stream(context.Background(), server.Listener.Addr().String(), "/p", []byte("{}"), func([]byte) error { return nil })
+			address := serveRaw(t, "HTTP/1.1 "+status+" x\r\nContent-Length: 2\r\n\r\nok")
+			err := limpetengine.NewHTTP().Stream(context.Background(), address, "/p", []byte("{}"), func([]byte) error { return nil })
 			So(limpeterror.Is(err, limpeterror.Unknown), ShouldBeTrue)
 		})
 	}
