review: a spoiled signature is listed as a reward's score

Takes the place of the case of spoiled event data, which review/7 shows already; that case and its stand-in are gone.

Cause: the client of backend servers takes any value of X-Response-Seal, and the record of a result is made by encoding/json, which puts U+FFFD in the place of a byte that is no UTF-8.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -10,4 +10,4 @@
 		exit 2
 	fi
 done
-exec timeout --kill-after=5 118 "$root/target/review-stand3" -case bytes -binary "$root/target/limpetplatform" -record "$folder/record.txt"
+exec timeout --kill-after=5 118 "$root/target/review-stand3" -case score -binary "$root/target/limpetplatform" -record "$folder/record.txt"
--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -93,6 +93,8 @@
 	Total   int      `json:"total"`
 	Next    int      `json:"next"`
 	Results []result `json:"results"`
+	// raw is the page as it came.
+	raw []byte
 }
 
 // jobBody returns a job of groups with items each.
@@ -104,6 +106,7 @@
 			all = append(all, map[string]any{
 				"id": id, "path": "/pule252/3/" + id, "headers": map[string]string{"X-Model": modelName, "X-Token-Counts": "16,1000", "X-Prompt-Prefix": "9c2e41:1000"},
 				"body": []byte("prompt"), "tokens": 1016, "group": fmt.Sprintf("%s-g%d", job, g),
+				"scorer": map[string]any{"id": "score-" + id, "host": siteHost, "path": "/pufi791/" + id, "body": []byte("reward")},
 			})
 		}
 	}
@@ -135,6 +138,7 @@
 	status, data, err := call(ctx, m, http.MethodGet, fmt.Sprintf("/lots/%s?after=%d", job, after), "", map[string]string{"X-Wait-Ms": "1000"}, nil)
 	if err == nil && status == http.StatusOK {
 		err = json.Unmarshal(data, &p)
+		p.raw = data
 	}
 	return p, status, err
 }
--- a/review/stand3/engine.go
+++ b/review/stand3/engine.go
@@ -45,9 +45,8 @@
 	interval time.Duration
 	// events returns the number of events of a text.
 	events func(id string) int
-	// data returns the data of an event as it is sent; answers counts the streams.
-	data    func(id string, n, answer int) string
-	answers int
+	// seal returns the seal of an answer as it is sent.
+	seal func(id string) string
 	// silent engines take requests and answer nothing.
 	silent chan struct{}
 	// crashes is closed when the engine crashes.
@@ -59,7 +58,7 @@
 func (s *site) startEngine(id, service, zone string) *engine {
 	e := &engine{
 		site: s, id: id, service: service, zone: zone, state: "ready", version: 1, interval: eventInterval, stopped: make(chan struct{}),
-		born: time.Now().UnixMilli(), crashed: make(chan struct{}), fails: func(string) int { return 0 }, events: func(string) int { return 25 }, data: func(id string, n, _ int) string { return eventData(id, n) },
+		born: time.Now().UnixMilli(), crashed: make(chan struct{}), fails: func(string) int { return 0 }, events: func(string) int { return 25 }, seal: sealOf,
 	}
 	listener, err := net.Listen("tcp", s.address(3)+":0")
 	must(err)
@@ -91,6 +90,9 @@
 // eventData is what a sound engine makes as event n of a text.
 func eventData(id string, n int) string { return fmt.Sprintf("piece %d of %s", n, id) }
 
+// sealOf is the seal that a sound engine gives to an answer.
+func sealOf(id string) string { return "3e1b.07.5a2.600." + id }
+
 func (e *engine) beat() {
 	e.mu.Lock()
 	entry := map[string]any{
@@ -151,8 +153,7 @@
 		return
 	}
 	e.running++
-	e.answers++
-	answer, version, interval, silent, crashed := e.answers, e.version, e.interval, e.silent, e.crashed
+	version, interval, silent, crashed := e.version, e.interval, e.silent, e.crashed
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
@@ -163,7 +164,7 @@
 	run := e.site.record.begin(e.id, id, after)
 	defer e.site.record.end(run)
 	w.Header().Set("X-Attempt-Id", id)
-	w.Header().Set("X-Response-Seal", "seal."+id)
+	w.Header().Set("X-Response-Seal", e.seal(id))
 	if status := e.fails(id); status != 0 {
 		w.WriteHeader(status)
 		return
@@ -211,7 +212,7 @@
 			version, mark = now, fmt.Sprintf("x-weight-versions: %d\n", now)
 		}
 		e.site.record.event(run, n, version)
-		if _, err := fmt.Fprintf(w, "%sid: %d\ndata: %s\n\n", mark, n, e.data(id, n, answer)); err != nil {
+		if _, err := fmt.Fprintf(w, "%sid: %d\ndata: %s\n\n", mark, n, eventData(id, n)); err != nil {
 			return
 		}
 		flusher.Flush()
